--- /dev/null
+++ b/jest.config.mjs
@@ -0,0 +1,13 @@
+/** Runs every test from source; packages resolve to their public index. */
+export default {
+  testMatch: ["**/__tests__/**/*_test.ts"],
+  testPathIgnorePatterns: ["/node_modules/", "/dist/"],
+  modulePathIgnorePatterns: ["/dist/"],
+  extensionsToTreatAsEsm: [".ts"],
+  transform: { "^.+\\.ts$": "@swc/jest" },
+  moduleNameMapper: {
+    "^@sassafrascleat/([a-z]+)$": "<rootDir>/packages/$1/src/index.ts",
+  },
+  maxWorkers: 4,
+  testTimeout: 60000,
+};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The sassafrascleat command-line program. */
+export {};
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+/** The sassafrascleatd program: settings, wiring and exit codes. */
+export {};
--- /dev/null
+++ b/packages/engine/src/index.ts
@@ -0,0 +1,2 @@
+/** Engine and plain service interfaces and their HTTP forms. */
+export * from "./engine.ts";
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+/** The callers side: HTTP API, request lifecycle, streams and resume. */
+export {};
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,2 @@
+/** Host list, leaving, rendezvous subsets and the configuration relay. */
+export * from "./host_view.ts";
--- /dev/null
+++ b/packages/runtime/src/__tests__/runtime_test.ts
@@ -0,0 +1,77 @@
+/** Shared building blocks. */
+import { describe, expect, test } from "@jest/globals";
+import {
+  createRandom,
+  formatEvent,
+  Mailbox,
+  matchSecret,
+  rankNodes,
+  Secret,
+  sleep,
+} from "../index.ts";
+
+describe("formatEvent", () => {
+  test("quotes values that would break a key=value line", () => {
+    expect(formatEvent("done", { id: "a", note: "two words", none: undefined }))
+      .toBe('event=done id=a note="two words"');
+  });
+});
+
+describe("matchSecret", () => {
+  const accepted = [new Secret("old", "s1"), new Secret("new", "s2")];
+
+  test("accepts either of two secrets and names the one used", () => {
+    expect(matchSecret("s1", accepted)?.name).toBe("old");
+    expect(matchSecret("s2", accepted)?.name).toBe("new");
+  });
+
+  test("refuses a wrong, an empty and a missing secret", () => {
+    expect(matchSecret("s3", accepted)).toBeUndefined();
+    expect(matchSecret("", [new Secret("empty", "")])).toBeUndefined();
+    expect(matchSecret(undefined, accepted)).toBeUndefined();
+  });
+
+  test("never prints the value", () => {
+    expect(JSON.stringify(accepted) + String(accepted[0])).not.toMatch(/s1|s2/);
+  });
+});
+
+describe("rankNodes", () => {
+  test("a departure moves only the keys of who left", () => {
+    const nodes = ["a", "b", "c", "d"];
+    const keys = Array.from({ length: 200 }, (_, i) => `key${i}`);
+    const winner = (key: string, from: string[]) =>
+      rankNodes(key, from, (node) => node)[0];
+    const remaining = nodes.filter((node) => node !== "c");
+    const moved = keys.filter((key) =>
+      winner(key, nodes) !== winner(key, remaining)
+    );
+    expect(moved).toEqual(keys.filter((key) => winner(key, nodes) === "c"));
+    expect(moved.length).toBeGreaterThan(0);
+  });
+});
+
+test("createRandom repeats its sequence", () => {
+  const draw = (seed: number) => {
+    const random = createRandom(seed);
+    return [random.float(), random.int(1, 6), random.float()];
+  };
+  expect(draw(7)).toEqual(draw(7));
+  expect(draw(7)).not.toEqual(draw(8));
+});
+
+test("Mailbox refuses when full and hands over in order", async () => {
+  const mailbox = new Mailbox<number>(2);
+  const signal = new AbortController().signal;
+  expect([mailbox.post(1), mailbox.post(2), mailbox.post(3)])
+    .toEqual([true, true, false]);
+  expect(await mailbox.takeAll(signal)).toEqual([1, 2]);
+});
+
+test("sleep ends with its signal", async () => {
+  const controller = new AbortController();
+  const wait = sleep(60_000, controller.signal);
+  controller.abort();
+  await wait;
+  expect(controller.signal.aborted).toBe(true);
+});
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,15 @@
+/** Small building blocks that every package shares. */
+export { type Clock, ManualClock, systemClock } from "./clock.ts";
+export { errorMessage, invariant, VError } from "./error.ts";
+export { rankNodes, rendezvousRank } from "./hash.ts";
+export {
+  createLogger,
+  formatEvent,
+  type LogFields,
+  type Logger,
+  type LogValue,
+} from "./log.ts";
+export { Mailbox } from "./mailbox.ts";
+export { createRandom, jitter, type Random } from "./random.ts";
+export { matchSecret, Secret } from "./secret.ts";
+export { aborted, childController, every, sleep } from "./wait.ts";
--- /dev/null
+++ b/packages/runtime/src/log.ts
@@ -0,0 +1,37 @@
+/**
+ * Logs by `debug`: one line of key=value pairs for each event, in one
+ * namespace a part (`sassafrascleat:entry`). Values with spaces are quoted.
+ * Prompt text, answers and secrets never go into a log.
+ */
+import createDebug from "debug";
+
+/** A value that may stand in a log line. */
+export type LogValue = string | number | boolean | undefined;
+
+/** Fields of one event; undefined fields are left out. */
+export type LogFields = Readonly<Record<string, LogValue>>;
+
+/** Writes one event. */
+export type Logger = (event: string, fields?: LogFields) => void;
+
+function formatValue(value: Exclude<LogValue, undefined>): string {
+  const text = String(value);
+  return /[\s"=]/.test(text) || text === "" ? JSON.stringify(text) : text;
+}
+
+/** Formats an event as `event=name key=value …`. */
+export function formatEvent(event: string, fields: LogFields = {}): string {
+  const parts = [`event=${event}`];
+  for (const [key, value] of Object.entries(fields)) {
+    if (value !== undefined) parts.push(`${key}=${formatValue(value)}`);
+  }
+  return parts.join(" ");
+}
+
+/** Creates the logger of one part, for example `createLogger("entry")`. */
+export function createLogger(part: string): Logger {
+  const write = createDebug(`sassafrascleat:${part}`);
+  return (event, fields) => {
+    if (write.enabled) write("%s", formatEvent(event, fields));
+  };
+}
--- /dev/null
+++ b/packages/runtime/src/mailbox.ts
@@ -0,0 +1,49 @@
+/**
+ * A mailbox between tasks: a bounded queue with one reader. Posting never
+ * waits; a full mailbox refuses the message, and the sender decides what that
+ * means.
+ */
+
+/** A bounded queue of messages read by one task. */
+export class Mailbox<T> {
+  readonly #capacity: number;
+  readonly #messages: T[] = [];
+  #wake: (() => void) | undefined;
+
+  constructor(capacity: number) {
+    this.#capacity = capacity;
+  }
+
+  /** The number of messages waiting. */
+  get size(): number {
+    return this.#messages.length;
+  }
+
+  /** Adds a message; false when the mailbox is full. */
+  post(message: T): boolean {
+    if (this.#messages.length >= this.#capacity) return false;
+    this.#messages.push(message);
+    this.#wake?.();
+    return true;
+  }
+
+  /** Takes all waiting messages; waits for one, or for the abort. */
+  async takeAll(signal: AbortSignal): Promise<T[]> {
+    if (this.#messages.length === 0 && !signal.aborted) {
+      await this.#wait(signal);
+    }
+    return this.#messages.splice(0);
+  }
+
+  #wait(signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const done = () => {
+        this.#wake = undefined;
+        signal.removeEventListener("abort", done);
+        resolve();
+      };
+      this.#wake = done;
+      signal.addEventListener("abort", done, { once: true });
+    });
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/wait.ts
@@ -0,0 +1,58 @@
+/**
+ * Waits that end with their owner: every wait takes the abort signal of the
+ * task that it belongs to. Nothing here throws on abort; callers look at
+ * `signal.aborted` after the wait.
+ */
+
+/** Resolves after `ms`, or at once when `signal` aborts. */
+export function sleep(ms: number, signal?: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal?.aborted) return resolve();
+    const timer = setTimeout(done, ms);
+    function done() {
+      clearTimeout(timer);
+      signal?.removeEventListener("abort", done);
+      resolve();
+    }
+    signal?.addEventListener("abort", done, { once: true });
+  });
+}
+
+/** Resolves when `signal` aborts. */
+export function aborted(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) return resolve();
+    signal.addEventListener("abort", () => resolve(), { once: true });
+  });
+}
+
+/** An abort controller that also aborts with its parent. */
+export function childController(parent?: AbortSignal): AbortController {
+  const controller = new AbortController();
+  if (!parent) return controller;
+  if (parent.aborted) {
+    controller.abort(parent.reason);
+    return controller;
+  }
+  const onAbort = () => controller.abort(parent.reason);
+  parent.addEventListener("abort", onAbort, { once: true });
+  controller.signal.addEventListener(
+    "abort",
+    () => parent.removeEventListener("abort", onAbort),
+    { once: true },
+  );
+  return controller;
+}
+
+/** Calls `work` every `intervalMs` until `signal` aborts; never overlaps. */
+export async function every(
+  intervalMs: number,
+  signal: AbortSignal,
+  work: () => Promise<void> | void,
+): Promise<void> {
+  while (!signal.aborted) {
+    await sleep(intervalMs, signal);
+    if (signal.aborted) return;
+    await work();
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/index.ts
@@ -0,0 +1,2 @@
+/** The process beside a backend server: ledgers, streams, drain and order fencing. */
+export {};
--- /dev/null
+++ b/packages/testing/src/engine/index.ts
@@ -0,0 +1,2 @@
+/** Stand-ins: engine. */
+export {};
--- /dev/null
+++ b/packages/testing/src/store/index.ts
@@ -0,0 +1,2 @@
+/** Stand-ins: store. */
+export {};
--- /dev/null
+++ b/playground/src/bench/main.ts
@@ -0,0 +1,19 @@
+/**
+ * `npm run bench -- NAME [options]`: runs one bench, which prints one line of
+ * JSON. Each bench lives in a folder of its own beside this file.
+ */
+
+/** A bench: takes its arguments, returns the exit status. */
+type Bench = (args: string[]) => Promise<number>;
+
+const BENCHES: Record<string, () => Promise<{ main: Bench }>> = {};
+
+const [name = "", ...args] = process.argv.slice(2);
+const load = BENCHES[name];
+if (load) {
+  const bench = await load();
+  process.exitCode = await bench.main(args);
+} else {
+  console.error(`usage: npm run bench -- ${Object.keys(BENCHES).join("|")}`);
+  process.exitCode = 2;
+}
