feat(routing): admission queue, limits, retry budget and first policies

Cause: entries need decisions to call: who is placed next, who is refused, where and when to prefill, and whether a failed attempt may be repeated. Change: createAdmissionQueue (class, fair turns, due time; every eighth pick goes to the oldest), createRateLimiter, createRetryBudget, retryDecision, createHintBook, poolBalance and createPlacementPolicy with round_robin, least_loaded_prefill_first and just_in_time. Contract additions for the entry: AdmissionTicket.midAnswer, and the optional PlacementPolicy.observePrefill(req, name, cachedTokens) after a prefill. AdmissionQueue.expired also returns tickets that were shed for another. Before: contracts only.

--- /dev/null
+++ b/packages/routing/src/__tests__/placement_test.ts
@@ -0,0 +1,212 @@
+/** Placement policies, the hint book and the balance signal. */
+import { describe, expect, test } from "@jest/globals";
+import {
+  BackendRole,
+  type BackendServer,
+  HostState,
+  type LoadHint,
+  RequestClass,
+} from "@sassafrascleat/protocol";
+import { ManualClock } from "@sassafrascleat/runtime";
+import fc from "fast-check";
+import {
+  type BackendState,
+  Bottleneck,
+  createHintBook,
+  createPlacementPolicy,
+  type PlacementRequest,
+  PolicyName,
+  poolBalance,
+} from "../index.ts";
+
+function server(name: string, over: Partial<BackendServer> = {}) {
+  return {
+    name,
+    office: "o",
+    availabilityZone: "z1",
+    pool: "p",
+    role: BackendRole.Decode,
+    sidecarAddress: "http://127.0.0.1:1",
+    engineAddress: "http://127.0.0.1:2",
+    state: HostState.Live,
+    ...over,
+  };
+}
+
+function hint(over: Partial<LoadHint> = {}): LoadHint {
+  return {
+    running: 0,
+    reserved: 0,
+    slots: 20,
+    freePieces: 100,
+    totalPieces: 100,
+    queuedTokens: 0,
+    rate: 10_000,
+    leaving: false,
+    ...over,
+  };
+}
+
+function state(
+  name: string,
+  over: Partial<LoadHint> = {},
+  zone = "z1",
+): BackendState {
+  return {
+    server: server(name, { availabilityZone: zone }),
+    hint: hint(over),
+    hintAgeMs: 0,
+    sentSinceHint: 0,
+    tokensSentSinceHint: 0,
+  };
+}
+
+function request(over: Partial<PlacementRequest> = {}): PlacementRequest {
+  return {
+    requestId: "r1",
+    customer: "c",
+    requestClass: RequestClass.Standard,
+    promptTokens: 1_000,
+    maxOutputTokens: 200,
+    expectedOutputTokens: 100,
+    pieceHashes: ["p1"],
+    arrivedAtMs: 0,
+    firstTokenDueMs: 570,
+    deadlineMs: 60_000,
+    tbtTargetMs: 43,
+    ...over,
+  };
+}
+
+const grant = { name: "d", availabilityZone: "z1", readyInMs: 0 };
+const names = Object.values(PolicyName);
+
+describe.each(names)("%s", (name) => {
+  test("asks a few distinct servers and none that leaves", () => {
+    const pool = [
+      state("a"),
+      state("b", { leaving: true }),
+      { ...state("c"), server: server("c", { state: HostState.Leaving }) },
+      state("d"),
+      state("e"),
+      state("f"),
+    ];
+    const policy = createPlacementPolicy(name);
+    const probes = policy.decodeProbes(request(), pool, 0).map((it) => it.name);
+    expect(probes).toHaveLength(3);
+    expect(new Set(probes).size).toBe(3);
+    expect(probes).not.toContain("b");
+    expect(probes).not.toContain("c");
+    const plan = policy.prefillPlan(request(), grant, pool.slice(1, 3), 0);
+    expect(plan).toBeUndefined();
+    expect(policy.decodeProbes(request(), [], 0)).toEqual([]);
+  });
+});
+
+describe("just_in_time", () => {
+  const policy = () => createPlacementPolicy(PolicyName.JustInTime);
+
+  test("asks the emptiest first, counting what was sent since the hint", () => {
+    const busy = { ...state("busy"), sentSinceHint: 12 };
+    const pool = [busy, state("half", { running: 10 }), state("idle")];
+    const probes = policy().decodeProbes(request(), pool, 0);
+    expect(probes.map((it) => it.name)).toEqual(["idle", "half", "busy"]);
+  });
+
+  test("starts so that the result is ready shortly before the slot", () => {
+    const late = { ...grant, readyInMs: 500 };
+    const plan = policy().prefillPlan(request(), late, [state("p")], 0)!;
+    const endMs = plan.startInMs + 100;
+    expect(endMs).toBeLessThan(500);
+    expect(endMs).toBeGreaterThan(350);
+    const now = policy().prefillPlan(request(), grant, [state("p")], 0)!;
+    expect(now.startInMs).toBe(0);
+    expect(now.startWithinMs).toBeGreaterThan(0);
+  });
+
+  test("goes back to the server that holds the prefix, unless it is busier by more", () => {
+    const it = policy();
+    const pool = [state("a"), state("b")];
+    const first = it.prefillPlan(request(), grant, pool, 0)!.name;
+    const other = first === "a" ? "b" : "a";
+    const busier = (tokens: number) => [
+      state(first, { queuedTokens: tokens }),
+      state(other),
+    ];
+    const long = request({ promptTokens: 3_000 });
+    expect(it.prefillPlan(long, grant, busier(1_500), 0)!.name).toBe(first);
+    expect(it.prefillPlan(long, grant, busier(4_000), 0)!.name).toBe(other);
+  });
+
+  test("prefers the availability zone of the slot", () => {
+    const pool = [state("far", {}, "z2"), state("near", {}, "z1")];
+    const long = request({ promptTokens: 4_000, pieceHashes: ["x", "y"] });
+    expect(policy().prefillPlan(long, grant, pool, 0)!.name).toBe("near");
+  });
+
+  test("starts no prefill whose result comes after the deadline", () => {
+    const pool = [state("p", { queuedTokens: 50_000 })];
+    const req = request({ deadlineMs: 1_000 });
+    expect(policy().prefillPlan(req, grant, pool, 0)).toBeUndefined();
+  });
+
+  test("one hot prefix never queues more on a server than it saves", () => {
+    const count = fc.integer({ min: 1, max: 60 });
+    fc.assert(
+      fc.property(count, fc.integer({ min: 2, max: 6 }), (sent, servers) => {
+        const it = policy();
+        const pool = Array.from({ length: servers }, (_, i) => state(`p${i}`));
+        for (let i = 0; i < sent; i++) {
+          const req = request({ requestId: `r${i}`, promptTokens: 2_500 });
+          const name = it.prefillPlan(req, grant, pool, 0)?.name;
+          const chosen = pool.find((it) => it.server.name === name);
+          if (chosen) chosen.tokensSentSinceHint += req.promptTokens;
+        }
+        const loads = pool.map((it) => it.tokensSentSinceHint);
+        const spread = Math.max(...loads) - Math.min(...loads);
+        expect(spread).toBeLessThanOrEqual(2_000 + 2_500);
+      }),
+      { seed: 31 },
+    );
+  });
+});
+
+describe("createHintBook", () => {
+  test("keeps counting what a hint cannot know yet", () => {
+    const clock = new ManualClock(100);
+    const book = createHintBook(clock, { settleMs: 8 });
+    book.sent("a", 500);
+    clock.advance(20);
+    book.sent("a", 300);
+    clock.advance(2);
+    book.observe("a", hint());
+    clock.advance(5);
+    const [a, b] = book.states([server("a"), server("b")]);
+    expect(a).toMatchObject({
+      hintAgeMs: 5,
+      sentSinceHint: 1,
+      tokensSentSinceHint: 300,
+    });
+    expect(b).toMatchObject({ hint: undefined, sentSinceHint: 0 });
+  });
+});
+
+describe("poolBalance", () => {
+  const options = { ttftTargetMs: 500 };
+
+  test("names the pool with the higher pressure and its number", () => {
+    const decode = [state("d", { running: 19 })];
+    expect(poolBalance([state("p")], decode, options)).toMatchObject({
+      bottleneck: Bottleneck.Decode,
+      decodePressure: 0.95,
+    });
+    const slow = [state("p", { queuedTokens: 10_000 })];
+    expect(poolBalance(slow, decode, options)).toMatchObject({
+      bottleneck: Bottleneck.Prefill,
+      prefillQueueMs: 1_000,
+      prefillPressure: 2,
+    });
+    expect(poolBalance([state("p")], [state("d")], options).bottleneck)
+      .toBe(Bottleneck.None);
+  });
+});
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -13,6 +13,8 @@
   giveUpAtMs: number;
   /** Estimated time from placement to the first token, in milliseconds. */
   expectedServiceMs: number;
+  /** The caller holds a part of the answer: placed first and never shed. */
+  midAnswer?: boolean;
 }
 
 /** Decides the order of waiting requests. */
@@ -24,7 +26,7 @@
   /** Puts a ticket back that found no place; it keeps its age. */
   requeue(ticket: AdmissionTicket): void;
   remove(requestId: string): boolean;
-  /** Takes out the tickets whose time is over. */
+  /** Takes out the tickets whose time is over or that were shed for another. */
   expired(nowMs: number): AdmissionTicket[];
   readonly size: number;
 }
--- /dev/null
+++ b/packages/routing/src/admission_queue.ts
@@ -0,0 +1,207 @@
+/**
+ * The admission queue. Tickets that can still meet their target go first, by
+ * class, then by fair turns among customers, then by due time. A fixed share
+ * of the picks goes to the oldest ticket whatever its state, so that a ticket
+ * with `n` older ones is served within `(n + 1) * oldestPickInterval` picks.
+ */
+import {
+  type NotRun,
+  notRun,
+  NotRunReason,
+  RequestClass,
+} from "@sassafrascleat/protocol";
+import type { AdmissionQueue, AdmissionTicket } from "./admission.ts";
+import { FAIRNESS_SLACK_MS, OLDEST_PICK_INTERVAL } from "./constants.ts";
+import { FairTurns } from "./fair_turns.ts";
+
+/** Options of an admission queue. */
+export interface AdmissionQueueOptions {
+  /** Tickets that may wait at once. @default 400 */
+  maxLength?: number;
+  /** Every how many picks the oldest ticket is served. @default 8 */
+  oldestPickInterval?: number;
+  /** Service time by which customers may run apart, in milliseconds. @default 250 */
+  fairnessSlackMs?: number;
+}
+
+type ResolvedOptions = Required<AdmissionQueueOptions>;
+
+/** Fills in the defaults. */
+function resolveOptions(raw: AdmissionQueueOptions): ResolvedOptions {
+  return {
+    maxLength: raw.maxLength ?? 400,
+    oldestPickInterval: raw.oldestPickInterval ?? OLDEST_PICK_INTERVAL,
+    fairnessSlackMs: raw.fairnessSlackMs ?? FAIRNESS_SLACK_MS,
+  };
+}
+
+/** Position of a class by falling urgency. */
+export function classRank(requestClass: RequestClass): number {
+  if (requestClass === RequestClass.Interactive) return 0;
+  return requestClass === RequestClass.Standard ? 1 : 2;
+}
+
+/** True when the ticket can no longer meet its first-token target. */
+export function isLate(ticket: AdmissionTicket, nowMs: number): boolean {
+  return nowMs + ticket.expectedServiceMs > ticket.firstTokenDueMs;
+}
+
+/** Creates an empty admission queue. */
+export function createAdmissionQueue(
+  options: AdmissionQueueOptions = {},
+): AdmissionQueue {
+  return new FairAdmissionQueue(resolveOptions(options));
+}
+
+class FairAdmissionQueue implements AdmissionQueue {
+  readonly #options: ResolvedOptions;
+  readonly #waiting = new Map<string, AdmissionTicket>();
+  readonly #waitingOfCustomer = new Map<string, number>();
+  readonly #turns = new FairTurns();
+  #shed: AdmissionTicket[] = [];
+  #picks = 0;
+
+  constructor(options: ResolvedOptions) {
+    this.#options = options;
+  }
+
+  get size(): number {
+    return this.#waiting.size;
+  }
+
+  offer(ticket: AdmissionTicket, nowMs: number): NotRun | undefined {
+    if (this.#waiting.size >= this.#options.maxLength) {
+      const victim = this.#victim(ticket, nowMs);
+      if (victim === ticket) return this.#queueFull(ticket);
+      this.#take(victim);
+      this.#shed.push(victim);
+    }
+    this.#add(ticket);
+    return undefined;
+  }
+
+  next(nowMs: number): AdmissionTicket | undefined {
+    if (this.#waiting.size === 0) return undefined;
+    this.#picks += 1;
+    const turnOfOldest = this.#picks % this.#options.oldestPickInterval === 0;
+    const ticket = turnOfOldest ? this.#oldest() : this.#best(nowMs);
+    this.#take(ticket);
+    this.#turns.charge(ticket);
+    return ticket;
+  }
+
+  requeue(ticket: AdmissionTicket): void {
+    this.#turns.refund(ticket);
+    this.#add(ticket);
+  }
+
+  remove(requestId: string): boolean {
+    const ticket = this.#waiting.get(requestId);
+    if (ticket) this.#take(ticket);
+    return ticket !== undefined;
+  }
+
+  expired(nowMs: number): AdmissionTicket[] {
+    const over = this.#shed;
+    this.#shed = [];
+    for (const ticket of this.#waiting.values()) {
+      if (nowMs >= ticket.giveUpAtMs) over.push(ticket);
+    }
+    for (const ticket of over) this.remove(ticket.requestId);
+    return over;
+  }
+
+  #add(ticket: AdmissionTicket): void {
+    this.#waiting.set(ticket.requestId, ticket);
+    this.#turns.join(ticket);
+    this.#countCustomer(ticket.customer, 1);
+  }
+
+  #take(ticket: AdmissionTicket): void {
+    this.#waiting.delete(ticket.requestId);
+    this.#countCustomer(ticket.customer, -1);
+    if (this.#waiting.size === 0) this.#turns.reset();
+  }
+
+  #countCustomer(customer: string, change: number): void {
+    const count = (this.#waitingOfCustomer.get(customer) ?? 0) + change;
+    if (count > 0) this.#waitingOfCustomer.set(customer, count);
+    else this.#waitingOfCustomer.delete(customer);
+  }
+
+  #oldest(): AdmissionTicket {
+    let oldest: AdmissionTicket | undefined;
+    for (const ticket of this.#waiting.values()) {
+      if (!oldest || ticket.arrivedAtMs < oldest.arrivedAtMs) oldest = ticket;
+    }
+    return oldest!;
+  }
+
+  #best(nowMs: number): AdmissionTicket {
+    const group = this.#firstGroup(nowMs);
+    const least = Math.min(...group.map((it) => this.#turns.timeOf(it)));
+    const limit = least + this.#options.fairnessSlackMs;
+    let best: AdmissionTicket | undefined;
+    for (const ticket of group) {
+      if (this.#turns.timeOf(ticket) > limit) continue;
+      if (!best || ticket.firstTokenDueMs < best.firstTokenDueMs) best = ticket;
+    }
+    return best!;
+  }
+
+  /** The tickets of the first non-empty rank. */
+  #firstGroup(nowMs: number): AdmissionTicket[] {
+    let group: AdmissionTicket[] = [];
+    let rankOfGroup = Infinity;
+    for (const ticket of this.#waiting.values()) {
+      const rank = pickRank(ticket, nowMs);
+      if (rank > rankOfGroup) continue;
+      if (rank < rankOfGroup) group = [];
+      rankOfGroup = rank;
+      group.push(ticket);
+    }
+    return group;
+  }
+
+  /** The ticket to refuse when one too many wants to wait. */
+  #victim(offered: AdmissionTicket, nowMs: number): AdmissionTicket {
+    let victim = offered;
+    for (const ticket of this.#waiting.values()) {
+      if (this.#shedsBefore(ticket, victim, nowMs)) victim = ticket;
+    }
+    return victim;
+  }
+
+  #shedsBefore(a: AdmissionTicket, b: AdmissionTicket, nowMs: number): boolean {
+    const [first, second] = [a, b].map((ticket) => [
+      ticket.midAnswer ? 0 : 1,
+      isLate(ticket, nowMs) ? 1 : 0,
+      classRank(ticket.requestClass),
+      this.#waitingOfCustomer.get(ticket.customer) ?? 0,
+      ticket.arrivedAtMs,
+    ]);
+    return compareKeys(first!, second!) > 0;
+  }
+
+  #queueFull(ticket: AdmissionTicket): NotRun {
+    const waitMs = Math.max(100, Math.ceil(ticket.expectedServiceMs));
+    return notRun(
+      NotRunReason.QueueFull,
+      "the queue is full; try again later or at another entry",
+      waitMs,
+    );
+  }
+}
+
+/** Mid-answer first, then by class while the target can be met, late ones last. */
+function pickRank(ticket: AdmissionTicket, nowMs: number): number {
+  if (ticket.midAnswer) return -1;
+  return isLate(ticket, nowMs) ? 3 : classRank(ticket.requestClass);
+}
+
+function compareKeys(a: readonly number[], b: readonly number[]): number {
+  for (const [i, value] of a.entries()) {
+    if (value !== b[i]) return value - b[i]!;
+  }
+  return 0;
+}
--- /dev/null
+++ b/packages/routing/src/constants.ts
@@ -0,0 +1,52 @@
+/** Numbers of the routing decisions. */
+
+/** Every how many picks the queue serves its oldest ticket, whatever its state. */
+export const OLDEST_PICK_INTERVAL = 8;
+
+/** Service time by which customers of a class may run apart, in milliseconds. */
+export const FAIRNESS_SLACK_MS = 250;
+
+/** Idle customers that the rate limiter remembers before it forgets some. */
+export const MAX_IDLE_CUSTOMERS = 8_192;
+
+/** Retries that may be saved up, and that a new budget starts with. */
+export const RETRY_BUDGET_BURST = 10;
+
+/** Backoff before the first retry, in milliseconds. */
+export const RETRY_BACKOFF_MS = 20;
+
+/** Longest backoff before a retry, in milliseconds. */
+export const MAX_RETRY_BACKOFF_MS = 1_000;
+
+/** Time after which a message sent before a hint counts as part of it, in milliseconds. */
+export const HINT_SETTLE_MS = 8;
+
+/** Decode backend servers whose hints are compared for one request. */
+export const DECODE_SAMPLE = 8;
+
+/** Decode backend servers that are asked for one request. */
+export const DECODE_PROBES = 3;
+
+/** Prefill backend servers that are compared for one request. */
+export const PREFILL_SAMPLE = 6;
+
+/** Prefill rate assumed before the first hint, in tokens a second. */
+export const ASSUMED_PREFILL_RATE = 20_000;
+
+/** Decode slots assumed before the first hint. */
+export const ASSUMED_SLOTS = 16;
+
+/** Time to set up a KV transfer, in milliseconds. */
+export const TRANSFER_SETUP_MS = 4;
+
+/** KV transfer rate inside an availability zone, in tokens a millisecond. */
+export const SAME_ZONE_TOKENS_PER_MS = 400;
+
+/** KV transfer rate between availability zones, in tokens a millisecond. */
+export const CROSS_ZONE_TOKENS_PER_MS = 200;
+
+/** Lifetime of a prefill result, in milliseconds. */
+export const PREFILL_RESULT_TTL_MS = 800;
+
+/** Pieces that the policy remembers for each prefill backend server. */
+export const REMEMBERED_PIECES = 4_096;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,3 +1,39 @@
 /** Admission, placement, limits and retry decisions; pure, with an injected clock. */
 export * from "./admission.ts";
+export {
+  type AdmissionQueueOptions,
+  createAdmissionQueue,
+} from "./admission_queue.ts";
+export {
+  createHintBook,
+  type HintBook,
+  type HintBookOptions,
+} from "./hint_book.ts";
 export * from "./placement.ts";
+export * from "./policy/index.ts";
+export {
+  Bottleneck,
+  type PoolBalance,
+  poolBalance,
+  type PoolBalanceOptions,
+} from "./pool_balance.ts";
+export {
+  createRateLimiter,
+  type RateLimit,
+  type RateLimiter,
+  type RateLimiterOptions,
+} from "./rate_limiter.ts";
+export {
+  createRetryBudget,
+  type RetryBudget,
+  type RetryBudgetOptions,
+} from "./retry_budget.ts";
+export {
+  AttemptFailure,
+  type FailedAttempt,
+  type FailureReason,
+  RetryAction,
+  RetryCause,
+  type RetryDecision,
+  retryDecision,
+} from "./retry_decision.ts";
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -78,4 +78,10 @@
     pool: readonly BackendState[],
     nowMs: number,
   ): PrefillPlan | undefined;
+  /** Tells what a prefill server's cache really held; optional for a policy. */
+  observePrefill?(
+    req: PlacementRequest,
+    name: string,
+    cachedTokens: number,
+  ): void;
 }
--- /dev/null
+++ b/packages/routing/src/policy/least_loaded.ts
@@ -0,0 +1,47 @@
+/**
+ * Baseline: the least loaded decode servers by hint, then the prefill server
+ * with the shortest queue, started at once whatever the slot's state.
+ */
+import type {
+  BackendState,
+  DecodeGrant,
+  DecodeProbe,
+  PlacementPolicy,
+  PlacementRequest,
+  PrefillPlan,
+} from "../placement.ts";
+import { DECODE_PROBES } from "../constants.ts";
+import { prefillQueueMs, slotOccupancy, takesWork } from "./estimate.ts";
+
+/** Chooses by load alone and prefills first. */
+export class LeastLoadedPolicy implements PlacementPolicy {
+  decodeProbes(
+    req: PlacementRequest,
+    pool: readonly BackendState[],
+    nowMs: number,
+  ): DecodeProbe[] {
+    const able = pool.filter(takesWork);
+    able.sort((a, b) => slotOccupancy(a) - slotOccupancy(b));
+    const maxWaitMs = Math.max(0, req.deadlineMs - nowMs);
+    return able.slice(0, DECODE_PROBES)
+      .map((state) => ({ name: state.server.name, maxWaitMs }));
+  }
+
+  prefillPlan(
+    req: PlacementRequest,
+    _grant: DecodeGrant,
+    pool: readonly BackendState[],
+    nowMs: number,
+  ): PrefillPlan | undefined {
+    const able = pool.filter(takesWork);
+    able.sort((a, b) => prefillQueueMs(a) - prefillQueueMs(b));
+    const chosen = able[0];
+    if (!chosen) return undefined;
+    return {
+      name: chosen.server.name,
+      startInMs: 0,
+      startWithinMs: Math.max(0, req.deadlineMs - nowMs),
+      priority: 0,
+    };
+  }
+}
--- /dev/null
+++ b/packages/routing/src/policy/margins.ts
@@ -0,0 +1,48 @@
+/** The margins of the just-in-time policy, by what an operator puts first. */
+
+/** What a policy puts first when the two measures pull apart. */
+export enum PlacementObjective {
+  /** Most requests within both latency targets. */
+  Goodput = "goodput",
+  /** Least prefill work whose result nobody receives. */
+  Waste = "waste",
+}
+
+/** Times in milliseconds by which predictions are widened or narrowed. */
+export interface PolicyMargins {
+  /** How long before the slot the prefill result should be ready. */
+  earlyMs: number;
+  /** Time of the first decode step after the transfer. */
+  firstStepMs: number;
+  /** Wait that a slot believed free may take. */
+  freeSlotWaitMs: number;
+  /** Longest wait for a slot of a request that is late already. */
+  longestSlotWaitMs: number;
+  /** Longest time that a free slot is held for a prefill. */
+  longestSlotHoldMs: number;
+}
+
+const GOODPUT_MARGINS: PolicyMargins = {
+  earlyMs: 60,
+  firstStepMs: 45,
+  freeSlotWaitMs: 60,
+  longestSlotWaitMs: 2_000,
+  longestSlotHoldMs: 1_500,
+};
+
+const WASTE_MARGINS: PolicyMargins = {
+  earlyMs: 20,
+  firstStepMs: 45,
+  freeSlotWaitMs: 60,
+  longestSlotWaitMs: 2_000,
+  longestSlotHoldMs: 2_500,
+};
+
+/** The margins of an objective. */
+export function marginsOf(
+  objective: `${PlacementObjective}`,
+): PolicyMargins {
+  return objective === PlacementObjective.Waste
+    ? WASTE_MARGINS
+    : GOODPUT_MARGINS;
+}
--- /dev/null
+++ b/packages/routing/src/pool_balance.ts
@@ -0,0 +1,94 @@
+/**
+ * Which of a service's two pools limits it. Prefill pressure is the wait for
+ * prefill as a share of the first-token target; decode pressure is the share of
+ * slots taken. The pool with the higher pressure is the bottleneck once that
+ * pressure passes a threshold.
+ */
+import { ASSUMED_SLOTS } from "./constants.ts";
+import type { BackendState } from "./placement.ts";
+import { freeSlots, prefillQueueMs, takesWork } from "./policy/estimate.ts";
+
+/** The pool that limits a service. */
+export enum Bottleneck {
+  None = "none",
+  Prefill = "prefill",
+  Decode = "decode",
+}
+
+/** The balance between the pools of one service. */
+export interface PoolBalance {
+  bottleneck: Bottleneck;
+  /** Mean wait for prefill, in milliseconds. */
+  prefillQueueMs: number;
+  /** The wait for prefill as a share of the first-token target. */
+  prefillPressure: number;
+  /** Slots believed taken and slots in all. */
+  slotsTaken: number;
+  slots: number;
+  /** Share of the slots believed taken. */
+  decodePressure: number;
+}
+
+/** Options of the balance signal. */
+export interface PoolBalanceOptions {
+  /** Target time to the first token, in milliseconds. */
+  ttftTargetMs: number;
+  /** Pressure below which a pool limits nothing. @default 0.85 */
+  threshold?: number;
+}
+
+/** Compares the pools by their corrected hints. */
+export function poolBalance(
+  prefill: readonly BackendState[],
+  decode: readonly BackendState[],
+  options: PoolBalanceOptions,
+): PoolBalance {
+  const queueMs = meanPrefillQueueMs(prefill.filter(takesWork));
+  const { slots, slotsTaken } = countSlots(decode.filter(takesWork));
+  const prefillPressure = queueMs / options.ttftTargetMs;
+  const decodePressure = slots === 0 ? 1 : slotsTaken / slots;
+  return {
+    bottleneck: bottleneckOf(
+      prefillPressure,
+      decodePressure,
+      options.threshold ?? 0.85,
+    ),
+    prefillQueueMs: queueMs,
+    prefillPressure,
+    slotsTaken,
+    slots,
+    decodePressure,
+  };
+}
+
+function meanPrefillQueueMs(pool: readonly BackendState[]): number {
+  if (pool.length === 0) return Infinity;
+  const sum = pool.reduce((total, state) => total + prefillQueueMs(state), 0);
+  return sum / pool.length;
+}
+
+function countSlots(
+  pool: readonly BackendState[],
+): { slots: number; slotsTaken: number } {
+  let slots = 0;
+  let slotsTaken = 0;
+  for (const state of pool) {
+    const ofServer = state.hint?.slots ?? ASSUMED_SLOTS;
+    slots += ofServer;
+    slotsTaken += ofServer - freeSlots(state);
+  }
+  return { slots, slotsTaken };
+}
+
+function bottleneckOf(
+  prefillPressure: number,
+  decodePressure: number,
+  threshold: number,
+): Bottleneck {
+  if (Math.max(prefillPressure, decodePressure) < threshold) {
+    return Bottleneck.None;
+  }
+  return prefillPressure > decodePressure
+    ? Bottleneck.Prefill
+    : Bottleneck.Decode;
+}
