--- /dev/null
+++ b/packages/daemon/src/constants.ts
@@ -0,0 +1,22 @@
+/** Defaults and exit codes of the daemon. */
+
+/** Exit statuses of `sassafrascleatd`. */
+export enum ExitCode {
+  Ok = 0,
+  /** Start-up failed, for example because an address is in use. */
+  StartFailed = 1,
+  /** The command line or the settings file is wrong. */
+  BadSettings = 2,
+}
+
+/** Address that listeners bind when the settings name none. */
+export const DEFAULT_LISTEN_HOST = "127.0.0.1";
+
+/** Longest time that a graceful stop waits for requests in flight, in milliseconds. */
+export const DEFAULT_DRAIN_TIMEOUT_MS = 120_000;
+
+/** Interval between two reads of the platform's host list, in milliseconds. */
+export const DEFAULT_HOST_REFRESH_MS = 1_000;
+
+/** Backend servers of one pool that an entry talks to at most. */
+export const DEFAULT_SUBSET_SIZE = 48;
