--- /dev/null
+++ b/packages/config/src/__tests__/change_log_test.ts
@@ -0,0 +1,193 @@
+/** Proposals, replay and the audit trail over a store in memory. */
+import { describe, expect, test } from "@jest/globals";
+import { createMemoryStore, type ObjectStore } from "@sassafrascleat/store";
+import { createChangeLog } from "../change_log.ts";
+import { LogReadStatus, ProposeKind } from "../change_log_contract.ts";
+import { ObjectKind } from "../objects.ts";
+import { createConfigReplica } from "../replica.ts";
+import {
+  createObject,
+  createPolicy,
+  deleteObject,
+  forever,
+  patchObject,
+  patchPolicy,
+} from "./fixtures.ts";
+
+function open(store: ObjectStore, office = "gastonia") {
+  const replica = createConfigReplica();
+  const log = createChangeLog({
+    store,
+    replica,
+    office,
+    watchMs: 200,
+    fallbackMs: 10,
+    compactionPauseMs: 0,
+  });
+  return { replica, log };
+}
+
+describe("propose", () => {
+  test("numbers objects and rejects a patch on an outdated version", async () => {
+    const { log, replica } = open(createMemoryStore());
+    expect(await log.propose(createPolicy("p1", "std"), forever))
+      .toEqual({ kind: ProposeKind.Accepted, sequence: 1, version: 1 });
+    expect(await log.propose(patchPolicy("p2", "std", 1, 3), forever))
+      .toEqual({ kind: ProposeKind.Accepted, sequence: 2, version: 2 });
+    const late = await log.propose(patchPolicy("p3", "std", 1, 9), forever);
+    expect(late).toMatchObject({
+      kind: ProposeKind.Outdated,
+      currentVersion: 2,
+      changesSince: [{ patchId: "p2", sequence: 2 }],
+    });
+    expect(replica.get(ObjectKind.Policy, "std")?.object.maxAttempts).toBe(3);
+  });
+
+  test("reports every schema error with path, value and expected form", async () => {
+    const { log } = open(createMemoryStore());
+    const bad = { maxAttempts: 0, ttftTargetMs: "soon", colour: 1 };
+    const outcome = await log.propose(createPolicy("p1", "std", bad), forever);
+    expect(outcome.kind).toBe(ProposeKind.Invalid);
+    const issues = outcome.kind === ProposeKind.Invalid ? outcome.issues : [];
+    const seen = issues.map(({ path, value }) => [path, value]);
+    expect(seen).toHaveLength(3);
+    expect(seen).toEqual(expect.arrayContaining([
+      ["/maxAttempts", 0],
+      ["/ttftTargetMs", "soon"],
+      ["/colour", 1],
+    ]));
+    for (const issue of issues) expect(issue.expected).not.toBe("");
+  });
+
+  test("refuses a patch id that the log could not be replayed with", async () => {
+    const { log } = open(createMemoryStore());
+    const outcome = await log.propose(createPolicy("", "std"), forever);
+    expect(outcome).toMatchObject({
+      kind: ProposeKind.Invalid,
+      issues: [{ path: "/patchId" }],
+    });
+    expect((await log.propose(createPolicy("p", "std"), forever)).kind)
+      .toBe(ProposeKind.Accepted);
+  });
+
+  test("a patch id asked again gives its first result", async () => {
+    const store = createMemoryStore();
+    const first = await open(store).log.propose(
+      createPolicy("p1", "std"),
+      forever,
+    );
+    const second = open(store, "hobart-a");
+    expect(await second.log.propose(createPolicy("p1", "std"), forever))
+      .toEqual(first);
+    const history = await second.log.history({}, forever);
+    expect(history).toMatchObject({
+      status: LogReadStatus.Ok,
+      changes: [{ office: "gastonia", patchId: "p1" }],
+    });
+  });
+
+  test("a deleted object that is made again goes on counting", async () => {
+    const { log, replica } = open(createMemoryStore());
+    await log.propose(createPolicy("p1", "std"), forever);
+    await log.propose(
+      deleteObject("p2", ObjectKind.Policy, "std", 1),
+      forever,
+    );
+    expect(replica.get(ObjectKind.Policy, "std")).toBeUndefined();
+    expect(await log.propose(createPolicy("p3", "std"), forever))
+      .toMatchObject({ version: 3 });
+  });
+});
+
+describe("references", () => {
+  const pool = (name: string, role: string, office = "co-op") => ({
+    name,
+    role,
+    office,
+  });
+  const service = {
+    kind: "plain",
+    name: "punch",
+    office: "co-op",
+    pool: "whistle",
+    policy: "std",
+  };
+
+  async function prepared() {
+    const { log } = open(createMemoryStore());
+    const all = [
+      createPolicy("a", "std"),
+      createObject("b", ObjectKind.Pool, pool("whistle", "plain")),
+      createObject("c", ObjectKind.Service, service),
+    ];
+    for (const request of all) {
+      const { kind } = await log.propose(request, forever);
+      expect(kind).toBe(ProposeKind.Accepted);
+    }
+    return log;
+  }
+
+  test("a service has to name a pool of its role and office and a policy", async () => {
+    const { log } = open(createMemoryStore());
+    await log.propose(
+      createObject("a", ObjectKind.Pool, pool("whistle", "plain", "turret")),
+      forever,
+    );
+    const outcome = await log.propose(
+      createObject("b", ObjectKind.Service, service),
+      forever,
+    );
+    expect(outcome).toMatchObject({
+      kind: ProposeKind.Invalid,
+      issues: [{ path: "/pool" }, { path: "/policy" }],
+    });
+  });
+
+  test("a pool or policy in use can't be deleted", async () => {
+    const log = await prepared();
+    for (
+      const [kind, name] of [[ObjectKind.Pool, "whistle"], [
+        ObjectKind.Policy,
+        "std",
+      ]] as const
+    ) {
+      const request = deleteObject(`del-${name}`, kind, name, 1);
+      expect((await log.propose(request, forever)).kind)
+        .toBe(ProposeKind.Invalid);
+    }
+  });
+
+  test("a pool in use keeps its role and office", async () => {
+    const log = await prepared();
+    const request = patchObject("d", ObjectKind.Pool, "whistle", 1, [
+      { op: "replace", path: "/role", value: "decode" },
+      { op: "replace", path: "/office", value: "turret" },
+    ]);
+    expect(await log.propose(request, forever)).toMatchObject({
+      kind: ProposeKind.Invalid,
+      issues: [{ path: "/role" }, { path: "/office" }],
+    });
+  });
+});
+
+describe("follow", () => {
+  test("brings the changes of another office into force", async () => {
+    const store = createMemoryStore();
+    const writer = open(store);
+    const follower = open(store, "hobart-a");
+    const controller = new AbortController();
+    const inForce = new Promise<void>((resolve) =>
+      follower.replica.onChange((sequence) => {
+        if (sequence === 3) resolve();
+      }, controller.signal)
+    );
+    const task = follower.log.follow(controller.signal);
+    await writer.log.propose(createPolicy("p1", "std"), forever);
+    await writer.log.propose(patchPolicy("p2", "std", 1, 2), forever);
+    await writer.log.propose(patchPolicy("p3", "std", 2, 3), forever);
+    await inForce;
+    expect(follower.replica.snapshot()).toEqual(writer.replica.snapshot());
+    controller.abort();
+    await task;
+  });
+});
--- /dev/null
+++ b/packages/config/src/__tests__/fixtures.ts
@@ -0,0 +1,80 @@
+/** Objects and proposals that the tests share. */
+import { ChangeAction, type PatchOperation } from "../change.ts";
+import type { ProposeRequest } from "../change_log_contract.ts";
+import { createOperations } from "../evaluate.ts";
+import { ObjectKind } from "../objects.ts";
+
+/** A signal that never aborts. */
+export const forever: AbortSignal = new AbortController().signal;
+
+/** A proposal to create a policy. */
+export function createPolicy(
+  patchId: string,
+  name: string,
+  fields: object = {},
+): ProposeRequest {
+  return {
+    patchId,
+    author: "ann",
+    kind: ObjectKind.Policy,
+    name,
+    action: ChangeAction.Create,
+    baseVersion: 0,
+    operations: createOperations({ name, ...fields }),
+  };
+}
+
+/** A proposal to create any object. */
+export function createObject(
+  patchId: string,
+  kind: ObjectKind,
+  object: { name: string },
+): ProposeRequest {
+  const operations = createOperations(object);
+  return { ...createPolicy(patchId, object.name), kind, operations };
+}
+
+/** A proposal to patch an object. */
+export function patchObject(
+  patchId: string,
+  kind: ObjectKind,
+  name: string,
+  baseVersion: number,
+  operations: PatchOperation[],
+): ProposeRequest {
+  const action = ChangeAction.Patch;
+  const author = "ann";
+  return { patchId, author, kind, name, action, baseVersion, operations };
+}
+
+/** A proposal that sets the attempts of a policy. */
+export function patchPolicy(
+  patchId: string,
+  name: string,
+  baseVersion: number,
+  maxAttempts: unknown,
+): ProposeRequest {
+  return patchObject(patchId, ObjectKind.Policy, name, baseVersion, [
+    { op: "replace", path: "/maxAttempts", value: maxAttempts },
+  ]);
+}
+
+/** A proposal to delete an object. */
+export function deleteObject(
+  patchId: string,
+  kind: ObjectKind,
+  name: string,
+  baseVersion: number,
+): ProposeRequest {
+  const action = ChangeAction.Delete;
+  const author = "ann";
+  return {
+    patchId,
+    author,
+    kind,
+    name,
+    action,
+    baseVersion,
+    operations: [],
+  };
+}
--- a/packages/config/src/change.ts
+++ b/packages/config/src/change.ts
@@ -38,6 +38,8 @@
   baseVersion: z.number().int().min(0),
   /** For a create one `add` at the root path "". */
   operations: z.array(patchOperationSchema),
+  /** Version of the object after the change. */
+  version: z.number().int().min(1).optional(),
 });
 /** An accepted change. */
 export type Change = z.infer<typeof changeSchema>;
@@ -59,7 +61,11 @@
   })),
   /** Recently accepted patch ids and their sequences, to recognise repeats. */
   recentPatches: z.array(
-    z.object({ patchId: z.string(), sequence: z.number() }),
+    z.object({
+      patchId: z.string(),
+      sequence: z.number(),
+      version: z.number(),
+    }),
   ),
 });
 export type Snapshot = z.infer<typeof snapshotSchema>;
--- /dev/null
+++ b/packages/config/src/change_log.ts
@@ -0,0 +1,173 @@
+/** The change log over one store: proposals, replay, upkeep and audit trail. */
+import {
+  createLogger,
+  createRandom,
+  jitter,
+  type Random,
+  sleep,
+} from "@sassafrascleat/runtime";
+import { type ObjectStore, StoreStatus } from "@sassafrascleat/store";
+import { randomInt, randomUUID } from "node:crypto";
+import { Archiver } from "./archive.ts";
+import {
+  type CatchUpResult,
+  type ChangeLog,
+  type HistoryQuery,
+  type HistoryResult,
+  LogReadStatus,
+  type ProposeOutcome,
+  type ProposeRequest,
+} from "./change_log_contract.ts";
+import {
+  FALLBACK_MAX_MS,
+  FALLBACK_MS,
+  SNAPSHOT_EVERY,
+  WATCH_MS,
+  WATCH_SPACING_MS,
+} from "./constants.ts";
+import { readHistory } from "./history.ts";
+import { CHANGES_PREFIX } from "./log_keys.ts";
+import { LogReader } from "./log_reader.ts";
+import { Proposer } from "./proposer.ts";
+import type { MemoryReplica } from "./replica.ts";
+import { SnapshotStore } from "./snapshot_store.ts";
+
+const log = createLogger("config");
+
+/** Options of a change log. */
+export interface ChangeLogOptions {
+  store: ObjectStore;
+  /** The replica that the log feeds. */
+  replica: MemoryReplica;
+  /** Office of this daemon, for the audit trail. */
+  office: string;
+  /** Name of this daemon, unique among those that run. @default a random one */
+  writer?: string;
+  /** Source of jitter. @default seeded by the system */
+  random?: Random;
+  /** Milliseconds since 1970. @default Date.now */
+  wallClock?: () => number;
+  /** Longest wait of one watch, in milliseconds. @default 20000 */
+  watchMs?: number;
+  /** Wait after a failed call, in milliseconds; it doubles. @default 1000 */
+  fallbackMs?: number;
+  /** Pause between two writes of a compaction, in milliseconds. @default 10 */
+  compactionPauseMs?: number;
+}
+
+/** Options with every default in place. */
+export type ResolvedChangeLogOptions =
+  & Required<Omit<ChangeLogOptions, "compactionPauseMs">>
+  & Pick<ChangeLogOptions, "compactionPauseMs">;
+
+const MAX_SEED = 2 ** 31;
+
+/** Applies the defaults. */
+export function resolveChangeLogOptions(
+  raw: ChangeLogOptions,
+): ResolvedChangeLogOptions {
+  return {
+    ...raw,
+    writer: raw.writer ?? randomUUID(),
+    random: raw.random ?? createRandom(randomInt(MAX_SEED)),
+    wallClock: raw.wallClock ?? Date.now,
+    watchMs: raw.watchMs ?? WATCH_MS,
+    fallbackMs: raw.fallbackMs ?? FALLBACK_MS,
+  };
+}
+
+class StoreChangeLog implements ChangeLog {
+  readonly #options: ResolvedChangeLogOptions;
+  readonly #snapshots: SnapshotStore;
+  readonly #reader: LogReader;
+  readonly #proposer: Proposer;
+  readonly #archiver: Archiver;
+  #snapshotSequence = 0;
+  #upkeep: Promise<void> | undefined;
+
+  constructor(raw: ChangeLogOptions) {
+    const options = resolveChangeLogOptions(raw);
+    const { store, replica, writer, compactionPauseMs } = options;
+    this.#options = options;
+    this.#snapshots = new SnapshotStore(store, writer);
+    this.#reader = new LogReader(store, replica, this.#snapshots);
+    this.#proposer = new Proposer({ ...options, reader: this.#reader });
+    this.#archiver = new Archiver({ ...options, pauseMs: compactionPauseMs });
+  }
+
+  propose(req: ProposeRequest, signal: AbortSignal): Promise<ProposeOutcome> {
+    return this.#proposer.propose(req, signal);
+  }
+
+  catchUp(signal: AbortSignal): Promise<CatchUpResult> {
+    return this.#reader.catchUp(signal);
+  }
+
+  history(query: HistoryQuery, signal: AbortSignal): Promise<HistoryResult> {
+    return readHistory(this.#options.store, query, signal);
+  }
+
+  async follow(signal: AbortSignal): Promise<void> {
+    const { fallbackMs, random } = this.#options;
+    let waitMs = fallbackMs;
+    while (!signal.aborted) {
+      const result = await this.#reader.catchUp(signal);
+      if (result.status === LogReadStatus.Ok) {
+        waitMs = fallbackMs;
+        await this.#watch(result.revision, signal);
+      } else {
+        log("store_unavailable", { message: result.message });
+      }
+      if (signal.aborted) break;
+      await sleep(jitter(waitMs, random), signal);
+      waitMs = Math.min(2 * waitMs, FALLBACK_MAX_MS);
+    }
+    await this.#upkeep;
+  }
+
+  async maintain(signal: AbortSignal): Promise<void> {
+    const { replica } = this.#options;
+    const { sequence } = replica;
+    if (sequence - this.#snapshotSequence < SNAPSHOT_EVERY) return;
+    const stored = await this.#snapshots.sequence(signal);
+    if (stored === undefined) return;
+    this.#snapshotSequence = stored;
+    if (sequence - stored >= SNAPSHOT_EVERY) {
+      const snapshot = replica.snapshot();
+      const written = await this.#snapshots.write(snapshot, signal);
+      if (!written) return;
+      this.#snapshotSequence = snapshot.sequence;
+    }
+    await this.#archiver.run(sequence, this.#snapshotSequence, signal);
+  }
+
+  /** Watches from `revision` until a call fails or something has to be read. */
+  async #watch(revision: number, signal: AbortSignal): Promise<void> {
+    const { store, watchMs } = this.#options;
+    let afterRevision = revision;
+    while (!signal.aborted) {
+      this.#startUpkeep(signal);
+      const result = await store.watch(
+        { prefix: CHANGES_PREFIX, afterRevision, waitMs: watchMs },
+        signal,
+      );
+      if (result.status !== StoreStatus.Ok) return;
+      const applied = await this.#reader.applyEvents(result.events, signal);
+      if (!applied) return;
+      afterRevision = result.revision;
+      await sleep(WATCH_SPACING_MS, signal);
+    }
+  }
+
+  #startUpkeep(signal: AbortSignal): void {
+    if (this.#upkeep) return;
+    this.#upkeep = this.maintain(signal).finally(() => {
+      this.#upkeep = undefined;
+    });
+  }
+}
+
+/** Creates the change log of a store. */
+export function createChangeLog(options: ChangeLogOptions): ChangeLog {
+  return new StoreChangeLog(options);
+}
--- /dev/null
+++ b/packages/config/src/config_state.ts
@@ -0,0 +1,114 @@
+/** Every configuration object after some sequence of changes. */
+import type { Snapshot } from "./change.ts";
+import {
+  type Customer,
+  type ObjectByKind,
+  ObjectKind,
+  type Versioned,
+} from "./objects.ts";
+
+/** Any configuration object. */
+export type AnyObject = ObjectByKind[ObjectKind];
+
+/** What references are checked against. */
+export interface ObjectReader {
+  get<K extends ObjectKind>(
+    kind: K,
+    name: string,
+  ): Versioned<ObjectByKind[K]> | undefined;
+  list<K extends ObjectKind>(kind: K): Versioned<ObjectByKind[K]>[];
+}
+
+type ObjectMap = Map<string, Versioned<AnyObject>>;
+
+function byName(a: { name: string }, b: { name: string }): number {
+  return a.name < b.name ? -1 : 1;
+}
+
+/** Objects and the versions of deleted ones, by kind and name. */
+export class ConfigState implements ObjectReader {
+  readonly #objects: Record<ObjectKind, ObjectMap>;
+  readonly #deleted: Record<ObjectKind, Map<string, number>>;
+  readonly #customersByKey = new Map<string, Customer>();
+
+  constructor() {
+    const kinds = Object.values(ObjectKind);
+    const maps = kinds.map((kind) => [kind, new Map()]);
+    this.#objects = Object.fromEntries(maps);
+    const versions = kinds.map((kind) => [kind, new Map()]);
+    this.#deleted = Object.fromEntries(versions);
+  }
+
+  get<K extends ObjectKind>(
+    kind: K,
+    name: string,
+  ): Versioned<ObjectByKind[K]> | undefined {
+    return this.#objects[kind].get(name) as
+      | Versioned<ObjectByKind[K]>
+      | undefined;
+  }
+
+  list<K extends ObjectKind>(kind: K): Versioned<ObjectByKind[K]>[] {
+    const all = [...this.#objects[kind].values()];
+    all.sort((a, b) => byName(a.object, b.object));
+    return all as Versioned<ObjectByKind[K]>[];
+  }
+
+  customerByKeySha256(sha256: string): Customer | undefined {
+    return this.#customersByKey.get(sha256);
+  }
+
+  /** The last version that the name had, deleted or not; 0 when it is new. */
+  lastVersion(kind: ObjectKind, name: string): number {
+    return this.#objects[kind].get(name)?.version ??
+      this.#deleted[kind].get(name) ?? 0;
+  }
+
+  /** Puts an object in force under `version`. */
+  set(kind: ObjectKind, version: number, object: AnyObject): void {
+    this.#forgetKeys(kind, object.name);
+    this.#objects[kind].set(object.name, { version, object });
+    this.#deleted[kind].delete(object.name);
+    if (kind !== ObjectKind.Customer) return;
+    const customer = object as Customer;
+    for (const sha256 of customer.keySha256) {
+      this.#customersByKey.set(sha256, customer);
+    }
+  }
+
+  /** Deletes an object; its name goes on counting after `version`. */
+  remove(kind: ObjectKind, name: string, version: number): void {
+    this.#forgetKeys(kind, name);
+    this.#objects[kind].delete(name);
+    this.#deleted[kind].set(name, version);
+  }
+
+  /** Objects of a snapshot, ordered by kind and name. */
+  objects(): Snapshot["objects"] {
+    return Object.values(ObjectKind).flatMap((kind) =>
+      this.list(kind).map(({ version, object }) => ({
+        kind,
+        name: object.name,
+        version,
+        object,
+      }))
+    );
+  }
+
+  /** Deleted names of a snapshot, ordered by kind and name. */
+  deleted(): Snapshot["deleted"] {
+    return Object.values(ObjectKind).flatMap((kind) =>
+      [...this.#deleted[kind]]
+        .map(([name, version]) => ({ kind, name, version }))
+        .sort(byName)
+    );
+  }
+
+  #forgetKeys(kind: ObjectKind, name: string): void {
+    if (kind !== ObjectKind.Customer) return;
+    const old = this.get(ObjectKind.Customer, name);
+    for (const sha256 of old?.object.keySha256 ?? []) {
+      this.#customersByKey.delete(sha256);
+    }
+  }
+}
--- /dev/null
+++ b/packages/config/src/evaluate.ts
@@ -0,0 +1,142 @@
+/**
+ * What a change does to the configuration: a pure function of the state before
+ * it. Proposers call it to accept or reject, replicas call it to replay.
+ */
+import jsonPatch from "fast-json-patch";
+import { type Change, ChangeAction, type PatchOperation } from "./change.ts";
+import type { AnyObject, ConfigState } from "./config_state.ts";
+import type { Issue } from "./issue.ts";
+import { checkReferences, checkUnused } from "./references.ts";
+import { validateObject } from "./validate.ts";
+
+/** The part of a change that an operator asks for. */
+export type Proposal = Pick<
+  Change,
+  | "patchId"
+  | "author"
+  | "kind"
+  | "name"
+  | "action"
+  | "baseVersion"
+  | "operations"
+>;
+
+/** How an evaluation ended. */
+export enum EvaluationKind {
+  /** The change can follow; `object` is undefined for a deletion. */
+  Fits = "fits",
+  /** It was built on another version than the one in force. */
+  Outdated = "outdated",
+  /** It breaks a schema or a reference. */
+  Invalid = "invalid",
+}
+
+export type Evaluation =
+  | {
+    kind: EvaluationKind.Fits;
+    version: number;
+    object: AnyObject | undefined;
+  }
+  | { kind: EvaluationKind.Outdated; currentVersion: number }
+  | { kind: EvaluationKind.Invalid; issues: Issue[] };
+
+/** The parts of a change that decide what it does. */
+export type Effect = Pick<
+  Change,
+  "kind" | "name" | "action" | "baseVersion" | "operations"
+>;
+
+/** Result of applying patch operations. */
+type Patched =
+  | { applied: true; document: unknown }
+  | { applied: false; issue: Issue };
+
+function issueOfPatch(err: unknown, operations: PatchOperation[]): Issue {
+  const { index, name } = err as { index?: number; name?: string };
+  const at = index ?? 0;
+  const operation = operations[at];
+  const reason = (name ?? "INVALID_PATCH").toLowerCase().replaceAll("_", " ");
+  return {
+    path: `/operations/${at}`,
+    value: operation,
+    expected: `an operation that fits the object in force (${reason})`,
+  };
+}
+
+/** Applies JSON Patch operations to a copy of `document`. */
+export function applyOperations(
+  document: unknown,
+  operations: PatchOperation[],
+): Patched {
+  try {
+    const copy = structuredClone(document);
+    const patch = structuredClone(operations) as jsonPatch.Operation[];
+    const result = jsonPatch.applyPatch(copy, patch, true, true);
+    return { applied: true, document: result.newDocument };
+  } catch (err) {
+    return { applied: false, issue: issueOfPatch(err, operations) };
+  }
+}
+
+/** Checks the version that a change states against the one in force. */
+function versionMatches(state: ConfigState, effect: Effect): boolean {
+  const current = state.get(effect.kind, effect.name);
+  if (effect.action === ChangeAction.Create) {
+    return !current && effect.baseVersion === 0;
+  }
+  return current !== undefined && effect.baseVersion === current.version;
+}
+
+function invalid(...issues: Issue[]): Evaluation {
+  return { kind: EvaluationKind.Invalid, issues };
+}
+
+function evaluateObject(
+  state: ConfigState,
+  effect: Effect,
+  withReferences: boolean,
+): Evaluation {
+  const { kind, name, operations } = effect;
+  const before = state.get(kind, name)?.object ?? null;
+  const patched = applyOperations(before, operations);
+  if (!patched.applied) return invalid(patched.issue);
+  const checked = validateObject(kind, patched.document);
+  if (!checked.valid) return invalid(...checked.issues);
+  const object: AnyObject = checked.object;
+  if (object.name !== name) {
+    return invalid({ path: "/name", value: object.name, expected: name });
+  }
+  const issues = withReferences ? checkReferences(state, kind, object) : [];
+  if (issues.length > 0) return invalid(...issues);
+  const version = state.lastVersion(kind, name) + 1;
+  return { kind: EvaluationKind.Fits, version, object };
+}
+
+/**
+ * Evaluates a change against `state`. A replay leaves the references out: they
+ * held when the change was accepted, and a later release may check more.
+ */
+export function evaluate(
+  state: ConfigState,
+  effect: Effect,
+  withReferences: boolean,
+): Evaluation {
+  const { kind, name, action } = effect;
+  const lastVersion = state.lastVersion(kind, name);
+  if (!versionMatches(state, effect)) {
+    const currentVersion = state.get(kind, name)?.version ?? 0;
+    return { kind: EvaluationKind.Outdated, currentVersion };
+  }
+  if (action !== ChangeAction.Delete) {
+    return evaluateObject(state, effect, withReferences);
+  }
+  const issues = withReferences ? checkUnused(state, kind, name) : [];
+  if (issues.length > 0) return invalid(...issues);
+  const version = lastVersion + 1;
+  return { kind: EvaluationKind.Fits, version, object: undefined };
+}
+
+/** The change that proposes `raw` as a new object. */
+export function createOperations(raw: unknown): PatchOperation[] {
+  return [{ op: "add", path: "", value: raw }];
+}
--- /dev/null
+++ b/packages/config/src/history.ts
@@ -0,0 +1,58 @@
+/** Reads the audit trail, newest entry first, from the log and its archive. */
+import type { ObjectStore } from "@sassafrascleat/store";
+import type { Change } from "./change.ts";
+import {
+  type HistoryQuery,
+  type HistoryResult,
+  LogReadStatus,
+} from "./change_log_contract.ts";
+import { CLOCK_SKEW_MS, HISTORY_LIMIT } from "./constants.ts";
+import { readTail } from "./log_tail.ts";
+import { readSegment, segmentOf } from "./segments.ts";
+
+function matches(query: HistoryQuery, change: Change): boolean {
+  const time = Date.parse(change.time);
+  return (query.kind === undefined || change.kind === query.kind) &&
+    (query.name === undefined || change.name === query.name) &&
+    (query.before === undefined || change.sequence < query.before) &&
+    (query.since === undefined || time >= Date.parse(query.since)) &&
+    (query.until === undefined || time <= Date.parse(query.until));
+}
+
+/** Whether no entry before `changes` can be as late as the query asks. */
+function isTooOld(query: HistoryQuery, changes: readonly Change[]): boolean {
+  if (query.since === undefined) return false;
+  const limit = Date.parse(query.since) - CLOCK_SKEW_MS;
+  return changes.every((change) => Date.parse(change.time) < limit);
+}
+
+function select(query: HistoryQuery, changes: readonly Change[]): Change[] {
+  return changes.filter((change) => matches(query, change)).reverse();
+}
+
+/** Reads entries that match `query`. */
+export async function readHistory(
+  store: ObjectStore,
+  query: HistoryQuery,
+  signal: AbortSignal,
+): Promise<HistoryResult> {
+  const limit = query.limit ?? HISTORY_LIMIT;
+  const tail = await readTail(store, signal);
+  if (tail.status !== LogReadStatus.Ok) return tail;
+  const found = select(query, tail.changes);
+  const last = Math.min(tail.through, (query.before ?? Infinity) - 1);
+  for (
+    let segment = segmentOf(last);
+    segment >= 0 && found.length < limit;
+    segment--
+  ) {
+    const changes = await readSegment(store, segment, signal);
+    if (!changes) {
+      const message = `archive segment ${segment} can't be read`;
+      return { status: LogReadStatus.Unavailable, message };
+    }
+    found.push(...select(query, changes));
+    if (isTooOld(query, changes)) break;
+  }
+  return { status: LogReadStatus.Ok, changes: found.slice(0, limit) };
+}
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,5 +1,20 @@
 /** Configuration objects, patches, the change log, snapshots and process settings. */
 export * from "./change.ts";
+export {
+  type ChangeLogOptions,
+  createChangeLog,
+  resolveChangeLogOptions,
+  type ResolvedChangeLogOptions,
+} from "./change_log.ts";
+export * from "./change_log_contract.ts";
 export * from "./config_view.ts";
+export { createOperations, type Proposal } from "./evaluate.ts";
+export { formatIssues, type Issue } from "./issue.ts";
 export * from "./objects.ts";
+export {
+  type AcceptedPatch,
+  createConfigReplica,
+  MemoryReplica,
+} from "./replica.ts";
 export * from "./replica_contract.ts";
+export { validateObject, type Validation } from "./validate.ts";
--- /dev/null
+++ b/packages/config/src/patch_records.ts
@@ -0,0 +1,88 @@
+/**
+ * Finds accepted patches by their id. A replica remembers the newest ids; the
+ * store records the id of every archived change for `PATCH_ID_RETENTION_MS`;
+ * what lies between is still in the log itself.
+ */
+import { ABSENT, type ObjectStore, StoreStatus } from "@sassafrascleat/store";
+import { z } from "zod";
+import { readArchiveHead } from "./archive_head.ts";
+import type { Change } from "./change.ts";
+import { LogReadStatus, type LogUnavailable } from "./change_log_contract.ts";
+import { patchKey } from "./log_keys.ts";
+import { readTail } from "./log_tail.ts";
+import type { AcceptedPatch, MemoryReplica } from "./replica.ts";
+
+const recordSchema = z.object({
+  sequence: z.number().int().min(1),
+  version: z.number().int(),
+});
+
+/** Result of a search; no patch when the id was never accepted. */
+export type PatchSearch =
+  | { status: LogReadStatus.Ok; accepted: AcceptedPatch | undefined }
+  | LogUnavailable;
+
+const UNREADABLE: LogUnavailable = {
+  status: LogReadStatus.Unavailable,
+  message: "the records of accepted patches can't be read",
+};
+
+function found(accepted: AcceptedPatch | undefined): PatchSearch {
+  return { status: LogReadStatus.Ok, accepted };
+}
+
+/** Records the id of an archived change; false when the store refused. */
+export async function recordPatch(
+  store: ObjectStore,
+  change: Change,
+  signal: AbortSignal,
+): Promise<boolean> {
+  const { sequence, version = 0 } = change;
+  const key = patchKey(change.patchId);
+  const result = await store.put(key, { sequence, version }, ABSENT, signal);
+  return result.status === StoreStatus.Ok ||
+    result.status === StoreStatus.Conflict;
+}
+
+/** Ends the record of a patch id whose retention is over. */
+export async function forgetPatch(
+  store: ObjectStore,
+  change: Change,
+  signal: AbortSignal,
+): Promise<boolean> {
+  const key = patchKey(change.patchId);
+  const read = await store.get(key, signal);
+  if (read.status !== StoreStatus.Ok) return false;
+  if (!read.object) return true;
+  const result = await store.delete(key, read.object.version, signal);
+  return result.status === StoreStatus.Ok;
+}
+
+/** Looks for an accepted patch; the replica has to be caught up. */
+export async function findPatch(
+  store: ObjectStore,
+  replica: MemoryReplica,
+  patchId: string,
+  signal: AbortSignal,
+): Promise<PatchSearch> {
+  const remembered = replica.acceptedPatch(patchId);
+  if (remembered) return found(remembered);
+  const knownAfter = replica.patchesKnownAfter;
+  if (knownAfter === 0) return found(undefined);
+  const head = await readArchiveHead(store, signal);
+  if (!head) return UNREADABLE;
+  const read = await store.get(patchKey(patchId), signal);
+  if (read.status !== StoreStatus.Ok) return UNREADABLE;
+  if (read.object) {
+    const parsed = recordSchema.safeParse(read.object.value);
+    return parsed.success ? found(parsed.data) : UNREADABLE;
+  }
+  if (head.through >= knownAfter) return found(undefined);
+  const tail = await readTail(store, signal);
+  if (tail.status !== LogReadStatus.Ok) return tail;
+  if (tail.through > head.through) return UNREADABLE;
+  const change = tail.changes.find((item) => item.patchId === patchId);
+  if (!change) return found(undefined);
+  const { sequence, version = 0 } = change;
+  return found({ sequence, version });
+}
--- /dev/null
+++ b/packages/config/src/pieces.ts
@@ -0,0 +1,23 @@
+/** Documents that are larger than one value of the store, kept in pieces. */
+
+/**
+ * Splits `items` into runs whose JSON stays under `maxBytes` each; an item that
+ * is larger alone makes a run of its own.
+ */
+export function splitItems<T>(items: readonly T[], maxBytes: number): T[][] {
+  const runs: T[][] = [];
+  let run: T[] = [];
+  let runBytes = 0;
+  for (const item of items) {
+    const bytes = Buffer.byteLength(JSON.stringify(item)) + 1;
+    if (run.length > 0 && runBytes + bytes > maxBytes) {
+      runs.push(run);
+      run = [];
+      runBytes = 0;
+    }
+    run.push(item);
+    runBytes += bytes;
+  }
+  if (run.length > 0) runs.push(run);
+  return runs;
+}
--- /dev/null
+++ b/packages/config/src/proposer.ts
@@ -0,0 +1,260 @@
+/**
+ * Adds changes at the end of the log. Creating the key of the next sequence is
+ * the acceptance. The proposer has applied everything below that sequence, so
+ * a proposal built on an outdated version is rejected exactly.
+ */
+import {
+  createLogger,
+  jitter,
+  type Random,
+  sleep,
+} from "@sassafrascleat/runtime";
+import {
+  ABSENT,
+  type ObjectStore,
+  putResolved,
+  type PutResult,
+  type StoredObject,
+  StoreStatus,
+} from "@sassafrascleat/store";
+import { isDeepStrictEqual } from "node:util";
+import { readArchiveHead } from "./archive_head.ts";
+import { type Change, ChangeAction, changeSchema } from "./change.ts";
+import {
+  LogReadStatus,
+  ProposeKind,
+  type ProposeOutcome,
+  type ProposeRequest,
+} from "./change_log_contract.ts";
+import {
+  CONFLICT_BACKOFF_MAX_MS,
+  CONFLICT_BACKOFF_MS,
+  PROPOSE_ATTEMPTS,
+  SHOWN_CHANGES,
+} from "./constants.ts";
+import {
+  createOperations,
+  type Evaluation,
+  EvaluationKind,
+} from "./evaluate.ts";
+import { changeKey } from "./log_keys.ts";
+import type { LogReader } from "./log_reader.ts";
+import { findPatch } from "./patch_records.ts";
+import type { MemoryReplica } from "./replica.ts";
+import { readSegment, segmentOf } from "./segments.ts";
+import { toIssues } from "./validate.ts";
+
+const log = createLogger("config");
+
+/** What a proposer works with. */
+export interface ProposerOptions {
+  store: ObjectStore;
+  replica: MemoryReplica;
+  reader: LogReader;
+  office: string;
+  random: Random;
+  /** Milliseconds since 1970, for the audit trail. */
+  wallClock: () => number;
+}
+
+/** Whether the log really holds a change that was written. */
+enum Standing {
+  InLog = "in_log",
+  /** Its sequence had been archived with another change before it was written. */
+  Stray = "stray",
+  Unknown = "unknown",
+}
+
+/** The value as the store gives it back. */
+function toJson<T>(value: T): T {
+  return JSON.parse(JSON.stringify(value));
+}
+
+function notRun(req: ProposeRequest, message: string): ProposeOutcome {
+  if (!req.repeated) return { kind: ProposeKind.NotRun, message };
+  const text = `${message}; an earlier call with this patch id may have been ` +
+    "accepted, so ask again with the same patch id";
+  return { kind: ProposeKind.Unknown, message: text };
+}
+
+function unknown(message: string): ProposeOutcome {
+  const text = `${message}; the change may have been accepted, so ask again ` +
+    "with the same patch id";
+  return { kind: ProposeKind.Unknown, message: text };
+}
+
+/** Proposes changes for one office. */
+export class Proposer {
+  readonly #options: ProposerOptions;
+
+  constructor(options: ProposerOptions) {
+    this.#options = options;
+  }
+
+  /** Proposes until the change is accepted, rejected or can't be decided. */
+  async propose(
+    req: ProposeRequest,
+    signal: AbortSignal,
+  ): Promise<ProposeOutcome> {
+    let waitMs = CONFLICT_BACKOFF_MS;
+    for (let attempt = 0; attempt < PROPOSE_ATTEMPTS; attempt++) {
+      const outcome = await this.#attempt(req, signal);
+      if (outcome) return this.#report(req, outcome);
+      await sleep(jitter(waitMs, this.#options.random), signal);
+      waitMs = Math.min(2 * waitMs, CONFLICT_BACKOFF_MAX_MS);
+      if (signal.aborted) break;
+    }
+    return notRun(req, "other changes kept coming first; try again");
+  }
+
+  /** One try for the next sequence; undefined when another change took it. */
+  async #attempt(
+    req: ProposeRequest,
+    signal: AbortSignal,
+  ): Promise<ProposeOutcome | undefined> {
+    const { store, replica, reader } = this.#options;
+    const caughtUp = await reader.catchUp(signal);
+    if (caughtUp.status !== LogReadStatus.Ok) {
+      return notRun(req, caughtUp.message);
+    }
+    const search = await findPatch(store, replica, req.patchId, signal);
+    if (search.status !== LogReadStatus.Ok) return notRun(req, search.message);
+    if (search.accepted) {
+      return { kind: ProposeKind.Accepted, ...search.accepted };
+    }
+    const evaluation = replica.evaluate(req);
+    if (evaluation.kind !== EvaluationKind.Fits) {
+      return this.#reject(req, evaluation);
+    }
+    const { version, object } = evaluation;
+    const change = this.#toChange(req, version, object);
+    const parsed = changeSchema.safeParse(change);
+    if (parsed.success) return this.#write(parsed.data, req, signal);
+    const issues = toIssues(change, parsed.error);
+    return { kind: ProposeKind.Invalid, issues };
+  }
+
+  #toChange(req: ProposeRequest, version: number, object: unknown): Change {
+    const { office, replica, wallClock } = this.#options;
+    const isCreate = req.action === ChangeAction.Create;
+    return toJson({
+      sequence: replica.sequence + 1,
+      patchId: req.patchId,
+      author: req.author,
+      office,
+      time: new Date(wallClock()).toISOString(),
+      kind: req.kind,
+      name: req.name,
+      action: req.action,
+      baseVersion: req.baseVersion,
+      operations: isCreate ? createOperations(object) : req.operations,
+      version,
+    });
+  }
+
+  #reject(
+    req: ProposeRequest,
+    evaluation: Exclude<Evaluation, { kind: EvaluationKind.Fits }>,
+  ): ProposeOutcome {
+    if (evaluation.kind === EvaluationKind.Invalid) {
+      return { kind: ProposeKind.Invalid, issues: evaluation.issues };
+    }
+    const { currentVersion } = evaluation;
+    const changesSince = this.#changesSince(req);
+    return { kind: ProposeKind.Outdated, currentVersion, changesSince };
+  }
+
+  /** The newest remembered changes of the object after the stated version. */
+  #changesSince(req: ProposeRequest): Change[] {
+    return this.#options.replica.recentChanges()
+      .filter((change) => change.kind === req.kind && change.name === req.name)
+      .filter((change) => (change.version ?? 0) > req.baseVersion)
+      .slice(-SHOWN_CHANGES);
+  }
+
+  async #write(
+    change: Change,
+    req: ProposeRequest,
+    signal: AbortSignal,
+  ): Promise<ProposeOutcome | undefined> {
+    const isMine = (object: StoredObject) =>
+      isDeepStrictEqual(object.value, change);
+    const key = changeKey(change.sequence);
+    const options = { isMine, signal };
+    const { store } = this.#options;
+    const result = await putResolved(store, key, change, ABSENT, options);
+    return this.#settle(change, req, result, signal);
+  }
+
+  async #settle(
+    change: Change,
+    req: ProposeRequest,
+    result: PutResult,
+    signal: AbortSignal,
+  ): Promise<ProposeOutcome | undefined> {
+    switch (result.status) {
+      case StoreStatus.Conflict:
+        return undefined;
+      case StoreStatus.Unavailable:
+        return notRun(req, result.message);
+      case StoreStatus.Unknown:
+        return unknown(result.message);
+      case StoreStatus.TooLarge:
+        return {
+          kind: ProposeKind.Invalid,
+          issues: [{ path: "", value: change.name, expected: result.message }],
+        };
+      case StoreStatus.Ok:
+        return await this.#confirm(change, result.version, signal);
+    }
+  }
+
+  /** Makes sure that the written sequence was still open, and applies it. */
+  async #confirm(
+    change: Change,
+    version: number,
+    signal: AbortSignal,
+  ): Promise<ProposeOutcome | undefined> {
+    const { store, replica } = this.#options;
+    const standing = await this.#standing(change, signal);
+    if (standing === Standing.Unknown) {
+      return unknown("the store could not be read after the write");
+    }
+    if (standing === Standing.Stray) {
+      await store.delete(changeKey(change.sequence), version, signal);
+      return undefined;
+    }
+    replica.apply(change);
+    return {
+      kind: ProposeKind.Accepted,
+      sequence: change.sequence,
+      version: change.version ?? 0,
+    };
+  }
+
+  async #standing(change: Change, signal: AbortSignal): Promise<Standing> {
+    const { store } = this.#options;
+    const head = await readArchiveHead(store, signal);
+    if (!head) return Standing.Unknown;
+    if (head.through < change.sequence) return Standing.InLog;
+    const segment = segmentOf(change.sequence);
+    const archived = await readSegment(store, segment, signal);
+    if (!archived) return Standing.Unknown;
+    const winner = archived.find((item) => item.sequence === change.sequence);
+    return winner?.patchId === change.patchId ? Standing.InLog : Standing.Stray;
+  }
+
+  #report(req: ProposeRequest, outcome: ProposeOutcome): ProposeOutcome {
+    log("proposal", {
+      patch: req.patchId,
+      kind: req.kind,
+      name: req.name,
+      author: req.author,
+      outcome: outcome.kind,
+      sequence: outcome.kind === ProposeKind.Accepted
+        ? outcome.sequence
+        : undefined,
+    });
+    return outcome;
+  }
+}
--- /dev/null
+++ b/packages/config/src/replica.ts
@@ -0,0 +1,182 @@
+/**
+ * The configuration in force at one daemon. Changes come in from the store's
+ * log and from peers in any order and any number; the replica takes each one
+ * once, in sequence, and never goes back.
+ */
+import { createLogger } from "@sassafrascleat/runtime";
+import { type Change, changeSchema, type Snapshot } from "./change.ts";
+import { type AnyObject, ConfigState } from "./config_state.ts";
+import { KEPT_CHANGES, KEPT_PATCH_IDS } from "./constants.ts";
+import {
+  type Effect,
+  evaluate,
+  type Evaluation,
+  EvaluationKind,
+} from "./evaluate.ts";
+import type {
+  Customer,
+  ObjectByKind,
+  ObjectKind,
+  Versioned,
+} from "./objects.ts";
+import { ApplyResult, type ConfigReplica } from "./replica_contract.ts";
+import { validateObject } from "./validate.ts";
+
+const log = createLogger("config");
+
+/** Where an accepted patch stands in the log and what it made. */
+export interface AcceptedPatch {
+  sequence: number;
+  /** Version of the object after the change. */
+  version: number;
+}
+
+/** A replica that proposals can be checked against. */
+export class MemoryReplica implements ConfigReplica {
+  #state = new ConfigState();
+  #sequence = 0;
+  #changes: Change[] = [];
+  #patches = new Map<string, AcceptedPatch>();
+  readonly #listeners = new Set<(sequence: number) => void>();
+
+  get sequence(): number {
+    return this.#sequence;
+  }
+
+  get<K extends ObjectKind>(
+    kind: K,
+    name: string,
+  ): Versioned<ObjectByKind[K]> | undefined {
+    return this.#state.get(kind, name);
+  }
+
+  list<K extends ObjectKind>(kind: K): Versioned<ObjectByKind[K]>[] {
+    return this.#state.list(kind);
+  }
+
+  customerByKeySha256(sha256: string): Customer | undefined {
+    return this.#state.customerByKeySha256(sha256);
+  }
+
+  onChange(listener: (sequence: number) => void, signal: AbortSignal): void {
+    if (signal.aborted) return;
+    this.#listeners.add(listener);
+    const remove = () => this.#listeners.delete(listener);
+    signal.addEventListener("abort", remove, { once: true });
+  }
+
+  /** What a change would do if it came next. */
+  evaluate(effect: Effect): Evaluation {
+    return evaluate(this.#state, effect, true);
+  }
+
+  /** An accepted patch, while the replica remembers it. */
+  acceptedPatch(patchId: string): AcceptedPatch | undefined {
+    return this.#patches.get(patchId);
+  }
+
+  /** The lowest sequence after which every accepted patch id is remembered. */
+  get patchesKnownAfter(): number {
+    return this.#sequence - this.#patches.size;
+  }
+
+  apply(raw: Change): ApplyResult {
+    const parsed = changeSchema.safeParse(raw);
+    if (!parsed.success) return ApplyResult.Invalid;
+    const change = parsed.data;
+    if (change.sequence <= this.#sequence) return ApplyResult.Old;
+    if (change.sequence !== this.#sequence + 1) return ApplyResult.Gap;
+    const evaluation = evaluate(this.#state, change, false);
+    if (evaluation.kind !== EvaluationKind.Fits) {
+      const { sequence } = change;
+      log("change_unusable", { sequence, reason: evaluation.kind });
+      return ApplyResult.Invalid;
+    }
+    this.#put(change, evaluation.version, evaluation.object);
+    this.#remember(change, evaluation.version);
+    this.#notify();
+    return ApplyResult.Applied;
+  }
+
+  changesAfter(sequence: number, limit: number): Change[] | undefined {
+    const keptAfter = this.#sequence - this.#changes.length;
+    if (sequence < keptAfter) return undefined;
+    const start = sequence - keptAfter;
+    return this.#changes.slice(start, start + limit);
+  }
+
+  /** Every change that is still kept, oldest first. */
+  recentChanges(): readonly Change[] {
+    return this.#changes;
+  }
+
+  snapshot(): Snapshot {
+    return {
+      sequence: this.#sequence,
+      objects: this.#state.objects(),
+      deleted: this.#state.deleted(),
+      recentPatches: [...this.#patches]
+        .map(([patchId, accepted]) => ({ patchId, ...accepted })),
+    };
+  }
+
+  install(snapshot: Snapshot): boolean {
+    if (snapshot.sequence <= this.#sequence) return false;
+    const state = stateOf(snapshot);
+    if (!state) {
+      log("snapshot_unusable", { sequence: snapshot.sequence });
+      return false;
+    }
+    this.#state = state;
+    this.#sequence = snapshot.sequence;
+    this.#changes = [];
+    this.#patches = new Map(
+      snapshot.recentPatches.map(({ patchId, ...accepted }) => [
+        patchId,
+        accepted,
+      ]),
+    );
+    this.#notify();
+    return true;
+  }
+
+  #put(change: Change, version: number, object: AnyObject | undefined): void {
+    const { kind, name } = change;
+    if (object) this.#state.set(kind, version, object);
+    else this.#state.remove(kind, name, version);
+  }
+
+  #remember(change: Change, version: number): void {
+    this.#sequence = change.sequence;
+    this.#changes.push(change);
+    if (this.#changes.length > KEPT_CHANGES) this.#changes.shift();
+    const { sequence } = change;
+    this.#patches.set(change.patchId, { sequence, version });
+    if (this.#patches.size <= KEPT_PATCH_IDS) return;
+    const oldest = this.#patches.keys().next().value;
+    if (oldest !== undefined) this.#patches.delete(oldest);
+  }
+
+  #notify(): void {
+    for (const listener of [...this.#listeners]) listener(this.#sequence);
+  }
+}
+
+/** The state that a snapshot holds; undefined when an object has no valid form. */
+function stateOf(snapshot: Snapshot): ConfigState | undefined {
+  const state = new ConfigState();
+  for (const { kind, version, object } of snapshot.objects) {
+    const checked = validateObject(kind, object);
+    if (!checked.valid) return undefined;
+    state.set(kind, version, checked.object);
+  }
+  for (const { kind, name, version } of snapshot.deleted) {
+    state.remove(kind, name, version);
+  }
+  return state;
+}
+
+/** Creates an empty replica. */
+export function createConfigReplica(): MemoryReplica {
+  return new MemoryReplica();
+}
--- /dev/null
+++ b/packages/config/src/snapshot_store.ts
@@ -0,0 +1,179 @@
+/**
+ * Snapshots in the store. `snapshots/latest` is written conditionally and only
+ * ever by a higher sequence. It holds the snapshot, or the number of pieces
+ * that hold its lists when one value is too small.
+ */
+import {
+  ABSENT,
+  type ObjectStore,
+  type StoredObject,
+  StoreStatus,
+} from "@sassafrascleat/store";
+import { z } from "zod";
+import { type Snapshot, snapshotSchema } from "./change.ts";
+import { PIECE_BYTES } from "./constants.ts";
+import {
+  LATEST_SNAPSHOT_KEY,
+  pieceKey,
+  SNAPSHOT_PIECES_PREFIX,
+  snapshotPiecesPrefix,
+} from "./log_keys.ts";
+import { splitItems } from "./pieces.ts";
+
+/** The value of `snapshots/latest`. */
+const latestSchema = z.object({
+  sequence: z.number().int().min(0),
+  /** The whole snapshot when it fits. */
+  snapshot: snapshotSchema.optional(),
+  /** Where the pieces are when it does not. */
+  piecesPrefix: z.string().optional(),
+  pieces: z.number().int().default(0),
+});
+type Latest = z.infer<typeof latestSchema>;
+
+/** One piece: a part of each list of the snapshot. */
+const pieceSchema = snapshotSchema.omit({ sequence: true }).partial();
+type Piece = z.infer<typeof pieceSchema>;
+
+/** What is stored as the newest snapshot. */
+interface Stored {
+  version: number;
+  latest: Latest | undefined;
+}
+
+/** Result of a read; no snapshot when none was written yet. */
+export type SnapshotRead =
+  | { status: StoreStatus.Ok; snapshot: Snapshot | undefined }
+  | { status: StoreStatus.Unavailable; message: string };
+
+function unavailable(message: string): SnapshotRead {
+  return { status: StoreStatus.Unavailable, message };
+}
+
+function toPieces(snapshot: Snapshot): Piece[] {
+  const { objects, deleted, recentPatches } = snapshot;
+  return [
+    ...splitItems(objects, PIECE_BYTES).map((run) => ({ objects: run })),
+    ...splitItems(deleted, PIECE_BYTES).map((run) => ({ deleted: run })),
+    ...splitItems(recentPatches, PIECE_BYTES)
+      .map((run) => ({ recentPatches: run })),
+  ];
+}
+
+function fromPieces(sequence: number, pieces: readonly Piece[]): Snapshot {
+  return {
+    sequence,
+    objects: pieces.flatMap((piece) => piece.objects ?? []),
+    deleted: pieces.flatMap((piece) => piece.deleted ?? []),
+    recentPatches: pieces.flatMap((piece) => piece.recentPatches ?? []),
+  };
+}
+
+/** Reads and writes the newest snapshot. */
+export class SnapshotStore {
+  readonly #store: ObjectStore;
+  readonly #writer: string;
+
+  /** `writer` keeps the pieces of two daemons apart. */
+  constructor(store: ObjectStore, writer: string) {
+    this.#store = store;
+    this.#writer = writer;
+  }
+
+  /** The newest snapshot. */
+  async read(signal: AbortSignal): Promise<SnapshotRead> {
+    const stored = await this.#readLatest(signal);
+    if (!stored) return unavailable("the newest snapshot can't be read");
+    const { latest } = stored;
+    if (!latest) return { status: StoreStatus.Ok, snapshot: undefined };
+    if (latest.snapshot) {
+      return { status: StoreStatus.Ok, snapshot: latest.snapshot };
+    }
+    const pieces = await this.#readPieces(latest, signal);
+    if (!pieces) return unavailable("pieces of the snapshot can't be read");
+    const snapshot = fromPieces(latest.sequence, pieces);
+    return { status: StoreStatus.Ok, snapshot };
+  }
+
+  /** Sequence of the newest snapshot, 0 for none; undefined if unreadable. */
+  async sequence(signal: AbortSignal): Promise<number | undefined> {
+    const stored = await this.#readLatest(signal);
+    return stored && (stored.latest?.sequence ?? 0);
+  }
+
+  /** Writes `snapshot` unless a newer one is there; false when it failed. */
+  async write(snapshot: Snapshot, signal: AbortSignal): Promise<boolean> {
+    const stored = await this.#readLatest(signal);
+    if (!stored) return false;
+    if ((stored.latest?.sequence ?? -1) >= snapshot.sequence) return true;
+    const latest = await this.#writePieces(snapshot, signal);
+    if (!latest) return false;
+    const result = await this.#store.put(
+      LATEST_SNAPSHOT_KEY,
+      latest,
+      stored.version,
+      signal,
+    );
+    if (result.status !== StoreStatus.Ok) return false;
+    const keepFrom = stored.latest?.piecesPrefix ?? latest.piecesPrefix;
+    if (keepFrom) await this.#deletePiecesBefore(keepFrom, signal);
+    return true;
+  }
+
+  async #readLatest(signal: AbortSignal): Promise<Stored | undefined> {
+    const read = await this.#store.get(LATEST_SNAPSHOT_KEY, signal);
+    if (read.status !== StoreStatus.Ok) return undefined;
+    if (!read.object) return { version: ABSENT, latest: undefined };
+    const parsed = latestSchema.safeParse(read.object.value);
+    if (!parsed.success) return undefined;
+    return { version: read.object.version, latest: parsed.data };
+  }
+
+  async #readPieces(
+    latest: Latest,
+    signal: AbortSignal,
+  ): Promise<Piece[] | undefined> {
+    const pieces: Piece[] = [];
+    for (let index = 0; index < latest.pieces; index++) {
+      const key = pieceKey(latest.piecesPrefix ?? "", index);
+      const read = await this.#store.get(key, signal);
+      if (read.status !== StoreStatus.Ok) return undefined;
+      const parsed = pieceSchema.safeParse(read.object?.value);
+      if (!parsed.success) return undefined;
+      pieces.push(parsed.data);
+    }
+    return pieces;
+  }
+
+  async #writePieces(
+    snapshot: Snapshot,
+    signal: AbortSignal,
+  ): Promise<Latest | undefined> {
+    const { sequence } = snapshot;
+    const bytes = Buffer.byteLength(JSON.stringify(snapshot));
+    if (bytes <= PIECE_BYTES) return { sequence, snapshot, pieces: 0 };
+    const piecesPrefix = snapshotPiecesPrefix(sequence, this.#writer);
+    const pieces = toPieces(snapshot);
+    for (const [index, piece] of pieces.entries()) {
+      const key = pieceKey(piecesPrefix, index);
+      const result = await this.#store.put(key, piece, ABSENT, signal);
+      const written = result.status === StoreStatus.Ok ||
+        result.status === StoreStatus.Conflict;
+      if (!written) return undefined;
+    }
+    return { sequence, piecesPrefix, pieces: pieces.length };
+  }
+
+  /** Deletes pieces of snapshots older than the one before the newest. */
+  async #deletePiecesBefore(key: string, signal: AbortSignal): Promise<void> {
+    const listed = await this.#store.list(
+      { prefix: SNAPSHOT_PIECES_PREFIX },
+      signal,
+    );
+    if (listed.status !== StoreStatus.Ok) return;
+    const old = (object: StoredObject) => object.key < key;
+    for (const object of listed.objects.filter(old)) {
+      await this.#store.delete(object.key, object.version, signal);
+    }
+  }
+}
--- /dev/null
+++ b/packages/store/src/memory_store.ts
@@ -0,0 +1,181 @@
+/**
+ * The object API in memory, for tests and for the `dev` role. Every write takes
+ * the next revision of the whole store as its version, so that the versions of
+ * a key keep growing when it is deleted and made again.
+ */
+import { LIST_LIMIT, MAX_WATCH_MS } from "./constants.ts";
+import {
+  ABSENT,
+  type GetResult,
+  type ListOptions,
+  type ListResult,
+  MAX_VALUE_BYTES,
+  type ObjectStore,
+  type PutResult,
+  type StoredObject,
+  StoreStatus,
+  type WatchEvent,
+  type WatchOptions,
+  type WatchResult,
+} from "./object_store.ts";
+import { SortedKeys } from "./sorted_keys.ts";
+
+/** Options of a store in memory. */
+export interface MemoryStoreOptions {
+  /** Largest value, in bytes of JSON. @default 1000000 */
+  maxValueBytes?: number;
+}
+
+/** A stored value as JSON text, so that callers never share an object. */
+interface Entry {
+  version: number;
+  json: string;
+}
+
+/** A write or a deletion in the order of revisions. */
+interface JournalEntry {
+  revision: number;
+  key: string;
+}
+
+/** An `ObjectStore` that lives in this process and never fails. */
+export class MemoryStore implements ObjectStore {
+  readonly #maxValueBytes: number;
+  readonly #entries = new Map<string, Entry>();
+  readonly #lastRevision = new Map<string, number>();
+  readonly #keys = new SortedKeys();
+  readonly #waiters = new Set<() => void>();
+  #journal: JournalEntry[] = [];
+  #revision = 0;
+
+  constructor(options: MemoryStoreOptions = {}) {
+    this.#maxValueBytes = options.maxValueBytes ?? MAX_VALUE_BYTES;
+  }
+
+  async get(key: string): Promise<GetResult> {
+    return { status: StoreStatus.Ok, object: this.#read(key) };
+  }
+
+  async put(
+    key: string,
+    value: unknown,
+    expectedVersion: number,
+  ): Promise<PutResult> {
+    const json = JSON.stringify(value);
+    const bytes = Buffer.byteLength(json);
+    if (bytes > this.#maxValueBytes) {
+      const message =
+        `value of ${key} has ${bytes} bytes, at most ${this.#maxValueBytes} fit`;
+      return { status: StoreStatus.TooLarge, message };
+    }
+    if (!this.#matches(key, expectedVersion)) return this.#conflict(key);
+    const version = this.#record(key);
+    this.#entries.set(key, { version, json });
+    this.#keys.add(key);
+    this.#wake();
+    return { status: StoreStatus.Ok, version };
+  }
+
+  async delete(key: string, expectedVersion: number): Promise<PutResult> {
+    if (!this.#matches(key, expectedVersion)) return this.#conflict(key);
+    if (!this.#entries.has(key)) {
+      return { status: StoreStatus.Ok, version: ABSENT };
+    }
+    const version = this.#record(key);
+    this.#entries.delete(key);
+    this.#keys.remove(key);
+    this.#wake();
+    return { status: StoreStatus.Ok, version };
+  }
+
+  async list(options: ListOptions): Promise<ListResult> {
+    const limit = options.limit ?? LIST_LIMIT;
+    const keys = this.#keys.range(options.prefix, options.after ?? "", limit);
+    const objects = keys.map((key) => this.#read(key)!);
+    return { status: StoreStatus.Ok, objects, revision: this.#revision };
+  }
+
+  async watch(
+    options: WatchOptions,
+    signal?: AbortSignal,
+  ): Promise<WatchResult> {
+    const deadline = performance.now() +
+      Math.min(options.waitMs, MAX_WATCH_MS);
+    while (true) {
+      const events = this.#eventsAfter(options.prefix, options.afterRevision);
+      const left = deadline - performance.now();
+      if (events.length > 0 || left <= 0) {
+        return { status: StoreStatus.Ok, events, revision: this.#revision };
+      }
+      await this.#nextWrite(left, signal);
+      if (signal?.aborted) {
+        return { status: StoreStatus.Unknown, message: "the call was aborted" };
+      }
+    }
+  }
+
+  #read(key: string): StoredObject | undefined {
+    const entry = this.#entries.get(key);
+    if (!entry) return undefined;
+    return { key, version: entry.version, value: JSON.parse(entry.json) };
+  }
+
+  #matches(key: string, expectedVersion: number): boolean {
+    return (this.#entries.get(key)?.version ?? ABSENT) === expectedVersion;
+  }
+
+  #conflict(key: string): PutResult {
+    return { status: StoreStatus.Conflict, current: this.#read(key) };
+  }
+
+  /** Takes the next revision for a write to `key`. */
+  #record(key: string): number {
+    this.#revision += 1;
+    this.#journal.push({ revision: this.#revision, key });
+    this.#lastRevision.set(key, this.#revision);
+    if (this.#journal.length > 2 * this.#lastRevision.size + 64) {
+      this.#journal = this.#journal.filter((entry) => this.#isLast(entry));
+    }
+    return this.#revision;
+  }
+
+  #isLast(entry: JournalEntry): boolean {
+    return this.#lastRevision.get(entry.key) === entry.revision;
+  }
+
+  /** The last state of each key below `prefix` that changed since. */
+  #eventsAfter(prefix: string, afterRevision: number): WatchEvent[] {
+    const events: WatchEvent[] = [];
+    for (let i = this.#journal.length - 1; i >= 0; i--) {
+      const entry = this.#journal[i]!;
+      if (entry.revision <= afterRevision) break;
+      if (!entry.key.startsWith(prefix) || !this.#isLast(entry)) continue;
+      events.push({ key: entry.key, object: this.#read(entry.key) });
+    }
+    return events.reverse();
+  }
+
+  #wake(): void {
+    for (const waiter of [...this.#waiters]) waiter();
+  }
+
+  #nextWrite(waitMs: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const done = () => {
+        clearTimeout(timer);
+        this.#waiters.delete(done);
+        signal?.removeEventListener("abort", done);
+        resolve();
+      };
+      const timer = setTimeout(done, waitMs);
+      this.#waiters.add(done);
+      signal?.addEventListener("abort", done, { once: true });
+      if (signal?.aborted) done();
+    });
+  }
+}
+
+/** Creates an empty store in memory. */
+export function createMemoryStore(options?: MemoryStoreOptions): MemoryStore {
+  return new MemoryStore(options);
+}
--- /dev/null
+++ b/packages/testing/src/store/call_counts.ts
@@ -0,0 +1,48 @@
+/** Counts of the calls that the platform would charge. */
+
+/** Kinds of calls. */
+export enum StoreCall {
+  Get = "get",
+  Put = "put",
+  Delete = "delete",
+  List = "list",
+  Watch = "watch",
+  Hosts = "hosts",
+}
+
+/** Calls by kind since the start; a waiting watch counts as one read. */
+export interface StoreCounts {
+  byCall: Record<StoreCall, number>;
+  reads: number;
+  writes: number;
+}
+
+/** Whether a call counts as a write. */
+export function isWrite(call: StoreCall): boolean {
+  return call === StoreCall.Put || call === StoreCall.Delete;
+}
+
+/** Counts calls. */
+export class CallCounter {
+  readonly #counts = new Map<StoreCall, number>();
+
+  /** Counts one call. */
+  add(call: StoreCall): void {
+    this.#counts.set(call, (this.#counts.get(call) ?? 0) + 1);
+  }
+
+  /** All counts. */
+  read(): StoreCounts {
+    const counts: StoreCounts = {
+      byCall: { get: 0, put: 0, delete: 0, list: 0, watch: 0, hosts: 0 },
+      reads: 0,
+      writes: 0,
+    };
+    for (const [call, count] of this.#counts) {
+      counts.byCall[call] = count;
+      if (isWrite(call)) counts.writes += count;
+      else counts.reads += count;
+    }
+    return counts;
+  }
+}
