feat(membership): host view with leaving and subsets, and the configuration relay

Cause: entries need a bounded choice of backend servers that respects leaving although the host list lags, and every daemon needs the configuration in force without each of them watching the store. The relay contract gains address and confirmedAgeMs. Before: contracts only. Conclusion: a thin version that daemons can be wired to; heads hold no authority, so that a second or a paused one is harmless.

--- /dev/null
+++ b/packages/membership/src/__tests__/host_view_test.ts
@@ -0,0 +1,213 @@
+/** The host view: subsets, leaving and failures. */
+import { describe, expect, test } from "@jest/globals";
+import {
+  BackendRole,
+  type BackendServer,
+  HostState,
+  type LoadHint,
+} from "@sassafrascleat/protocol";
+import { createRandom, ManualClock } from "@sassafrascleat/runtime";
+import * as fc from "fast-check";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createHostView, createHttpHostSource } from "../index.ts";
+
+const never = new AbortController().signal;
+
+function server(name: string, zone = "a"): BackendServer {
+  return {
+    name,
+    office: "north",
+    availabilityZone: zone,
+    pool: "decode",
+    role: BackendRole.Decode,
+    sidecarAddress: "http://127.0.0.1:1",
+    engineAddress: "http://127.0.0.1:2",
+    state: HostState.Live,
+  };
+}
+
+function hint(leaving: boolean): LoadHint {
+  return {
+    running: 0,
+    reserved: 0,
+    slots: 20,
+    freePieces: 1,
+    totalPieces: 1,
+    queuedTokens: 0,
+    rate: 1,
+    leaving,
+  };
+}
+
+class ListSource {
+  servers: BackendServer[] | undefined;
+
+  constructor(servers: BackendServer[]) {
+    this.servers = servers;
+  }
+
+  list(): Promise<BackendServer[] | undefined> {
+    return Promise.resolve(this.servers);
+  }
+}
+
+async function setUp(servers: BackendServer[], subsetSize = 4) {
+  const clock = new ManualClock(1_000);
+  const source = new ListSource(servers);
+  const view = createHostView({
+    source,
+    office: "north",
+    availabilityZone: "a",
+    entryId: "entry-1",
+    subsetSize,
+    clock,
+    random: createRandom(1),
+  });
+  await view.refresh(never);
+  const names = () => view.candidates("decode").map((s) => s.name);
+  return { clock, source, view, names };
+}
+
+const many = (count: number, zone: string) =>
+  Array.from({ length: count }, (_, index) => server(`${zone}${index}`, zone));
+
+describe("subsets", () => {
+  test("are bounded, same zone first, with a share of other zones", async () => {
+    const { names } = await setUp([...many(20, "a"), ...many(20, "b")], 8);
+    expect(names()).toHaveLength(8);
+    expect(names().map((name) => name[0]).join("")).toBe("aaaaaabb");
+  });
+
+  test("move one place when one host departs", async () => {
+    const all = [...many(30, "a"), ...many(30, "b")];
+    await fc.assert(
+      fc.asyncProperty(fc.nat(59), async (index) => {
+        const { source, view, names } = await setUp(all, 8);
+        const before = names();
+        source.servers = all.filter((_, at) => at !== index);
+        for (let round = 0; round < 3; round++) await view.refresh(never);
+        const kept = names().filter((name) => before.includes(name));
+        expect(names()).toHaveLength(8);
+        expect(kept.length).toBe(before.includes(all[index]!.name) ? 7 : 8);
+      }),
+      { seed: 7, numRuns: 60 },
+    );
+  });
+});
+
+describe("leaving", () => {
+  test("a sidecar's word wins over a list that still says live", async () => {
+    const { view, names } = await setUp([server("x"), server("y")]);
+    view.observe("x", "i1", hint(true));
+    await view.refresh(never);
+    expect(names()).toEqual(["y"]);
+    expect(view.find("x")?.state).toBe(HostState.Leaving);
+  });
+
+  test("a late reply from before the notice changes nothing", async () => {
+    const { clock, view, names } = await setUp([server("x")]);
+    view.observe("x", "i1", hint(true));
+    clock.advance(300);
+    view.observe("x", "i1", hint(false));
+    expect(names()).toEqual([]);
+    clock.advance(5_000);
+    view.observe("x", "i1", hint(false));
+    expect(names()).toEqual(["x"]);
+  });
+
+  test("a new incarnation returns, whatever the list or the old one say", async () => {
+    const { source, view, names } = await setUp([server("x")]);
+    view.observe("x", "i1", hint(true));
+    source.servers = [{ ...server("x"), state: HostState.Leaving }];
+    await view.refresh(never);
+    view.observe("x", "i2", hint(false));
+    expect(names()).toEqual(["x"]);
+    view.observe("x", "i1", hint(true));
+    expect(names()).toEqual(["x"]);
+  });
+
+  test("the list alone stops new work when the sidecar's notice was lost", async () => {
+    const { source, view, names } = await setUp([server("x")]);
+    view.observe("x", "i1", hint(false));
+    source.servers = [{ ...server("x"), state: HostState.Leaving }];
+    await view.refresh(never);
+    view.observe("x", "i1", hint(false));
+    expect(names()).toEqual([]);
+  });
+
+  test("a host that returned unheard is asked again in the end", async () => {
+    const { clock, view, names } = await setUp([server("x")]);
+    view.observe("x", "i1", hint(true));
+    clock.advance(29_000);
+    expect(names()).toEqual([]);
+    clock.advance(2_000);
+    expect(names()).toEqual(["x"]);
+  });
+});
+
+describe("the list", () => {
+  test("keeps the last reading while it is unreadable", async () => {
+    const { source, view, names } = await setUp([server("x")]);
+    source.servers = undefined;
+    for (let round = 0; round < 5; round++) await view.refresh(never);
+    expect(names()).toEqual(["x"]);
+  });
+
+  test("drops a host only after several readings without it", async () => {
+    const { source, view, names } = await setUp([server("x")]);
+    source.servers = [];
+    await view.refresh(never);
+    await view.refresh(never);
+    expect(names()).toEqual(["x"]);
+    await view.refresh(never);
+    expect(names()).toEqual([]);
+    expect(view.find("x")).toBeUndefined();
+  });
+
+  test("leaves out entries that are not valid", async () => {
+    const body = JSON.stringify({ hosts: [server("x"), { name: "broken" }] });
+    const http = createServer((_req, res) => res.end(body));
+    await new Promise<void>((done) => http.listen(0, "127.0.0.1", done));
+    const { port } = http.address() as AddressInfo;
+    const source = createHttpHostSource({
+      baseUrl: `http://127.0.0.1:${port}`,
+    });
+    expect(await source.list(never)).toEqual([server("x")]);
+    http.closeAllConnections();
+    await new Promise((done) => http.close(done));
+    expect(await source.list(never)).toBeUndefined();
+  });
+});
+
+describe("failures", () => {
+  test("exclude for growing times, then sort last until one succeeds", async () => {
+    const { clock, view, names } = await setUp([server("x"), server("y")]);
+    view.observeFailure("x");
+    expect(names()).toEqual(["y"]);
+    clock.advance(1_000);
+    expect(names()).toEqual(["y", "x"]);
+    for (let round = 0; round < 6; round++) {
+      view.observeFailure("x");
+      clock.advance(1_000);
+    }
+    expect(names()).toEqual(["y"]);
+    clock.advance(60_000);
+    expect(names()).toEqual(["y", "x"]);
+    view.observe("x", "i1", hint(false));
+    expect(new Set(names())).toEqual(new Set(["x", "y"]));
+  });
+
+  test("of a whole zone give its places to other zones", async () => {
+    const { view, names } = await setUp([...many(8, "a"), ...many(8, "b")], 4);
+    for (const { name } of many(8, "a")) view.observeFailure(name);
+    expect(names().map((name) => name[0]).join("")).toBe("bbbb");
+  });
+
+  test("of every host leave the one that may be tried soonest first", async () => {
+    const { view, names } = await setUp([server("x"), server("y")]);
+    view.observeFailure("x");
+    view.observeFailure("y");
+    expect(names()).toHaveLength(2);
+  });
+});
--- /dev/null
+++ b/packages/membership/src/__tests__/relay_kit.ts
@@ -0,0 +1,257 @@
+/** Relays over loopback, with an in-memory change log and faulty listeners. */
+import {
+  ApplyResult,
+  type Change,
+  ChangeAction,
+  type ConfigReplica,
+  ObjectKind,
+  type Snapshot,
+} from "@sassafrascleat/config";
+import { createRelayRouter, RELAY_RPC_PATH } from "@sassafrascleat/protocol";
+import { Secret } from "@sassafrascleat/runtime";
+import { createHTTPServer } from "@trpc/server/adapters/standalone";
+import type { AddressInfo } from "node:net";
+import {
+  type ChangeLogFollower,
+  createRelay,
+  type PeerSource,
+  type Relay,
+  type RelayOptions,
+  type RelayPeer,
+} from "../index.ts";
+
+/** Makes the change with this sequence number. */
+export function changeAt(sequence: number): Change {
+  return {
+    sequence,
+    patchId: `patch-${sequence}`,
+    author: "tester",
+    office: "north",
+    time: "2026-01-01T00:00:00.000Z",
+    kind: ObjectKind.Customer,
+    name: "c",
+    action: ChangeAction.Patch,
+    baseVersion: sequence,
+    operations: [],
+  };
+}
+
+/** A replica that holds changes and no objects. */
+export class LogReplica implements ConfigReplica {
+  sequence = 0;
+  readonly applied: number[] = [];
+  readonly #changes: Change[] = [];
+  readonly #listeners = new Set<(sequence: number) => void>();
+
+  apply(change: Change): ApplyResult {
+    if (change.sequence <= this.sequence) return ApplyResult.Old;
+    if (change.sequence > this.sequence + 1) return ApplyResult.Gap;
+    this.#changes.push(change);
+    this.#move(change.sequence);
+    return ApplyResult.Applied;
+  }
+
+  changesAfter(sequence: number, limit: number): Change[] | undefined {
+    const first = this.#changes[0];
+    if (!first || first.sequence > sequence + 1) return undefined;
+    return this.#changes.filter((c) => c.sequence > sequence).slice(0, limit);
+  }
+
+  snapshot(): Snapshot {
+    return {
+      sequence: this.sequence,
+      objects: [],
+      deleted: [],
+      recentPatches: [],
+    };
+  }
+
+  install(snapshot: Snapshot): boolean {
+    if (snapshot.sequence <= this.sequence) return false;
+    this.#changes.length = 0;
+    this.#move(snapshot.sequence);
+    return true;
+  }
+
+  get(): undefined {
+    return undefined;
+  }
+
+  list(): [] {
+    return [];
+  }
+
+  customerByKeySha256(): undefined {
+    return undefined;
+  }
+
+  onChange(listener: (sequence: number) => void, signal: AbortSignal): void {
+    this.#listeners.add(listener);
+    signal.addEventListener("abort", () => this.#listeners.delete(listener));
+  }
+
+  /** Resolves when the sequence is at least `sequence`. */
+  reached(sequence: number, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (this.sequence >= sequence) return resolve();
+      this.onChange((now) => now >= sequence && resolve(), signal);
+    });
+  }
+
+  #move(sequence: number): void {
+    this.sequence = sequence;
+    this.applied.push(sequence);
+    for (const listener of [...this.#listeners]) listener(sequence);
+  }
+}
+
+/** The change log of a stand-in store that can go out. */
+export class FakeLog {
+  available = true;
+  calls = 0;
+  length = 0;
+  readonly #waiting = new Set<() => void>();
+
+  append(): number {
+    this.length += 1;
+    for (const wake of [...this.#waiting]) wake();
+    return this.length;
+  }
+
+  follower(replica: LogReplica): ChangeLogFollower {
+    return { poll: (waitMs, signal) => this.#poll(replica, waitMs, signal) };
+  }
+
+  async #poll(
+    replica: LogReplica,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    this.calls += 1;
+    if (!this.available) return false;
+    if (replica.sequence >= this.length && waitMs > 0) {
+      await this.#wait(waitMs, signal);
+    }
+    if (!this.available || signal.aborted) return false;
+    while (replica.sequence < this.length) {
+      replica.apply(changeAt(replica.sequence + 1));
+    }
+    return true;
+  }
+
+  #wait(waitMs: number, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      const done = () => {
+        clearTimeout(timer);
+        this.#waiting.delete(done);
+        signal.removeEventListener("abort", done);
+        resolve();
+      };
+      const timer = setTimeout(done, waitMs);
+      this.#waiting.add(done);
+      signal.addEventListener("abort", done);
+    });
+  }
+}
+
+/** How a daemon's listener behaves. */
+export enum Listener {
+  Answers = "answers",
+  /** Takes requests and never answers, as a paused process does. */
+  Silent = "silent",
+}
+
+/** One daemon of a test: its replica, its relay and its listener. */
+export interface TestDaemon {
+  peer: RelayPeer;
+  replica: LogReplica;
+  relay: Relay;
+  listener: Listener;
+  /** Pulls that reached the listener. */
+  pulls: number;
+  stop(): Promise<void>;
+}
+
+/** What a test daemon differs in. */
+export interface TestDaemonOptions {
+  daemonId: string;
+  office?: string;
+  availabilityZone?: string;
+  log: FakeLog;
+  peers: PeerSource;
+  relay?: Partial<RelayOptions>;
+}
+
+/** Starts a listener and a relay; `start` is separate so that peers can be known. */
+export async function createTestDaemon(
+  options: TestDaemonOptions,
+): Promise<TestDaemon & { start(): void }> {
+  const { daemonId, log, peers } = options;
+  const office = options.office ?? "north";
+  const availabilityZone = options.availabilityZone ?? "a";
+  const replica = new LogReplica();
+  const server = createHTTPServer({
+    router: createRelayRouter({ pull: (req) => relay.control.pull(req) }),
+    basePath: `${RELAY_RPC_PATH}/`,
+    middleware: (_req, _res, next) => {
+      daemon.pulls += 1;
+      if (daemon.listener === Listener.Answers) next();
+    },
+  });
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  const address = `http://127.0.0.1:${port}`;
+  const relay = createRelay({
+    daemonId,
+    office,
+    availabilityZone,
+    address,
+    replica,
+    changeLogFollower: log.follower(replica),
+    peers,
+    secret: new Secret("system", "s"),
+    pullWaitMs: 200,
+    pullGraceMs: 100,
+    ...options.relay,
+  });
+  const controller = new AbortController();
+  let running = Promise.resolve();
+  const daemon = {
+    peer: { daemonId, office, availabilityZone, address },
+    replica,
+    relay,
+    listener: Listener.Answers,
+    pulls: 0,
+    start() {
+      running = relay.run(controller.signal);
+    },
+    async stop() {
+      controller.abort();
+      server.closeAllConnections();
+      await new Promise((done) => server.close(done));
+      await running;
+    },
+  };
+  return daemon;
+}
+
+/** A peer source that tests fill in once all addresses are known. */
+export class LatePeers implements PeerSource {
+  list: RelayPeer[] | undefined = [];
+
+  peers(): Promise<RelayPeer[] | undefined> {
+    return Promise.resolve(this.list);
+  }
+}
+
+/** Waits until `holds`; fails after `limitMs`. */
+export async function eventually(
+  holds: () => boolean,
+  limitMs = 15_000,
+): Promise<void> {
+  const deadline = Date.now() + limitMs;
+  while (!holds()) {
+    if (Date.now() > deadline) throw new Error("condition was not reached");
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+}
--- /dev/null
+++ b/packages/membership/src/hosts/http_host_source.ts
@@ -0,0 +1,74 @@
+/** The platform's host list over HTTP. */
+import {
+  type BackendServer,
+  backendServerSchema,
+} from "@sassafrascleat/protocol";
+import { createLogger, errorMessage } from "@sassafrascleat/runtime";
+import { Agent, fetch } from "undici";
+import { HOST_LIST_TIMEOUT_MS } from "../constants.ts";
+import type { HostSource } from "./host_view.ts";
+
+/** Options of the HTTP host list. */
+export interface HttpHostSourceOptions {
+  /** Base address of the platform, `http://ip:port`. */
+  baseUrl: string;
+  /** Time for one reading, in milliseconds. @default 2000 */
+  timeoutMs?: number;
+}
+
+const log = createLogger("hosts");
+
+/** Creates a source that reads `GET /hosts`. */
+export function createHttpHostSource(
+  options: HttpHostSourceOptions,
+): HostSource {
+  return new HttpHostSource(options);
+}
+
+class HttpHostSource implements HostSource {
+  readonly #url: string;
+  readonly #timeoutMs: number;
+  #agent = new Agent({ connections: 1 });
+
+  constructor(options: HttpHostSourceOptions) {
+    this.#url = new URL("/hosts", options.baseUrl).href;
+    this.#timeoutMs = options.timeoutMs ?? HOST_LIST_TIMEOUT_MS;
+  }
+
+  async list(signal: AbortSignal): Promise<BackendServer[] | undefined> {
+    const timeout = AbortSignal.timeout(this.#timeoutMs);
+    try {
+      const res = await fetch(this.#url, {
+        dispatcher: this.#agent,
+        signal: AbortSignal.any([signal, timeout]),
+      });
+      if (res.ok) return parseHosts(await res.json());
+      await res.body?.cancel();
+      log("list_refused", { status: res.status });
+    } catch (err) {
+      if (!signal.aborted) log("list_failed", { error: errorMessage(err) });
+      this.#reconnect();
+    }
+    return undefined;
+  }
+
+  /** Leaves a connection that may be silent; the next reading dials anew. */
+  #reconnect(): void {
+    const old = this.#agent;
+    this.#agent = new Agent({ connections: 1 });
+    old.destroy().catch(() => {});
+  }
+}
+
+/** Reads the list; entries that are not valid are left out, not the list. */
+function parseHosts(body: unknown): BackendServer[] | undefined {
+  const hosts = (body as { hosts?: unknown } | null)?.hosts;
+  if (!Array.isArray(hosts)) return undefined;
+  const servers: BackendServer[] = [];
+  for (const host of hosts) {
+    const parsed = backendServerSchema.safeParse(host);
+    if (parsed.success) servers.push(parsed.data);
+    else log("host_invalid", { issue: parsed.error.issues[0]?.message });
+  }
+  return servers;
+}
--- /dev/null
+++ b/packages/membership/src/relay/peer_client.ts
@@ -0,0 +1,127 @@
+/**
+ * Pulls from other daemons by tRPC. A pull that is not answered in time is
+ * lost, whatever its connection looks like: the connection is dropped and the
+ * next pull dials a new one.
+ */
+import {
+  type PullReply,
+  type PullRequest,
+  RELAY_RPC_PATH,
+  type RelayRouter,
+  SYSTEM_SECRET_HEADER,
+} from "@sassafrascleat/protocol";
+import {
+  createLogger,
+  errorMessage,
+  type Secret,
+} from "@sassafrascleat/runtime";
+import { createTRPCClient, httpLink } from "@trpc/client";
+import { Agent, fetch, type RequestInit } from "undici";
+import type { RelayPeer } from "./peer.ts";
+
+/** Sends pulls to peers. */
+export interface PeerClient {
+  /** The peer's reply; undefined when none came within `timeoutMs`. */
+  pull(
+    peer: RelayPeer,
+    req: PullRequest,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<PullReply | undefined>;
+  /** Drops every connection. */
+  close(): Promise<void>;
+}
+
+/** Creates a client that shows `secret` to its peers. */
+export function createPeerClient(secret: Secret): PeerClient {
+  return new TrpcPeerClient(secret);
+}
+
+const log = createLogger("relay");
+
+/** Connections that stay open to peers that are not pulled from now. */
+const OPEN_PEERS = 4;
+
+class PeerConnection {
+  readonly agent: Agent;
+  readonly client: ReturnType<typeof createTRPCClient<RelayRouter>>;
+
+  constructor(address: string, secret: Secret) {
+    const agent = new Agent({ connections: 1, pipelining: 1 });
+    this.agent = agent;
+    this.client = createTRPCClient<RelayRouter>({
+      links: [httpLink({
+        url: `${address}${RELAY_RPC_PATH}`,
+        headers: { [SYSTEM_SECRET_HEADER]: secret.reveal() },
+        fetch: (url, init) =>
+          fetch(
+            url as string,
+            { ...init, dispatcher: agent } as RequestInit,
+          ) as unknown as Promise<Response>,
+      })],
+    });
+  }
+}
+
+class TrpcPeerClient implements PeerClient {
+  readonly #secret: Secret;
+  readonly #connections = new Map<string, PeerConnection>();
+
+  constructor(secret: Secret) {
+    this.#secret = secret;
+  }
+
+  async pull(
+    peer: RelayPeer,
+    req: PullRequest,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<PullReply | undefined> {
+    const connection = this.#connect(peer.address);
+    const limit = new AbortController();
+    const timer = setTimeout(() => limit.abort(), timeoutMs);
+    try {
+      return await connection.client.pull.mutate(req, {
+        signal: AbortSignal.any([signal, limit.signal]),
+      }) as PullReply;
+    } catch (err) {
+      this.#drop(peer.address, connection);
+      if (!signal.aborted) {
+        log("pull_lost", { peer: peer.daemonId, error: errorMessage(err) });
+      }
+      return undefined;
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  async close(): Promise<void> {
+    const open = [...this.#connections.values()];
+    this.#connections.clear();
+    await Promise.all(open.map((connection) => connection.agent.destroy()));
+  }
+
+  /** Returns the peer's connection as the latest used; drops the oldest. */
+  #connect(address: string): PeerConnection {
+    const known = this.#connections.get(address);
+    const connection = known ?? new PeerConnection(address, this.#secret);
+    this.#connections.delete(address);
+    this.#connections.set(address, connection);
+    if (this.#connections.size > OPEN_PEERS) this.#closeOldest();
+    return connection;
+  }
+
+  #closeOldest(): void {
+    const oldest = this.#connections.entries().next().value;
+    if (!oldest) return;
+    this.#connections.delete(oldest[0]);
+    oldest[1].agent.close().catch(() => {});
+  }
+
+  #drop(address: string, connection: PeerConnection): void {
+    if (this.#connections.get(address) === connection) {
+      this.#connections.delete(address);
+    }
+    connection.agent.destroy().catch(() => {});
+  }
+}
--- /dev/null
+++ b/packages/membership/src/relay/store_reader.ts
@@ -0,0 +1,106 @@
+/**
+ * The task that reads the change log from the store: all the time in a head,
+ * and at a bounded, jittered rate in a daemon whose peers are silent or behind.
+ */
+import {
+  type Clock,
+  createLogger,
+  jitter,
+  type Random,
+  sleep,
+} from "@sassafrascleat/runtime";
+import {
+  FIRST_FALLBACK_MS,
+  ROLE_CHECK_MS,
+  SILENT_AFTER_MS,
+  STORE_FALLBACK_MS,
+  STORE_FALLBACK_STALE_MS,
+  STORE_GRACE_MS,
+  STORE_PAUSE_MS,
+  STORE_RETRY_MAX_MS,
+  STORE_RETRY_MS,
+  STORE_WATCH_MS,
+} from "../constants.ts";
+import type { ChangeLogFollower } from "./change_log_follower.ts";
+import { type Freshness, Staleness } from "./freshness.ts";
+import type { PeerTable } from "./peer_table.ts";
+import type { Puller } from "./puller.ts";
+
+/** What a store reader works on. */
+export interface StoreReaderParts {
+  follower: ChangeLogFollower;
+  freshness: Freshness;
+  peers: PeerTable;
+  puller: Puller;
+  clock: Clock;
+  random: Random;
+}
+
+const log = createLogger("relay");
+
+/** Reads the store when this daemon's part asks for it. */
+export class StoreReader {
+  readonly #parts: StoreReaderParts;
+  #failures = 0;
+  #lastFallbackMs: number;
+  #fallbackFactor: number;
+
+  constructor(parts: StoreReaderParts) {
+    this.#parts = parts;
+    this.#fallbackFactor = jitter(1, parts.random);
+    const firstMs = jitter(FIRST_FALLBACK_MS, parts.random);
+    this.#lastFallbackMs = parts.clock.now() + firstMs -
+      STORE_FALLBACK_STALE_MS * this.#fallbackFactor;
+  }
+
+  /** Reads until `signal` aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      if (this.#parts.peers.isHead()) await this.#watch(signal);
+      else if (this.#isFallbackDue()) await this.#fallBack(signal);
+      else await sleep(ROLE_CHECK_MS, signal);
+    }
+  }
+
+  async #watch(signal: AbortSignal): Promise<void> {
+    const answered = await this.#poll(STORE_WATCH_MS, signal);
+    const backoffMs = STORE_RETRY_MS * 2 ** Math.max(0, this.#failures - 1);
+    const pauseMs = answered
+      ? STORE_PAUSE_MS
+      : Math.min(backoffMs, STORE_RETRY_MAX_MS);
+    await sleep(jitter(pauseMs, this.#parts.random), signal);
+  }
+
+  #isFallbackDue(): boolean {
+    const { clock, freshness, puller } = this.#parts;
+    const silent = puller.silentMs() > SILENT_AFTER_MS;
+    if (!silent && freshness.staleness === Staleness.Current) return false;
+    const pauseMs = silent ? STORE_FALLBACK_MS : STORE_FALLBACK_STALE_MS;
+    const waitedMs = clock.now() - this.#lastFallbackMs;
+    return waitedMs >= pauseMs * this.#fallbackFactor;
+  }
+
+  async #fallBack(signal: AbortSignal): Promise<void> {
+    const { clock, puller, random } = this.#parts;
+    this.#lastFallbackMs = clock.now();
+    this.#fallbackFactor = jitter(1, random);
+    log("store_fallback", { silentMs: Math.round(puller.silentMs()) });
+    await this.#poll(0, signal);
+  }
+
+  async #poll(waitMs: number, signal: AbortSignal): Promise<boolean> {
+    const { clock, follower, freshness } = this.#parts;
+    const startedAtMs = clock.now();
+    const limit = AbortSignal.timeout(waitMs + STORE_GRACE_MS);
+    const either = AbortSignal.any([signal, limit]);
+    const answered = await follower.poll(waitMs, either);
+    if (answered) {
+      this.#failures = 0;
+      freshness.confirm(startedAtMs);
+    } else if (!signal.aborted) {
+      this.#failures += 1;
+      log("store_silent", { failures: this.#failures });
+    }
+    return answered;
+  }
+}
--- a/packages/protocol/src/relay_rpc.ts
+++ b/packages/protocol/src/relay_rpc.ts
@@ -14,6 +14,8 @@
   daemonId: z.string().min(1),
   office: z.string(),
   availabilityZone: z.string(),
+  /** Base address of the caller's system listener, when it has one. */
+  address: z.string().optional(),
   afterSequence: z.number().int().min(0),
   /** Longest time to wait for news, in milliseconds. */
   waitMs: z.number().min(0),
@@ -22,6 +24,7 @@
     daemonId: z.string(),
     office: z.string(),
     availabilityZone: z.string(),
+    address: z.string().optional(),
     sequence: z.number().int(),
     ageMs: z.number(),
   })),
@@ -34,6 +37,11 @@
 export interface PullReply {
   /** The highest sequence that the replying daemon has in force. */
   sequence: number;
+  /**
+   * Time since that daemon is known to have agreed with the store, directly or
+   * through others, in milliseconds; absent when it never did.
+   */
+  confirmedAgeMs?: number;
   snapshot?: { sequence: number; document: unknown };
   changes: { sequence: number; document: unknown }[];
 }
