--- /dev/null
+++ b/packages/entry/src/lifecycle/context.ts
@@ -0,0 +1,28 @@
+/** What the parts of one entry share. */
+import type { HostView } from "@sassafrascleat/membership";
+import type { LoadHint } from "@sassafrascleat/protocol";
+import type { HintBook, RetryBudget } from "@sassafrascleat/routing";
+import type { Clock } from "@sassafrascleat/runtime";
+import type { EntryMetrics } from "../metrics.ts";
+import type { ResolvedEntryOptions } from "../options.ts";
+import type { Canceller } from "../sidecar_client/canceller.ts";
+import type { Renewer } from "../sidecar_client/renewer.ts";
+import type { SidecarClients } from "../sidecar_client/sidecar_clients.ts";
+import type { OutputEstimator } from "./output_estimator.ts";
+
+/** Shared parts, made once by the entry. */
+export interface EntryContext {
+  options: ResolvedEntryOptions;
+  clock: Clock;
+  hosts: HostView;
+  hints: HintBook;
+  clients: SidecarClients;
+  renewer: Renewer;
+  canceller: Canceller;
+  metrics: EntryMetrics;
+  outputs: OutputEstimator;
+  /** Records what a sidecar said about itself. */
+  observe(name: string, incarnation: string, hint: LoadHint): void;
+  /** The retry budget of a service. */
+  retryBudget(service: string, ratio: number): RetryBudget;
+}
--- /dev/null
+++ b/packages/entry/src/lifecycle/prefiller.ts
@@ -0,0 +1,241 @@
+/**
+ * Runs prompts at prefill engines for places that are already granted, timed
+ * by the policy so that the result arrives as the slot frees. Each result is
+ * counted once, as used or as wasted.
+ */
+import {
+  type AttemptRef,
+  type BackendServer,
+  CancelState,
+  CONTROL_TIMEOUT_MS,
+  type KvHandle,
+  type PrefillDone,
+  type PrefillReply,
+  RefusalReason,
+} from "@sassafrascleat/protocol";
+import {
+  AttemptFailure,
+  type BackendState,
+  type FailureReason,
+  type PrefillPlan,
+} from "@sassafrascleat/routing";
+import { sleep } from "@sassafrascleat/runtime";
+import {
+  HANDOVER_MARGIN_MS,
+  MAX_PREFILL_TRIES,
+  PLAN_RETRY_MS,
+} from "../constants.ts";
+import { PrefillUse } from "../metrics.ts";
+import type { SidecarClient } from "../sidecar_client/sidecar_client.ts";
+import type { Call, Place } from "./call.ts";
+import type { EntryContext } from "./context.ts";
+
+/** What is prefilled. */
+export interface PrefillInput {
+  model: string;
+  prompt: string;
+  prefillPool: string;
+  /** Tokens already sent to the caller. */
+  generated: string[];
+}
+
+/** A result, or why there is none. */
+export type PrefillResult =
+  | { done: true; kv: LiveKv }
+  | { done: false; reason: FailureReason; mayHaveRun: boolean };
+
+/** A prefill result with its lifetime by the entry's clock. */
+export class LiveKv {
+  readonly handle: KvHandle;
+  readonly expiresAtMs: number;
+  readonly client: SidecarClient;
+  readonly ref: AttemptRef;
+  readonly #count: (use: PrefillUse) => void;
+  #use: PrefillUse | undefined;
+
+  constructor(
+    done: PrefillDone,
+    nowMs: number,
+    from: { client: SidecarClient; ref: AttemptRef },
+    count: (use: PrefillUse) => void,
+  ) {
+    this.handle = done.kv;
+    this.expiresAtMs = nowMs + done.kv.expiresInMs;
+    this.client = from.client;
+    this.ref = from.ref;
+    this.#count = count;
+  }
+
+  /** Whether another engine could still fetch the result. */
+  alive(nowMs: number): boolean {
+    return nowMs + HANDOVER_MARGIN_MS < this.expiresAtMs;
+  }
+
+  /** The handle as it is now, with the lifetime that is left. */
+  handleAt(nowMs: number): KvHandle {
+    const expiresInMs = Math.max(0, this.expiresAtMs - nowMs);
+    return { ...this.handle, expiresInMs };
+  }
+
+  /** Whether a decode engine has fetched the result. */
+  get used(): boolean {
+    return this.#use === PrefillUse.Used;
+  }
+
+  /** Counts the result's tokens; the first word stands. */
+  count(use: PrefillUse): void {
+    if (this.#use) return;
+    this.#use = use;
+    this.#count(use);
+  }
+}
+
+/** Owns the prefills of an entry. */
+export class Prefiller {
+  readonly #ctx: EntryContext;
+
+  constructor(ctx: EntryContext) {
+    this.#ctx = ctx;
+  }
+
+  /** Prefills for `place` until it is done, the grant expires or nothing helps. */
+  async prefill(
+    call: Call,
+    place: Place,
+    input: PrefillInput,
+  ): Promise<PrefillResult> {
+    const avoid = new Set<string>();
+    let failed: PrefillResult = {
+      done: false,
+      reason: AttemptFailure.NoCandidate,
+      mayHaveRun: false,
+    };
+    for (let tries = 0; tries < MAX_PREFILL_TRIES;) {
+      if (call.signal.aborted || this.#ctx.clock.now() >= place.expiresAtMs) {
+        break;
+      }
+      const states = this.#states(input.prefillPool, avoid);
+      const plan = this.#plan(call, place, states);
+      const server = states.find((it) => it.server.name === plan?.name)?.server;
+      if (!plan || !server) {
+        avoid.clear();
+        await sleep(PLAN_RETRY_MS, call.signal);
+        continue;
+      }
+      tries += 1;
+      const result = await this.#run(call, plan, server, input);
+      if (result.done || result.reason === RefusalReason.TooLarge) return result;
+      failed = {
+        ...result,
+        mayHaveRun: result.mayHaveRun || (!failed.done && failed.mayHaveRun),
+      };
+      avoid.add(server.name);
+    }
+    return failed;
+  }
+
+  #states(pool: string, avoid: Set<string>): BackendState[] {
+    const servers = this.#ctx.hosts.candidates(pool)
+      .filter((server) => !avoid.has(server.name));
+    return this.#ctx.hints.states(servers);
+  }
+
+  #plan(
+    call: Call,
+    place: Place,
+    states: BackendState[],
+  ): PrefillPlan | undefined {
+    const nowMs = this.#ctx.clock.now();
+    const grant = {
+      name: place.server.name,
+      availabilityZone: place.server.availabilityZone,
+      readyInMs: Math.max(0, place.readyAtMs - nowMs),
+    };
+    return call.placement.prefillPlan(call.req, grant, states, nowMs);
+  }
+
+  async #run(
+    call: Call,
+    plan: PrefillPlan,
+    server: BackendServer,
+    input: PrefillInput,
+  ): Promise<PrefillResult> {
+    const { clients, hints, hosts, renewer } = this.#ctx;
+    const client = clients.at(server.sidecarAddress);
+    const ref = call.ref;
+    const waitMs = this.#expectedMs(call, plan, server);
+    hints.sent(server.name, call.req.promptTokens);
+    const lease = renewer.add(client, ref, () => {});
+    const reply = await client.prefill(
+      this.#message(call, plan, input),
+      waitMs,
+      call.signal,
+    );
+    lease.release();
+    if (reply) return this.#read(call, server, client, reply);
+    if (!call.signal.aborted) hosts.observeFailure(server.name);
+    this.#abandon(call, client, ref);
+    return {
+      done: false,
+      reason: AttemptFailure.Unreachable,
+      mayHaveRun: true,
+    };
+  }
+
+  #message(call: Call, plan: PrefillPlan, input: PrefillInput) {
+    return {
+      ...call.ref,
+      entryId: this.#ctx.options.entryId,
+      service: call.service.name,
+      model: input.model,
+      prompt: input.prompt,
+      generated: input.generated,
+      promptTokens: call.req.promptTokens,
+      pieceHashes: call.req.pieceHashes,
+      startInMs: plan.startInMs,
+      startWithinMs: plan.startWithinMs,
+      priority: plan.priority,
+    };
+  }
+
+  /** Time after which silence means that the answer was lost. */
+  #expectedMs(call: Call, plan: PrefillPlan, server: BackendServer): number {
+    const hint = this.#ctx.hints.states([server])[0]?.hint;
+    const waitMs = plan.startInMs + plan.startWithinMs + CONTROL_TIMEOUT_MS;
+    if (!hint || hint.rate <= 0) return waitMs + CONTROL_TIMEOUT_MS;
+    return waitMs + call.req.promptTokens / hint.rate * 1_000;
+  }
+
+  #read(
+    call: Call,
+    server: BackendServer,
+    client: SidecarClient,
+    reply: PrefillReply,
+  ): PrefillResult {
+    this.#ctx.observe(server.name, reply.incarnation, reply.hint);
+    if (!reply.done) {
+      return { done: false, reason: reply.reason, mayHaveRun: false };
+    }
+    const tokens = Math.max(0, reply.kv.tokens - reply.cachedTokens);
+    const service = call.service.name;
+    const { prefillTokens } = this.#ctx.metrics;
+    const kv = new LiveKv(
+      reply,
+      this.#ctx.clock.now(),
+      { client, ref: call.ref },
+      (use) => prefillTokens.inc({ service, use }, tokens),
+    );
+    return { done: true, kv };
+  }
+
+  /** Cancels a prefill nobody waits for; work that had begun counts as wasted. */
+  #abandon(call: Call, client: SidecarClient, ref: AttemptRef): void {
+    const { canceller, metrics } = this.#ctx;
+    const labels = { service: call.service.name, use: PrefillUse.Wasted };
+    const tokens = call.req.promptTokens;
+    void canceller.cancel(client, ref).then((reply) => {
+      const ran = reply && reply.state !== CancelState.NotStarted;
+      if (ran) metrics.prefillTokens.inc(labels, tokens);
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/plain/plain_call.ts
@@ -0,0 +1,257 @@
+/**
+ * The life of one plain call. A call that may not be repeated is sent at most
+ * once: after a lost answer the entry only asks for that answer, and sends the
+ * call again only when the sidecar has proved that it never started.
+ */
+import type { PlainServiceConfig } from "@sassafrascleat/config";
+import {
+  answered,
+  notRun,
+  NotRunReason,
+  type Outcome,
+  OutcomeKind,
+  type PlainAnswer,
+  type PlainCallReply,
+  type PlainCallRequest,
+  PlainCallState,
+  RefusalReason,
+  type Unknown,
+  unknownOutcome,
+  UnknownReason,
+} from "@sassafrascleat/protocol";
+import {
+  type AdmissionTicket,
+  AttemptFailure,
+  type FailureReason,
+  RetryAction,
+  retryDecision,
+} from "@sassafrascleat/routing";
+import { createLogger, jitter, sleep } from "@sassafrascleat/runtime";
+import {
+  ATTACH_RETRY_MS,
+  ATTACH_WAIT_MS,
+  LOST_ANSWER_MS,
+} from "../constants.ts";
+import { abortOutcome, type Call, type Place } from "../lifecycle/call.ts";
+import type { EntryContext } from "../lifecycle/context.ts";
+import type { Dispatcher } from "../lifecycle/dispatcher.ts";
+import type { Reserver } from "../lifecycle/reserver.ts";
+
+const log = createLogger("entry:plain");
+
+/** The HTTP call as the service will see it. */
+export interface PlainInput {
+  method: string;
+  path: string;
+  headers: Record<string, string>;
+  bodyBase64: string;
+}
+
+/** Makes a dispatch durable first; anything but undefined forbids it. */
+export type BeforeDispatch = (
+  place: Place,
+) => Promise<Outcome<PlainAnswer> | undefined>;
+
+/** What a plain call needs besides its `Call`. */
+export interface PlainCallParts {
+  ctx: EntryContext;
+  reserver: Reserver;
+  dispatcher: Dispatcher;
+  service: PlainServiceConfig;
+  input: PlainInput;
+  ticket: AdmissionTicket;
+  repeatable: boolean;
+  /** Runs between the grant and the dispatch. */
+  beforeDispatch?: BeforeDispatch;
+}
+
+/** What a dispatched attempt came to. */
+type AttemptEnd =
+  | { outcome: Outcome<PlainAnswer> }
+  | { failed: FailureReason; ran: Unknown | undefined };
+
+/** Runs one plain call to its outcome. */
+export class PlainCall {
+  readonly #call: Call;
+  readonly #parts: PlainCallParts;
+  readonly #ctx: EntryContext;
+  #tries = 0;
+  /** Set when an earlier attempt of a repeatable call may have run. */
+  #ran: Unknown | undefined;
+
+  constructor(call: Call, parts: PlainCallParts) {
+    this.#call = call;
+    this.#parts = parts;
+    this.#ctx = parts.ctx;
+  }
+
+  async run(): Promise<Outcome<PlainAnswer>> {
+    const { service, policy } = this.#call;
+    const budget = this.#ctx.retryBudget(service.name, policy.retryBudgetRatio);
+    budget.deposit();
+    while (true) {
+      this.#tries += 1;
+      const end = await this.#attempt();
+      if ("outcome" in end) return end.outcome;
+      this.#ran ??= end.ran;
+      const decision = retryDecision({
+        reason: end.failed,
+        attempt: this.#tries,
+        maxAttempts: policy.maxAttempts,
+        remainingMs: this.#call.req.deadlineMs - this.#ctx.clock.now(),
+        repeatable: !end.ran || this.#parts.repeatable,
+      }, budget);
+      if (decision.action === RetryAction.GiveUp) return this.#giveUp(end);
+      await this.#prepareRetry(end.failed, decision.afterMs);
+    }
+  }
+
+  async #prepareRetry(failure: FailureReason, afterMs: number): Promise<void> {
+    const { requestId, attempt, service } = this.#call;
+    this.#ctx.metrics.retries.inc({ service: service.name, failure });
+    log("retry", { request: requestId, attempt, failure });
+    await sleep(afterMs, this.#call.signal);
+    this.#call.nextAttempt();
+    this.#parts.ticket.giveUpAtMs = this.#call.req.deadlineMs;
+  }
+
+  async #attempt(): Promise<AttemptEnd> {
+    const { dispatcher, ticket, beforeDispatch } = this.#parts;
+    const placed = this.#tries === 1
+      ? await dispatcher.place(this.#call, ticket)
+      : await dispatcher.placeAgain(this.#call, ticket);
+    if (placed.kind !== OutcomeKind.Answered) {
+      return { outcome: this.#ran ?? placed };
+    }
+    const place = placed.value;
+    place.lease.release();
+    const stopped = await beforeDispatch?.(place);
+    if (stopped || this.#call.signal.aborted) {
+      this.#parts.reserver.release(place);
+      return { outcome: stopped ?? abortOutcome(this.#call.signal) };
+    }
+    return this.#dispatch(place);
+  }
+
+  async #dispatch(place: Place): Promise<AttemptEnd> {
+    const { service } = this.#parts;
+    const nowMs = this.#ctx.clock.now();
+    const remainingMs = this.#call.req.deadlineMs - nowMs;
+    const timeoutMs = Math.min(service.timeoutMs, remainingMs);
+    const reply = await place.client.call(
+      this.#message(place, timeoutMs),
+      timeoutMs,
+      this.#signal(),
+    );
+    if (reply && reply.state !== PlainCallState.Running) {
+      return this.#read(place, reply, true);
+    }
+    if (!reply) this.#ctx.hosts.observeFailure(place.server.name);
+    return this.#recover(place, nowMs + timeoutMs + LOST_ANSWER_MS);
+  }
+
+  /** A call that may not be repeated goes on without its caller. */
+  #signal(): AbortSignal {
+    if (this.#parts.repeatable) return this.#call.signal;
+    return new AbortController().signal;
+  }
+
+  #message(place: Place, timeoutMs: number): PlainCallRequest {
+    return {
+      ...place.ref,
+      ...this.#parts.input,
+      entryId: this.#ctx.options.entryId,
+      incarnation: place.incarnation,
+      timeoutMs,
+    };
+  }
+
+  /** Asks for a lost answer on new connections until `untilMs`. */
+  async #recover(place: Place, untilMs: number): Promise<AttemptEnd> {
+    let last = UnknownReason.SidecarUnreachable;
+    const signal = this.#signal();
+    while (this.#ctx.clock.now() < untilMs && !signal.aborted) {
+      place.client.renewConnections();
+      const reply = await place.client.attach({
+        ...place.ref,
+        incarnation: place.incarnation,
+        waitMs: this.#attachWaitMs(untilMs),
+        settle: true,
+      }, signal);
+      if (reply && reply.state !== PlainCallState.Running) {
+        return this.#read(place, reply, false);
+      }
+      last = reply
+        ? UnknownReason.StillRunning
+        : UnknownReason.SidecarUnreachable;
+      if (!reply) {
+        await sleep(jitter(ATTACH_RETRY_MS, this.#ctx.options.random), signal);
+      }
+    }
+    return this.#unknown(last);
+  }
+
+  #attachWaitMs(untilMs: number): number {
+    const leftMs = untilMs - this.#ctx.clock.now();
+    return Math.max(0, Math.min(ATTACH_WAIT_MS, leftMs));
+  }
+
+  /**
+   * Only the incarnation that granted the place can prove that a call was not
+   * run; a refusal of the one message that carried the call proves it too.
+   */
+  #read(place: Place, reply: PlainCallReply, direct: boolean): AttemptEnd {
+    switch (reply.state) {
+      case PlainCallState.Answered:
+        return { outcome: answered(reply.answer) };
+      case PlainCallState.NotRun: {
+        const proved = direct || reply.incarnation === place.incarnation;
+        if (!proved) return this.#unknown(UnknownReason.SidecarRestarted);
+        this.#call.avoid.add(place.server.name);
+        return { failed: transient(reply.reason), ran: undefined };
+      }
+      case PlainCallState.Unknown:
+        return this.#unknown(reply.reason);
+      case PlainCallState.Running:
+        return this.#unknown(UnknownReason.StillRunning);
+    }
+  }
+
+  #unknown(reason: UnknownReason): AttemptEnd {
+    return { failed: AttemptFailure.Unreachable, ran: describe(reason) };
+  }
+
+  #giveUp(end: { failed: FailureReason }): Outcome<PlainAnswer> {
+    if (this.#ran) return this.#ran;
+    return notRun(
+      NotRunReason.BackendUnavailable,
+      `no backend server could run the call (${end.failed})`,
+      1_000,
+    );
+  }
+}
+
+/** A tombstone of one attempt leaves the next one free to run. */
+function transient(reason: RefusalReason): FailureReason {
+  const ofAttempt = reason === RefusalReason.Tombstoned ||
+    reason === RefusalReason.Superseded;
+  return ofAttempt ? AttemptFailure.Unreachable : reason;
+}
+
+const DESCRIPTIONS: Record<UnknownReason, string> = {
+  [UnknownReason.SidecarRestarted]:
+    "the sidecar that held the call was restarted; the call may have run",
+  [UnknownReason.SidecarUnreachable]:
+    "the sidecar that holds the call can't be reached; the call may have run",
+  [UnknownReason.BackendFailed]:
+    "the backend server failed during the call; the call may have run",
+  [UnknownReason.StillRunning]:
+    "the call is still running; ask again with the same idempotency key",
+  [UnknownReason.AnswerExpired]:
+    "the call's answer is no longer kept; the call may have run",
+};
+
+/** The outcome `Unknown` with a text for the caller. */
+export function describe(reason: UnknownReason): Unknown {
+  return unknownOutcome(reason, DESCRIPTIONS[reason]);
+}
--- /dev/null
+++ b/packages/entry/src/sidecar_client/canceller.ts
@@ -0,0 +1,54 @@
+/**
+ * Cancels attempts in the background. A cancel is repeated until the sidecar
+ * acknowledges it or `CANCEL_GIVE_UP_MS` is over; by then the sidecar has
+ * cancelled the attempt itself, because nobody renews it.
+ */
+import type { AttemptRef, CancelReply } from "@sassafrascleat/protocol";
+import { type Clock, createLogger, sleep } from "@sassafrascleat/runtime";
+import { CANCEL_GIVE_UP_MS, CANCEL_RETRY_MS } from "../constants.ts";
+import type { SidecarClient } from "./sidecar_client.ts";
+
+const log = createLogger("entry:cancel");
+
+/** Owns the cancels under way. */
+export class Canceller {
+  readonly #clock: Clock;
+  readonly #signal: AbortSignal;
+  readonly #pending = new Set<Promise<unknown>>();
+
+  constructor(clock: Clock, signal: AbortSignal) {
+    this.#clock = clock;
+    this.#signal = signal;
+  }
+
+  /** Resolves with the acknowledgement; undefined when none came. */
+  cancel(
+    client: SidecarClient,
+    ref: AttemptRef,
+  ): Promise<CancelReply | undefined> {
+    const done = this.#repeat(client, ref);
+    this.#pending.add(done);
+    void done.finally(() => this.#pending.delete(done));
+    return done;
+  }
+
+  /** Resolves when no cancel is under way. */
+  async settled(): Promise<void> {
+    await Promise.all(this.#pending);
+  }
+
+  async #repeat(
+    client: SidecarClient,
+    ref: AttemptRef,
+  ): Promise<CancelReply | undefined> {
+    const { requestId, attempt } = ref;
+    const giveUpAtMs = this.#clock.now() + CANCEL_GIVE_UP_MS;
+    while (this.#clock.now() < giveUpAtMs && !this.#signal.aborted) {
+      const reply = await client.cancel({ requestId, attempt }, this.#signal);
+      if (reply) return reply;
+      await sleep(CANCEL_RETRY_MS, this.#signal);
+    }
+    log("cancel_unacknowledged", { requestId, attempt, to: client.address });
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/sidecar_client/renewer.ts
@@ -0,0 +1,95 @@
+/**
+ * Renews the entry's live attempts: one batched call for each sidecar every
+ * `RENEW_INTERVAL_MS`. A sidecar that hears nothing of an attempt for its
+ * grace period cancels it, so a vanished entry leaves no engine memory held.
+ */
+import {
+  type AttemptRef,
+  RENEW_INTERVAL_MS,
+  type RenewReply,
+} from "@sassafrascleat/protocol";
+import { every } from "@sassafrascleat/runtime";
+import type { SidecarClient } from "./sidecar_client.ts";
+
+/** An attempt that is being renewed. */
+export interface Lease {
+  /** Stops the renewal. */
+  release(): void;
+}
+
+interface LiveAttempt {
+  ref: AttemptRef;
+  onMissing: () => void;
+}
+
+interface Batch {
+  attempts: Map<string, LiveAttempt>;
+  renewing: boolean;
+}
+
+function keyOf(ref: AttemptRef): string {
+  return `${ref.requestId}/${ref.attempt}`;
+}
+
+/** Called with what a sidecar said about itself on a renewal. */
+export type RenewObserver = (
+  client: SidecarClient,
+  reply: RenewReply | undefined,
+) => void;
+
+/** Owns the renewals of an entry. */
+export class Renewer {
+  readonly #entryId: string;
+  readonly #observe: RenewObserver;
+  readonly #batches = new Map<SidecarClient, Batch>();
+
+  constructor(entryId: string, observe: RenewObserver) {
+    this.#entryId = entryId;
+    this.#observe = observe;
+  }
+
+  /** Renews `ref` until it is released; `onMissing` tells that the sidecar lost it. */
+  add(client: SidecarClient, ref: AttemptRef, onMissing: () => void): Lease {
+    const batch = this.#batches.get(client) ??
+      { attempts: new Map<string, LiveAttempt>(), renewing: false };
+    this.#batches.set(client, batch);
+    const key = keyOf(ref);
+    batch.attempts.set(key, { ref, onMissing });
+    return { release: () => this.#release(client, batch, key) };
+  }
+
+  /** Renews until `signal` aborts. */
+  run(signal: AbortSignal): Promise<void> {
+    return every(RENEW_INTERVAL_MS, signal, () => {
+      for (const [client, batch] of this.#batches) {
+        if (!batch.renewing) void this.#renew(client, batch, signal);
+      }
+    });
+  }
+
+  #release(client: SidecarClient, batch: Batch, key: string): void {
+    batch.attempts.delete(key);
+    const idle = batch.attempts.size === 0;
+    if (idle && this.#batches.get(client) === batch) {
+      this.#batches.delete(client);
+    }
+  }
+
+  async #renew(
+    client: SidecarClient,
+    batch: Batch,
+    signal: AbortSignal,
+  ): Promise<void> {
+    batch.renewing = true;
+    const sent = [...batch.attempts.values()].map((live) => live.ref);
+    const reply = await client.renew(
+      { entryId: this.#entryId, attempts: sent },
+      signal,
+    );
+    batch.renewing = false;
+    this.#observe(client, reply);
+    for (const ref of reply?.missing ?? []) {
+      batch.attempts.get(keyOf(ref))?.onMissing();
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/sidecar_client/sidecar_clients.ts
@@ -0,0 +1,57 @@
+/** The sidecar clients of an entry: made on demand, closed when idle. */
+import { type Clock, every, type Secret } from "@sassafrascleat/runtime";
+import { CLIENT_IDLE_MS, CLIENT_SWEEP_MS } from "../constants.ts";
+import { SidecarClient } from "./sidecar_client.ts";
+
+interface Slot {
+  client: SidecarClient;
+  usedAtMs: number;
+}
+
+/** Hands out one client for each sidecar address. */
+export class SidecarClients {
+  readonly #secret: Secret;
+  readonly #clock: Clock;
+  readonly #slots = new Map<string, Slot>();
+
+  constructor(secret: Secret, clock: Clock) {
+    this.#secret = secret;
+    this.#clock = clock;
+  }
+
+  /** The number of clients that are open. */
+  get size(): number {
+    return this.#slots.size;
+  }
+
+  at(address: string): SidecarClient {
+    let slot = this.#slots.get(address);
+    if (!slot) {
+      slot = { client: new SidecarClient(address, this.#secret), usedAtMs: 0 };
+      this.#slots.set(address, slot);
+    }
+    slot.usedAtMs = this.#clock.now();
+    return slot.client;
+  }
+
+  /** Closes idle clients until `signal` aborts. */
+  sweep(signal: AbortSignal): Promise<void> {
+    return every(CLIENT_SWEEP_MS, signal, () => this.#closeIdle());
+  }
+
+  async close(): Promise<void> {
+    const slots = [...this.#slots.values()];
+    this.#slots.clear();
+    await Promise.all(slots.map((slot) => slot.client.close()));
+  }
+
+  async #closeIdle(): Promise<void> {
+    const limit = this.#clock.now() - CLIENT_IDLE_MS;
+    for (const [address, slot] of this.#slots) {
+      const busy = slot.client.inFlight > 0 || slot.usedAtMs > limit;
+      if (busy) continue;
+      this.#slots.delete(address);
+      await slot.client.close();
+    }
+  }
+}
