feat(entry): caller HTTP to reserve, prefill, stream and answer

Cause: there was no callers' side. Change: sidecar client with new connections after silence, renewals and cancels; admission, reservation, timed prefill and token streams; the OpenAI form with server-sent events; plain calls that are sent at most once; limits and errors of the callers' listener; drain and close.

--- /dev/null
+++ b/packages/entry/src/__tests__/fakes.ts
@@ -0,0 +1,202 @@
+/** Fakes at the entry's interfaces: configuration, hosts and a store. */
+import {
+  type ConfigView,
+  type Customer,
+  type CustomerLimit,
+  type ObjectByKind,
+  ObjectKind,
+  type Policy,
+  policySchema,
+  type Service,
+  serviceSchema,
+  type Versioned,
+} from "@sassafrascleat/config";
+import type { HostView } from "@sassafrascleat/membership";
+import {
+  type BackendRole,
+  type BackendServer,
+  HostState,
+} from "@sassafrascleat/protocol";
+import type {
+  BackendState,
+  DecodeProbe,
+  PlacementPolicy,
+  PlacementRequest,
+} from "@sassafrascleat/routing";
+import {
+  ABSENT,
+  type GetResult,
+  type ObjectStore,
+  type PutResult,
+  type StoredObject,
+  StoreStatus,
+} from "@sassafrascleat/store";
+
+export const MODEL_SERVICE = serviceSchema.parse({
+  kind: "model",
+  name: "guides",
+  office: "hobart",
+  model: "guide-writer",
+  prefillPool: "prefill",
+  decodePool: "decode",
+  policy: "plain-policy",
+  maxPromptTokens: 5_000,
+});
+
+export const PLAIN_SERVICE = serviceSchema.parse({
+  kind: "plain",
+  name: "orders",
+  office: "hobart",
+  pool: "orders",
+  policy: "plain-policy",
+  repeatable: [{ method: "GET", path: "/stock" }],
+  timeoutMs: 2_000,
+});
+
+/** A fixed configuration. */
+export class FakeConfig implements ConfigView {
+  readonly sequence = 1;
+  customers: Customer[] = [];
+  policy: Policy;
+
+  constructor(policy: Partial<Policy> & { limit?: CustomerLimit } = {}) {
+    this.policy = policySchema.parse({ name: "plain-policy", ...policy });
+  }
+
+  get<K extends ObjectKind>(
+    kind: K,
+    name: string,
+  ): Versioned<ObjectByKind[K]> | undefined {
+    return this.list(kind).find((it) => it.object.name === name);
+  }
+
+  list<K extends ObjectKind>(kind: K): Versioned<ObjectByKind[K]>[] {
+    const objects: Partial<Record<ObjectKind, (Service | Policy)[]>> = {
+      [ObjectKind.Service]: [MODEL_SERVICE, PLAIN_SERVICE],
+      [ObjectKind.Policy]: [this.policy],
+    };
+    return (objects[kind] ?? []).map((object) => ({
+      version: 1,
+      object: object as ObjectByKind[K],
+    }));
+  }
+
+  customerByKeySha256(sha256: string): Customer | undefined {
+    return this.customers.find((it) => it.keySha256.includes(sha256));
+  }
+
+  onChange(): void {}
+}
+
+/** A fixed list of backend servers; what was observed can be read back. */
+export class FakeHosts implements HostView {
+  servers: BackendServer[] = [];
+  failures: string[] = [];
+
+  add(
+    name: string,
+    pool: string,
+    role: BackendRole,
+    sidecarAddress: string,
+  ): void {
+    this.servers.push({
+      name,
+      office: "hobart",
+      availabilityZone: "hobart-a",
+      pool,
+      role,
+      sidecarAddress,
+      engineAddress: "http://127.0.0.1:1",
+      state: HostState.Live,
+    });
+  }
+
+  candidates(pool: string): readonly BackendServer[] {
+    return this.servers.filter((it) => it.pool === pool);
+  }
+
+  find(name: string): BackendServer | undefined {
+    return this.servers.find((it) => it.name === name);
+  }
+
+  all(): readonly BackendServer[] {
+    return this.servers;
+  }
+
+  observe(): void {}
+
+  observeFailure(name: string): void {
+    this.failures.push(name);
+  }
+}
+
+/** Asks every backend server in list order and prefills at the first. */
+export class ListOrderPolicy implements PlacementPolicy {
+  decodeProbes(
+    _req: PlacementRequest,
+    pool: readonly BackendState[],
+  ): DecodeProbe[] {
+    return pool.map((it) => ({ name: it.server.name, maxWaitMs: 1_000 }));
+  }
+
+  prefillPlan(
+    _req: PlacementRequest,
+    _grant: unknown,
+    pool: readonly BackendState[],
+  ) {
+    const name = pool[0]?.server.name;
+    if (!name) return undefined;
+    return { name, startInMs: 0, startWithinMs: 500, priority: 1 };
+  }
+}
+
+/** A store in memory whose answers can be lost and which can be out. */
+export class FakeStore implements ObjectStore {
+  readonly objects = new Map<string, StoredObject>();
+  out = false;
+  /** Writes that take effect although their answer is lost. */
+  lostAnswers = 0;
+  puts = 0;
+
+  async get(key: string): Promise<GetResult> {
+    if (this.out) return unavailable();
+    return { status: StoreStatus.Ok, object: this.objects.get(key) };
+  }
+
+  async put(
+    key: string,
+    value: unknown,
+    expectedVersion: number,
+  ): Promise<PutResult> {
+    if (this.out) return unavailable();
+    this.puts += 1;
+    const current = this.objects.get(key);
+    if ((current?.version ?? ABSENT) !== expectedVersion) {
+      return { status: StoreStatus.Conflict, current };
+    }
+    const version = expectedVersion + 1;
+    const copy = JSON.parse(JSON.stringify(value));
+    this.objects.set(key, { key, version, value: copy });
+    if (this.lostAnswers > 0) {
+      this.lostAnswers -= 1;
+      return { status: StoreStatus.Unknown, message: "lost" };
+    }
+    return { status: StoreStatus.Ok, version };
+  }
+
+  async delete(): Promise<PutResult> {
+    return unavailable();
+  }
+
+  async list() {
+    return unavailable();
+  }
+
+  async watch() {
+    return unavailable();
+  }
+}
+
+function unavailable() {
+  return { status: StoreStatus.Unavailable, message: "out" } as const;
+}
--- /dev/null
+++ b/packages/entry/src/callers/listener.ts
@@ -0,0 +1,208 @@
+/**
+ * The callers' listener: limits against hostile or slow callers, health,
+ * metrics, errors in one form and a request id on every answer.
+ */
+import {
+  type Outcome,
+  OutcomeKind,
+  REQUEST_ID_HEADER,
+} from "@sassafrascleat/protocol";
+import { createLogger, errorMessage } from "@sassafrascleat/runtime";
+import fastify, {
+  type FastifyError,
+  type FastifyInstance,
+  type FastifyReply,
+  type FastifyRequest,
+} from "fastify";
+import { randomUUID } from "node:crypto";
+import type { Socket } from "node:net";
+import {
+  CALLER_HEADERS_TIMEOUT_MS,
+  CALLER_KEEP_ALIVE_MS,
+  CALLER_REQUEST_TIMEOUT_MS,
+  MAX_HEADER_BYTES,
+} from "../constants.ts";
+import type { Admitter } from "../lifecycle/admitter.ts";
+import type { EntryContext } from "../lifecycle/context.ts";
+import type { Lanes } from "../lifecycle/lanes.ts";
+import { type CallerError, errorBody, refusal } from "./caller_error.ts";
+import { registerModelRoutes } from "./model_routes.ts";
+import { registerPlainRoutes } from "./plain_routes.ts";
+import { sendError } from "./replies.ts";
+
+const log = createLogger("entry:callers");
+
+/** How far a drain has come. */
+export enum ListenerState {
+  Open = "open",
+  /** Not ready any more, but new requests are still taken. */
+  LameDuck = "lame_duck",
+  /** New requests are refused. */
+  Closing = "closing",
+}
+
+/** What the routes share. */
+export interface Listener {
+  readonly ctx: EntryContext;
+  readonly lanes: Lanes;
+  readonly admitter: Admitter;
+  state: ListenerState;
+  /** Headers that tell a caller to leave this entry while it drains. */
+  connectionHeaders(): Record<string, string>;
+  countOutcome(service: string, outcome: Outcome<unknown>): void;
+}
+
+/** Makes what the routes share. */
+export function createListener(
+  ctx: EntryContext,
+  lanes: Lanes,
+  admitter: Admitter,
+): Listener {
+  return {
+    ctx,
+    lanes,
+    admitter,
+    state: ListenerState.Open,
+    connectionHeaders(): Record<string, string> {
+      if (this.state === ListenerState.Open) return {};
+      return { connection: "close" };
+    },
+    countOutcome(service, outcome) {
+      const reason = outcome.kind === OutcomeKind.Answered
+        ? ""
+        : outcome.reason;
+      const labels = { service, outcome: outcome.kind, reason };
+      ctx.metrics.requests.inc(labels);
+    },
+  };
+}
+
+/** Creates the HTTP server with all its routes; it does not listen yet. */
+export function createCallersServer(listener: Listener): FastifyInstance {
+  const { options } = listener.ctx;
+  const app = fastify({
+    bodyLimit: options.maxBodyBytes,
+    requestTimeout: CALLER_REQUEST_TIMEOUT_MS,
+    keepAliveTimeout: CALLER_KEEP_ALIVE_MS,
+    forceCloseConnections: "idle",
+    return503OnClosing: false,
+    http: {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: CALLER_HEADERS_TIMEOUT_MS,
+    },
+    genReqId: () => `${options.entryId}-${randomUUID()}`,
+    clientErrorHandler: refuseUnparsed,
+  });
+  registerHealth(app, listener);
+  app.addHook("onRequest", (req, reply, done) => {
+    onRequest(listener, req, reply, done);
+  });
+  app.setErrorHandler((err: FastifyError, req, reply) => {
+    return sendError(req, reply, fromFastify(err, req));
+  });
+  app.setNotFoundHandler((req, reply) => {
+    const message = `no route for ${req.method} ${req.url.split("?")[0]}`;
+    return sendError(req, reply, refusal(404, "not_found", message));
+  });
+  app.register(async (scope) => registerModelRoutes(scope, listener));
+  app.register(async (scope) => registerPlainRoutes(scope, listener));
+  return app;
+}
+
+function onRequest(
+  listener: Listener,
+  req: FastifyRequest,
+  reply: FastifyReply,
+  done: () => void,
+): void {
+  reply.header(REQUEST_ID_HEADER, req.id);
+  reply.headers(listener.connectionHeaders());
+  const health = req.routeOptions.config as { health?: boolean };
+  if (listener.state === ListenerState.Closing && !health.health) {
+    const err = refusal(503, "draining", "this entry is draining; ask another");
+    sendError(req, reply, { ...err, retryAfterMs: 1_000 });
+    return;
+  }
+  done();
+}
+
+function registerHealth(app: FastifyInstance, listener: Listener): void {
+  const config = { health: true };
+  app.get("/healthz", { config }, () => ({ status: "ok" }));
+  app.get("/readyz", { config }, (_req, reply) => {
+    const ready = listener.state === ListenerState.Open;
+    return reply.code(ready ? 200 : 503)
+      .send({ status: ready ? "ready" : "draining" });
+  });
+  app.get("/metrics", { config }, async (_req, reply) => {
+    const { registry, queued } = listener.ctx.metrics;
+    for (const { service, length } of listener.lanes.queueLengths()) {
+      queued.set({ service }, length);
+    }
+    return reply.type(registry.contentType).send(await registry.metrics());
+  });
+}
+
+const FASTIFY_ERRORS: Record<string, CallerError> = {
+  FST_ERR_CTP_INVALID_MEDIA_TYPE: refusal(
+    415,
+    "unsupported_media_type",
+    "send the body as application/json",
+  ),
+  FST_ERR_CTP_BODY_TOO_LARGE: refusal(
+    413,
+    "body_too_large",
+    "the body is larger than this entry takes",
+  ),
+  FST_ERR_CTP_EMPTY_JSON_BODY: refusal(
+    400,
+    "malformed_json",
+    "the body is empty; send a JSON object",
+  ),
+  FST_ERR_CTP_INVALID_JSON_BODY: refusal(
+    400,
+    "malformed_json",
+    "the body is not valid JSON",
+  ),
+};
+
+function fromFastify(err: FastifyError, req: FastifyRequest): CallerError {
+  const known = FASTIFY_ERRORS[err.code];
+  if (known) return known;
+  if (err instanceof SyntaxError) {
+    return FASTIFY_ERRORS.FST_ERR_CTP_INVALID_JSON_BODY!;
+  }
+  const status = err.statusCode ?? 500;
+  if (status < 500) return refusal(status, "invalid_request", err.message);
+  log("failed", { request: req.id, error: errorMessage(err) });
+  const failed = refusal(500, "internal_error", "this entry failed");
+  return { ...failed, outcome: OutcomeKind.Unknown };
+}
+
+/** Answers what is not HTTP, too long or too slow, and closes the connection. */
+function refuseUnparsed(err: NodeJS.ErrnoException, socket: Socket): void {
+  if (err.code === "ECONNRESET" || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const refused = unparsed(err.code);
+  const requestId = randomUUID();
+  const body = JSON.stringify(errorBody(refused, requestId));
+  socket.end(
+    `HTTP/1.1 ${refused.status} Bad Request\r\n` +
+      `${REQUEST_ID_HEADER}: ${requestId}\r\n` +
+      `content-type: application/json\r\n` +
+      `content-length: ${Buffer.byteLength(body)}\r\n` +
+      `connection: close\r\n\r\n${body}`,
+  );
+}
+
+function unparsed(code: string | undefined): CallerError {
+  if (code === "HPE_HEADER_OVERFLOW") {
+    return refusal(431, "headers_too_large", "the headers are too large");
+  }
+  if (code === "ERR_HTTP_REQUEST_TIMEOUT") {
+    return refusal(408, "request_timeout", "the request came too slowly");
+  }
+  return refusal(400, "malformed_request", "this is not an HTTP request");
+}
--- a/packages/entry/src/callers/model_format.ts
+++ b/packages/entry/src/callers/model_format.ts
@@ -25,7 +25,9 @@
   usage: Usage,
 ): object {
   const chat = head.api === ModelApi.Chat;
-  const content = chat ? { message: { role: "assistant", content: text } } : { text };
+  const content = chat
+    ? { message: { role: "assistant", content: text } }
+    : { text };
   return {
     ...headFields(head, chat ? "chat.completion" : "text_completion"),
     choices: [{ index: 0, ...content, finish_reason: finish }],
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -86,3 +86,12 @@
 
 /** Time after a drain begins in which new requests are still taken, in milliseconds. */
 export const LAME_DUCK_MS = 1_000;
+
+/** Prefill rate assumed for the order of waiting requests, in tokens a millisecond. */
+export const ASSUMED_PREFILL_TOKENS_PER_MS = 20;
+
+/** Time to the first token beside the prefill, in milliseconds. */
+export const ASSUMED_SERVICE_MS = 20;
+
+/** Time that a closing entry gives to its cancels, in milliseconds. */
+export const CLOSE_GRACE_MS = 1_000;
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,161 @@
+/** An entry: takes callers' requests and answers them by way of sidecars. */
+import { createHintBook, createRateLimiter } from "@sassafrascleat/routing";
+import {
+  createLogger,
+  errorMessage,
+  sleep,
+  VError,
+} from "@sassafrascleat/runtime";
+import type { FastifyInstance } from "fastify";
+import {
+  createCallersServer,
+  createListener,
+  type Listener,
+  ListenerState,
+} from "./callers/listener.ts";
+import { CLOSE_GRACE_MS } from "./constants.ts";
+import { Admitter } from "./lifecycle/admitter.ts";
+import type { EntryContext } from "./lifecycle/context.ts";
+import { Lanes } from "./lifecycle/lanes.ts";
+import { OutputEstimator } from "./lifecycle/output_estimator.ts";
+import { createEntryMetrics, type EntryMetrics } from "./metrics.ts";
+import {
+  type EntryOptions,
+  type ResolvedEntryOptions,
+  resolveEntryOptions,
+} from "./options.ts";
+import { Canceller } from "./sidecar_client/canceller.ts";
+import { Renewer } from "./sidecar_client/renewer.ts";
+import { SidecarClients } from "./sidecar_client/sidecar_clients.ts";
+
+const log = createLogger("entry");
+
+/** A running entry. */
+export interface Entry {
+  /** Base address of the callers' listener, `http://ip:port`. */
+  readonly callersAddress: string;
+  readonly metrics: EntryMetrics;
+  /** Requests in progress. */
+  readonly inFlight: number;
+  /** Takes no new requests and resolves when all are over or `signal` aborts. */
+  drain(signal: AbortSignal): Promise<void>;
+  /** Ends at once; requests in flight are cut off and cancelled. */
+  close(): Promise<void>;
+}
+
+/** Starts an entry; throws when its listener can't be opened. */
+export async function createEntry(raw: EntryOptions): Promise<Entry> {
+  const options = resolveEntryOptions(raw);
+  const controller = new AbortController();
+  const ctx = createContext(options, controller.signal);
+  const lanes = new Lanes(ctx);
+  const admitter = new Admitter(ctx, createRateLimiter());
+  const listener = createListener(ctx, lanes, admitter);
+  const app = createCallersServer(listener);
+  try {
+    await app.listen({ host: options.host, port: options.port });
+  } catch (err) {
+    throw new VError(
+      { name: "ListenError", cause: err as Error },
+      "callers' listener %s:%d can't be opened; choose another address",
+      options.host,
+      options.port,
+    );
+  }
+  void ctx.renewer.run(controller.signal);
+  void ctx.clients.sweep(controller.signal);
+  return new RunningEntry(app, listener, controller);
+}
+
+function createContext(
+  options: ResolvedEntryOptions,
+  signal: AbortSignal,
+): EntryContext {
+  const { clock, hosts } = options;
+  const hints = createHintBook(clock);
+  const clients = new SidecarClients(options.secret, clock);
+  return {
+    options,
+    signal,
+    clock,
+    hosts,
+    hints,
+    clients,
+    renewer: new Renewer(options.entryId, () => {}),
+    canceller: new Canceller(clock, signal),
+    metrics: createEntryMetrics(),
+    outputs: new OutputEstimator(),
+    observe(name, incarnation, hint) {
+      hints.observe(name, hint);
+      hosts.observe(name, incarnation, hint);
+    },
+  };
+}
+
+class RunningEntry implements Entry {
+  readonly callersAddress: string;
+  readonly metrics: EntryMetrics;
+  readonly #app: FastifyInstance;
+  readonly #listener: Listener;
+  readonly #controller: AbortController;
+  #closed: Promise<void> | undefined;
+
+  constructor(
+    app: FastifyInstance,
+    listener: Listener,
+    controller: AbortController,
+  ) {
+    this.#app = app;
+    this.#listener = listener;
+    this.#controller = controller;
+    this.metrics = listener.ctx.metrics;
+    this.callersAddress = addressOf(app);
+  }
+
+  get inFlight(): number {
+    return this.#listener.admitter.inFlight;
+  }
+
+  async drain(signal: AbortSignal): Promise<void> {
+    const { admitter, ctx } = this.#listener;
+    log("draining", { inFlight: admitter.inFlight });
+    this.#listener.state = ListenerState.LameDuck;
+    await sleep(ctx.options.lameDuckMs, signal);
+    this.#listener.state = ListenerState.Closing;
+    const stopped = new Promise<void>((resolve) => {
+      if (signal.aborted) return resolve();
+      signal.addEventListener("abort", () => resolve(), { once: true });
+    });
+    await Promise.race([admitter.idle(), stopped]);
+    log("drained", { inFlight: admitter.inFlight });
+  }
+
+  close(): Promise<void> {
+    this.#closed ??= this.#close();
+    return this.#closed;
+  }
+
+  async #close(): Promise<void> {
+    const { ctx, admitter } = this.#listener;
+    this.#listener.state = ListenerState.Closing;
+    this.#app.server.closeAllConnections();
+    await this.#app.close();
+    const over = admitter.idle().then(() => ctx.canceller.settled());
+    await Promise.race([over, sleep(CLOSE_GRACE_MS)]);
+    this.#controller.abort();
+    await ctx.clients.close().catch((err) => {
+      log("close_failed", { error: errorMessage(err) });
+    });
+  }
+}
+
+function addressOf(app: FastifyInstance): string {
+  const address = app.server.address();
+  if (!address || typeof address === "string") {
+    throw new VError("the callers' listener has no address");
+  }
+  const host = address.family === "IPv6"
+    ? `[${address.address}]`
+    : address.address;
+  return `http://${host}:${address.port}`;
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,4 @@
 /** The callers side: HTTP API, request lifecycle, streams and resume. */
-export {};
+export { createEntry, type Entry } from "./entry.ts";
+export type { EntryMetrics } from "./metrics.ts";
+export type { EntryOptions, PlacementFactory } from "./options.ts";
--- /dev/null
+++ b/packages/entry/src/lifecycle/admitter.ts
@@ -0,0 +1,155 @@
+/**
+ * Admits callers' requests: limits of the customer, the request's deadline and
+ * its ticket for the queue. An admission is closed exactly once, however the
+ * request ends.
+ */
+import type { Customer, Service } from "@sassafrascleat/config";
+import type { NotRun, RequestClass } from "@sassafrascleat/protocol";
+import type {
+  AdmissionTicket,
+  PlacementRequest,
+  RateLimiter,
+} from "@sassafrascleat/routing";
+import { childController } from "@sassafrascleat/runtime";
+import {
+  ANONYMOUS_CUSTOMER,
+  ASSUMED_PREFILL_TOKENS_PER_MS,
+  ASSUMED_SERVICE_MS,
+} from "../constants.ts";
+import { AbortCause, Call } from "./call.ts";
+import type { EntryContext } from "./context.ts";
+import type { Lane } from "./lanes.ts";
+
+/** A request that has passed its checks. */
+export interface AdmitInput {
+  requestId: string;
+  service: Service;
+  lane: Lane;
+  pool: string;
+  customer: Customer | undefined;
+  requestClass: RequestClass;
+  promptTokens: number;
+  maxOutputTokens: number;
+  expectedOutputTokens: number;
+  pieceHashes: string[];
+  /** Aborts when the caller is gone. */
+  signal: AbortSignal;
+}
+
+/** An admitted request. */
+export interface Admission {
+  call: Call;
+  ticket: AdmissionTicket;
+  lane: Lane;
+  /** Ends the request's share of limits and timers. */
+  close(): void;
+}
+
+/** An admission, or the refusal that counts nothing. */
+export type AdmitResult =
+  | { admitted: true; admission: Admission }
+  | { admitted: false; refused: NotRun };
+
+/** Decides who may enter the queue, and counts who is in. */
+export class Admitter {
+  readonly #ctx: EntryContext;
+  readonly #limiter: RateLimiter;
+  readonly #onIdle: (() => void)[] = [];
+  #inFlight = 0;
+
+  constructor(ctx: EntryContext, limiter: RateLimiter) {
+    this.#ctx = ctx;
+    this.#limiter = limiter;
+  }
+
+  /** Requests that were admitted and are not over. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  admit(input: AdmitInput): AdmitResult {
+    const customer = input.customer?.name ?? ANONYMOUS_CUSTOMER;
+    const limit = input.customer?.limit ?? input.lane.policy.limit;
+    const nowMs = this.#ctx.clock.now();
+    const refused = this.#limiter.acquire(customer, limit, nowMs);
+    if (refused) return { admitted: false, refused };
+    const admission = this.#open(input, customer, nowMs);
+    return { admitted: true, admission };
+  }
+
+  /** Resolves when no request is in flight. */
+  idle(): Promise<void> {
+    if (this.#inFlight === 0) return Promise.resolve();
+    return new Promise((resolve) => this.#onIdle.push(resolve));
+  }
+
+  #open(input: AdmitInput, customer: string, nowMs: number): Admission {
+    const { lane, service } = input;
+    const controller = childController(input.signal);
+    const req = placementRequest(input, customer, nowMs);
+    const timer = setTimeout(
+      () => controller.abort(AbortCause.Deadline),
+      lane.policy.requestTimeoutMs,
+    );
+    this.#inFlight += 1;
+    this.#ctx.metrics.inFlight.inc({ service: service.name });
+    const call = new Call({
+      service,
+      policy: lane.policy,
+      placement: lane.placement,
+      pool: input.pool,
+      req,
+      signal: controller.signal,
+    });
+    const close = () => {
+      clearTimeout(timer);
+      controller.abort();
+      this.#close(service.name, customer, lane);
+    };
+    return { call, ticket: ticketOf(req, lane), lane, close };
+  }
+
+  #close(service: string, customer: string, lane: Lane): void {
+    this.#limiter.release(customer);
+    this.#ctx.metrics.inFlight.dec({ service });
+    lane.dispatcher.wake();
+    this.#inFlight -= 1;
+    if (this.#inFlight > 0) return;
+    for (const resolve of this.#onIdle.splice(0)) resolve();
+  }
+}
+
+function placementRequest(
+  input: AdmitInput,
+  customer: string,
+  nowMs: number,
+): PlacementRequest {
+  const { policy } = input.lane;
+  return {
+    requestId: input.requestId,
+    customer,
+    requestClass: input.requestClass,
+    promptTokens: input.promptTokens,
+    maxOutputTokens: input.maxOutputTokens,
+    expectedOutputTokens: input.expectedOutputTokens,
+    pieceHashes: input.pieceHashes,
+    arrivedAtMs: nowMs,
+    firstTokenDueMs: nowMs + policy.ttftTargetMs,
+    deadlineMs: nowMs + policy.requestTimeoutMs,
+    tbtTargetMs: policy.tbtTargetMs,
+  };
+}
+
+function ticketOf(req: PlacementRequest, lane: Lane): AdmissionTicket {
+  const { arrivedAtMs } = req;
+  return {
+    requestId: req.requestId,
+    customer: req.customer,
+    requestClass: req.requestClass,
+    arrivedAtMs,
+    firstTokenDueMs: req.firstTokenDueMs,
+    giveUpAtMs: arrivedAtMs + lane.policy.maxQueueMs,
+    expectedServiceMs: req.promptTokens / ASSUMED_PREFILL_TOKENS_PER_MS +
+      ASSUMED_SERVICE_MS,
+  };
+}
--- a/packages/entry/src/lifecycle/call.ts
+++ b/packages/entry/src/lifecycle/call.ts
@@ -7,7 +7,10 @@
   notRun,
   NotRunReason,
 } from "@sassafrascleat/protocol";
-import type { PlacementPolicy, PlacementRequest } from "@sassafrascleat/routing";
+import type {
+  PlacementPolicy,
+  PlacementRequest,
+} from "@sassafrascleat/routing";
 import type { SidecarClient } from "../sidecar_client/sidecar_client.ts";
 import type { Lease } from "../sidecar_client/renewer.ts";
 
--- a/packages/entry/src/lifecycle/context.ts
+++ b/packages/entry/src/lifecycle/context.ts
@@ -1,7 +1,7 @@
 /** What the parts of one entry share. */
 import type { HostView } from "@sassafrascleat/membership";
 import type { LoadHint } from "@sassafrascleat/protocol";
-import type { HintBook, RetryBudget } from "@sassafrascleat/routing";
+import type { HintBook } from "@sassafrascleat/routing";
 import type { Clock } from "@sassafrascleat/runtime";
 import type { EntryMetrics } from "../metrics.ts";
 import type { ResolvedEntryOptions } from "../options.ts";
@@ -13,6 +13,8 @@
 /** Shared parts, made once by the entry. */
 export interface EntryContext {
   options: ResolvedEntryOptions;
+  /** Aborts when the entry closes. */
+  signal: AbortSignal;
   clock: Clock;
   hosts: HostView;
   hints: HintBook;
@@ -23,6 +25,4 @@
   outputs: OutputEstimator;
   /** Records what a sidecar said about itself. */
   observe(name: string, incarnation: string, hint: LoadHint): void;
-  /** The retry budget of a service. */
-  retryBudget(service: string, ratio: number): RetryBudget;
 }
--- a/packages/entry/src/lifecycle/dispatcher.ts
+++ b/packages/entry/src/lifecycle/dispatcher.ts
@@ -123,11 +123,16 @@
   }
 
   #putBack(waiter: Waiter, retryAfterMs: number, candidates: number): void {
-    if (waiter.call.signal.aborted) return waiter.settle(abortOutcome(waiter.call.signal));
+    if (waiter.call.signal.aborted) {
+      return waiter.settle(abortOutcome(waiter.call.signal));
+    }
     waiter.candidates = candidates;
     this.#queue.requeue(waiter.ticket);
     const waitMs = jitter(retryAfterMs, this.#ctx.options.random);
-    const boundedMs = Math.min(MAX_BLOCKED_MS, Math.max(MIN_BLOCKED_MS, waitMs));
+    const boundedMs = Math.min(
+      MAX_BLOCKED_MS,
+      Math.max(MIN_BLOCKED_MS, waitMs),
+    );
     this.#blockedUntilMs = this.#ctx.clock.now() + boundedMs;
   }
 
--- a/packages/entry/src/lifecycle/model_call.ts
+++ b/packages/entry/src/lifecycle/model_call.ts
@@ -32,16 +32,10 @@
   type TokenSink,
 } from "../sidecar_client/attempt_stream.ts";
 import { AnswerMeter } from "./answer_meter.ts";
-import {
-  AbortCause,
-  abortOutcome,
-  type Call,
-  type Place,
-} from "./call.ts";
+import { AbortCause, abortOutcome, type Call, type Place } from "./call.ts";
 import type { EntryContext } from "./context.ts";
-import type { Dispatcher } from "./dispatcher.ts";
+import type { Lane } from "./lanes.ts";
 import { type LiveKv, Prefiller } from "./prefiller.ts";
-import type { Reserver } from "./reserver.ts";
 
 const log = createLogger("entry:model");
 
@@ -54,8 +48,7 @@
 /** What a model call needs besides its `Call`. */
 export interface ModelCallParts {
   ctx: EntryContext;
-  reserver: Reserver;
-  dispatcher: Dispatcher;
+  lane: Lane;
   service: ModelService;
   prompt: string;
   ticket: AdmissionTicket;
@@ -99,8 +92,8 @@
   }
 
   async run(): Promise<Outcome<ModelAnswer>> {
-    const { service, policy } = this.#call;
-    const budget = this.#ctx.retryBudget(service.name, policy.retryBudgetRatio);
+    const { policy } = this.#call;
+    const { budget } = this.#parts.lane;
     budget.deposit();
     try {
       while (true) {
@@ -153,7 +146,8 @@
   }
 
   async #place(): Promise<Outcome<Place>> {
-    const { dispatcher, reserver, ticket } = this.#parts;
+    const { lane, ticket } = this.#parts;
+    const { dispatcher, reserver } = lane;
     if (this.#kv?.alive(this.#ctx.clock.now())) {
       const result = await reserver.reserve(this.#call);
       if (result.placed) return answered(result.place);
@@ -184,7 +178,7 @@
       this.#kv = result.kv;
       return undefined;
     }
-    this.#parts.reserver.release(place);
+    this.#parts.lane.reserver.release(place);
     this.#mayHaveRun ||= result.mayHaveRun;
     if (this.#call.signal.aborted) return { outcome: this.#stopped() };
     return { failed: { reason: result.reason } };
@@ -202,7 +196,10 @@
       () => stream.redial(),
     );
     try {
-      end = await stream.run((tokens) => this.#take(tokens, kv), this.#call.signal);
+      end = await stream.run(
+        (tokens) => this.#take(tokens, kv),
+        this.#call.signal,
+      );
     } catch (err) {
       void this.#ctx.canceller.cancel(place.client, place.ref);
       throw err;
--- a/packages/entry/src/lifecycle/prefiller.ts
+++ b/packages/entry/src/lifecycle/prefiller.ts
@@ -124,7 +124,9 @@
       }
       tries += 1;
       const result = await this.#run(call, plan, server, input);
-      if (result.done || result.reason === RefusalReason.TooLarge) return result;
+      if (result.done || result.reason === RefusalReason.TooLarge) {
+        return result;
+      }
       failed = {
         ...result,
         mayHaveRun: result.mayHaveRun || (!failed.done && failed.mayHaveRun),
--- a/packages/entry/src/lifecycle/prompt.ts
+++ b/packages/entry/src/lifecycle/prompt.ts
@@ -28,7 +28,11 @@
 export function pieceHashes(prompt: string): string[] {
   const hashes: string[] = [];
   let last = "";
-  for (let end = CHARS_PER_PIECE; end <= prompt.length; end += CHARS_PER_PIECE) {
+  for (
+    let end = CHARS_PER_PIECE;
+    end <= prompt.length;
+    end += CHARS_PER_PIECE
+  ) {
     const piece = prompt.slice(end - CHARS_PER_PIECE, end);
     const hash = createHash("sha256").update(last).update(piece);
     last = hash.digest("hex").slice(0, HASH_DIGITS);
--- a/packages/entry/src/options.ts
+++ b/packages/entry/src/options.ts
@@ -1,7 +1,11 @@
 /** Options of an entry, resolved once at start. */
 import type { ConfigView, Policy } from "@sassafrascleat/config";
 import type { HostView } from "@sassafrascleat/membership";
-import type { PlacementPolicy } from "@sassafrascleat/routing";
+import {
+  createPlacementPolicy,
+  type PlacementPolicy,
+  PolicyName,
+} from "@sassafrascleat/routing";
 import {
   type Clock,
   createRandom,
@@ -32,8 +36,8 @@
   hosts: HostView;
   /** Holds the claims of callers' idempotency keys, and nothing else. */
   store: ObjectStore;
-  /** One policy for all services, or a factory by routing policy. */
-  placement: PlacementPolicy | PlacementFactory;
+  /** One policy for all services, or a factory by routing policy. @default just in time by the policy's objective */
+  placement?: PlacementPolicy | PlacementFactory;
   /** @default the process clock */
   clock?: Clock;
   /** Source of jitter. @default seeded from the system */
@@ -53,10 +57,9 @@
 
 /** Fills in the defaults. */
 export function resolveEntryOptions(raw: EntryOptions): ResolvedEntryOptions {
-  const { placement } = raw;
   return {
     ...raw,
-    placement: typeof placement === "function" ? placement : () => placement,
+    placement: resolvePlacement(raw.placement),
     host: raw.host ?? "127.0.0.1",
     port: raw.port ?? 0,
     clock: raw.clock ?? systemClock,
@@ -66,3 +69,12 @@
     lameDuckMs: raw.lameDuckMs ?? LAME_DUCK_MS,
   };
 }
+
+function resolvePlacement(raw: EntryOptions["placement"]): PlacementFactory {
+  if (typeof raw === "function") return raw;
+  if (raw) return () => raw;
+  return (policy) =>
+    createPlacementPolicy(PolicyName.JustInTime, {
+      objective: policy.objective,
+    });
+}
--- a/packages/entry/src/plain/plain_call.ts
+++ b/packages/entry/src/plain/plain_call.ts
@@ -34,8 +34,7 @@
 } from "../constants.ts";
 import { abortOutcome, type Call, type Place } from "../lifecycle/call.ts";
 import type { EntryContext } from "../lifecycle/context.ts";
-import type { Dispatcher } from "../lifecycle/dispatcher.ts";
-import type { Reserver } from "../lifecycle/reserver.ts";
+import type { Lane } from "../lifecycle/lanes.ts";
 
 const log = createLogger("entry:plain");
 
@@ -55,8 +54,7 @@
 /** What a plain call needs besides its `Call`. */
 export interface PlainCallParts {
   ctx: EntryContext;
-  reserver: Reserver;
-  dispatcher: Dispatcher;
+  lane: Lane;
   service: PlainServiceConfig;
   input: PlainInput;
   ticket: AdmissionTicket;
@@ -86,8 +84,8 @@
   }
 
   async run(): Promise<Outcome<PlainAnswer>> {
-    const { service, policy } = this.#call;
-    const budget = this.#ctx.retryBudget(service.name, policy.retryBudgetRatio);
+    const { policy } = this.#call;
+    const { budget } = this.#parts.lane;
     budget.deposit();
     while (true) {
       this.#tries += 1;
@@ -116,7 +114,8 @@
   }
 
   async #attempt(): Promise<AttemptEnd> {
-    const { dispatcher, ticket, beforeDispatch } = this.#parts;
+    const { lane, ticket, beforeDispatch } = this.#parts;
+    const { dispatcher } = lane;
     const placed = this.#tries === 1
       ? await dispatcher.place(this.#call, ticket)
       : await dispatcher.placeAgain(this.#call, ticket);
@@ -127,7 +126,7 @@
     place.lease.release();
     const stopped = await beforeDispatch?.(place);
     if (stopped || this.#call.signal.aborted) {
-      this.#parts.reserver.release(place);
+      this.#parts.lane.reserver.release(place);
       return { outcome: stopped ?? abortOutcome(this.#call.signal) };
     }
     return this.#dispatch(place);
@@ -146,14 +145,17 @@
     if (reply && reply.state !== PlainCallState.Running) {
       return this.#read(place, reply, true);
     }
+    if (this.#signal().aborted) {
+      void this.#ctx.canceller.cancel(place.client, place.ref);
+      return { outcome: describe(UnknownReason.StillRunning) };
+    }
     if (!reply) this.#ctx.hosts.observeFailure(place.server.name);
     return this.#recover(place, nowMs + timeoutMs + LOST_ANSWER_MS);
   }
 
   /** A call that may not be repeated goes on without its caller. */
   #signal(): AbortSignal {
-    if (this.#parts.repeatable) return this.#call.signal;
-    return new AbortController().signal;
+    return this.#parts.repeatable ? this.#call.signal : this.#ctx.signal;
   }
 
   #message(place: Place, timeoutMs: number): PlainCallRequest {
--- a/packages/entry/src/sidecar_client/attempt_stream.ts
+++ b/packages/entry/src/sidecar_client/attempt_stream.ts
@@ -145,7 +145,9 @@
     if (frame.kind === FrameKind.End) {
       return { ended: true, finish: frame.finish };
     }
-    if (frame.kind === FrameKind.Tokens) await this.#deliver(frame.tokens, sink);
+    if (frame.kind === FrameKind.Tokens) {
+      await this.#deliver(frame.tokens, sink);
+    }
     return Taken.Continue;
   }
 
--- a/packages/entry/src/sidecar_client/sidecar_client.ts
+++ b/packages/entry/src/sidecar_client/sidecar_client.ts
@@ -75,8 +75,12 @@
     req: ReserveRequest,
     signal: AbortSignal,
   ): Promise<ReserveReply | undefined> {
-    return this.#repeat(CONTROL_TRIES, CONTROL_TIMEOUT_MS, signal, (s) =>
-      this.#connections.rpc.reserve.mutate(req, { signal: s }));
+    return this.#repeat(
+      CONTROL_TRIES,
+      CONTROL_TIMEOUT_MS,
+      signal,
+      (s) => this.#connections.rpc.reserve.mutate(req, { signal: s }),
+    );
   }
 
   /** Waits for the prefill's end; silence beyond `waitMs` repeats the call. */
@@ -85,24 +89,36 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<PrefillReply | undefined> {
-    return this.#repeat(PREFILL_TRIES, waitMs, signal, (s) =>
-      this.#connections.rpc.prefill.mutate(req, { signal: s }));
+    return this.#repeat(
+      PREFILL_TRIES,
+      waitMs,
+      signal,
+      (s) => this.#connections.rpc.prefill.mutate(req, { signal: s }),
+    );
   }
 
   renew(
     req: RenewRequest,
     signal: AbortSignal,
   ): Promise<RenewReply | undefined> {
-    return this.#repeat(CONTROL_TRIES, CONTROL_TIMEOUT_MS, signal, (s) =>
-      this.#connections.rpc.renew.mutate(req, { signal: s }));
+    return this.#repeat(
+      CONTROL_TRIES,
+      CONTROL_TIMEOUT_MS,
+      signal,
+      (s) => this.#connections.rpc.renew.mutate(req, { signal: s }),
+    );
   }
 
   cancel(
     req: CancelRequest,
     signal: AbortSignal,
   ): Promise<CancelReply | undefined> {
-    return this.#repeat(CONTROL_TRIES, CONTROL_TIMEOUT_MS, signal, (s) =>
-      this.#connections.rpc.cancel.mutate(req, { signal: s }));
+    return this.#repeat(
+      CONTROL_TRIES,
+      CONTROL_TIMEOUT_MS,
+      signal,
+      (s) => this.#connections.rpc.cancel.mutate(req, { signal: s }),
+    );
   }
 
   /** Opens the stream of a granted attempt. Rejects when no headers came. */
@@ -121,8 +137,12 @@
     timeoutMs: number,
     signal: AbortSignal,
   ): Promise<PlainCallReply | undefined> {
-    return this.#repeat(1, timeoutMs, signal, (s) =>
-      this.#postJson(PLAIN_CALL_PATH, req, s));
+    return this.#repeat(
+      1,
+      timeoutMs,
+      signal,
+      (s) => this.#postJson(PLAIN_CALL_PATH, req, s),
+    );
   }
 
   /** Asks on a new connection for the answer of a call that may have been sent. */
@@ -131,8 +151,12 @@
     signal: AbortSignal,
   ): Promise<PlainCallReply | undefined> {
     const waitMs = req.waitMs + CONTROL_TIMEOUT_MS;
-    return this.#repeat(1, waitMs, signal, (s) =>
-      this.#postJson(PLAIN_ATTACH_PATH, req, s));
+    return this.#repeat(
+      1,
+      waitMs,
+      signal,
+      (s) => this.#postJson(PLAIN_ATTACH_PATH, req, s),
+    );
   }
 
   /** Makes later calls use new connections; open ones go on undisturbed. */
