--- /dev/null
+++ b/packages/daemon/src/entry_role.ts
@@ -0,0 +1,39 @@
+/** The `entry` role: an entry process as the settings file describes it. */
+import { createHttpHostSource } from "@sassafrascleat/membership";
+import { PolicyName } from "@sassafrascleat/routing";
+import { invariant, type Secret } from "@sassafrascleat/runtime";
+import { createHttpStore } from "@sassafrascleat/store";
+import { type EntryProcess, startEntryProcess } from "./entry_process.ts";
+import { requireSecrets } from "./settings_error.ts";
+import type { EntrySettings } from "./settings.ts";
+
+/** At least one secret, as the settings schema guarantees. */
+export function nonEmptySecrets(secrets: Secret[]): [Secret, ...Secret[]] {
+  const [first, ...rest] = secrets;
+  invariant(first !== undefined, "settings without a secret were accepted");
+  return [first, ...rest];
+}
+
+/** Starts the role; throws when secrets can't be read or a listener opened. */
+export async function startEntryRole(cfg: EntrySettings): Promise<EntryProcess> {
+  const systemSecrets = await requireSecrets(
+    cfg.systemSecrets,
+    "/systemSecrets",
+  );
+  const { baseUrl, timeoutMs } = cfg.store;
+  return startEntryProcess({
+    id: cfg.id,
+    office: cfg.office,
+    availabilityZone: cfg.availabilityZone,
+    callers: cfg.callers,
+    system: cfg.system,
+    systemSecrets: nonEmptySecrets(systemSecrets),
+    store: createHttpStore({ baseUrl, timeoutMs }),
+    hostSource: createHttpHostSource({ baseUrl: cfg.hostsBaseUrl }),
+    peers: cfg.peers.map(({ id, ...peer }) => ({ daemonId: id, ...peer })),
+    hostRefreshMs: cfg.hostRefreshMs,
+    subsetSize: cfg.subsetSize,
+    placement: cfg.placement as PolicyName,
+    drainTimeoutMs: cfg.drainTimeoutMs,
+  });
+}
