--- /dev/null
+++ b/packages/sidecar/src/__tests__/harness.ts
@@ -0,0 +1,318 @@
+/** Sidecars before stand-in engines, and a small client for their listener. */
+import {
+  createHttpEngine,
+  createHttpPlainBackend,
+  type HttpEngine,
+} from "@sassafrascleat/engine";
+import {
+  BackendRole,
+  type BackendServer,
+  decodeFrame,
+  type Frame,
+  FrameKind,
+  HostState,
+  PLAIN_ATTACH_PATH,
+  PLAIN_CALL_PATH,
+  type PlainAttachRequest,
+  type PlainCallReply,
+  type PlainCallRequest,
+  type PrefillDone,
+  type PrefillRequest,
+  RequestClass,
+  type ReserveRequest,
+  type StartRequest,
+  STREAM_RESUME_PATH,
+  STREAM_START_PATH,
+  SYSTEM_SECRET_HEADER,
+} from "@sassafrascleat/protocol";
+import { Secret, sleep } from "@sassafrascleat/runtime";
+import {
+  createEngineServer,
+  createPlainServer,
+  type EngineServer,
+  type EngineServerOptions,
+  type PlainServer,
+} from "@sassafrascleat/testing";
+import { request } from "undici";
+import { createSidecar, type Sidecar, type SidecarOptions } from "../index.ts";
+
+export const SECRET = "system-secret";
+
+type Overrides = Partial<SidecarOptions>;
+
+/** An engine, its client and its sidecar. */
+export interface EngineNode {
+  server: EngineServer;
+  engine: HttpEngine;
+  sidecar: Sidecar;
+}
+
+/** What a test started; `close` ends everything, newest first. */
+export class Bench {
+  readonly #cleanups: (() => Promise<void>)[] = [];
+
+  defer(cleanup: () => Promise<void>): void {
+    this.#cleanups.unshift(cleanup);
+  }
+
+  async close(): Promise<void> {
+    for (const cleanup of this.#cleanups) await cleanup();
+  }
+
+  async engineServer(options: Partial<EngineServerOptions> = {}) {
+    const server = await createEngineServer({ name: "engine", ...options });
+    this.defer(() => server.close());
+    return server;
+  }
+
+  /** A sidecar that reaches its engine at `address`. */
+  async sidecar(
+    role: BackendRole,
+    address: string,
+    engineAddress = address,
+    overrides: Overrides = {},
+  ): Promise<Pick<EngineNode, "engine" | "sidecar">> {
+    const engine = createHttpEngine({ baseUrl: address });
+    const sidecar = await createSidecar({
+      backendServer: backendServer(role, engineAddress),
+      host: "127.0.0.1",
+      secrets: [new Secret("system", SECRET)],
+      engine,
+      ...overrides,
+    });
+    this.defer(async () => {
+      await sidecar.close();
+      await engine.close();
+    });
+    return { engine, sidecar };
+  }
+
+  async node(
+    role: BackendRole.Prefill | BackendRole.Decode,
+    options: Partial<EngineServerOptions> = {},
+    overrides: Overrides = {},
+  ): Promise<EngineNode> {
+    const server = await this.engineServer({ role, ...options });
+    const { address } = server;
+    return {
+      server,
+      ...await this.sidecar(role, address, address, overrides),
+    };
+  }
+
+  async plain(overrides: Overrides = {}): Promise<
+    { server: PlainServer; sidecar: Sidecar }
+  > {
+    const server = await createPlainServer();
+    this.defer(() => server.close());
+    const sidecar = await createSidecar({
+      backendServer: backendServer(BackendRole.Plain, server.address),
+      host: "127.0.0.1",
+      secrets: [new Secret("system", SECRET)],
+      plain: createHttpPlainBackend({ baseUrl: server.address }),
+      ...overrides,
+    });
+    this.defer(() => sidecar.close());
+    return { server, sidecar };
+  }
+}
+
+function backendServer(role: BackendRole, engineAddress: string) {
+  const server: BackendServer = {
+    name: `${role}-1`,
+    office: "office",
+    availabilityZone: "zone-a",
+    pool: role,
+    role,
+    sidecarAddress: "http://127.0.0.1:0",
+    engineAddress,
+    state: HostState.Live,
+  };
+  return server;
+}
+
+/** A reservation with a short prompt; fields can be overridden. */
+export function reserveRequest(
+  requestId: string,
+  fields: Partial<ReserveRequest> = {},
+): ReserveRequest {
+  return {
+    requestId,
+    attempt: 1,
+    entryId: "entry-1",
+    service: "service",
+    requestClass: RequestClass.Standard,
+    promptTokens: 100,
+    maxOutputTokens: 200,
+    expectedOutputTokens: 50,
+    maxWaitMs: 0,
+    ...fields,
+  };
+}
+
+export function prefillRequest(
+  requestId: string,
+  prompt: string,
+  fields: Partial<PrefillRequest> = {},
+): PrefillRequest {
+  return {
+    requestId,
+    attempt: 1,
+    entryId: "entry-1",
+    service: "service",
+    model: "model",
+    prompt,
+    generated: [],
+    promptTokens: 100,
+    pieceHashes: [],
+    startInMs: 0,
+    startWithinMs: 5_000,
+    priority: 0,
+    ...fields,
+  };
+}
+
+/** Runs a prompt on a prefill node; fails the test when it is refused. */
+export async function prefilled(
+  node: EngineNode,
+  requestId: string,
+  prompt: string,
+  fields: Partial<PrefillRequest> = {},
+): Promise<PrefillDone> {
+  const req = prefillRequest(requestId, prompt, fields);
+  const reply = await node.sidecar.control.prefill(req);
+  if (!reply.done) throw new Error(`prefill refused: ${reply.reason}`);
+  return reply;
+}
+
+export function startRequest(
+  sidecar: Sidecar,
+  requestId: string,
+  prompt: string,
+  kv: StartRequest["kv"],
+  fields: Partial<StartRequest> = {},
+): StartRequest {
+  return {
+    requestId,
+    attempt: 1,
+    entryId: "entry-1",
+    incarnation: sidecar.incarnation,
+    model: "model",
+    prompt,
+    generated: [],
+    promptTokens: 100,
+    maxOutputTokens: 200,
+    priority: 0,
+    kv,
+    ...fields,
+  };
+}
+
+async function post(address: string, path: string, body: unknown) {
+  return await request(address + path, {
+    method: "POST",
+    headers: {
+      "content-type": "application/json",
+      [SYSTEM_SECRET_HEADER]: SECRET,
+    },
+    body: JSON.stringify(body),
+  });
+}
+
+/** Frames of one stream until it ends, breaks or `enough` says so. */
+export async function readFrames(
+  address: string,
+  path: typeof STREAM_START_PATH | typeof STREAM_RESUME_PATH,
+  body: unknown,
+  enough: (frames: Frame[]) => boolean = () => false,
+): Promise<Frame[]> {
+  const frames: Frame[] = [];
+  try {
+    const res = await post(address, path, body);
+    let rest = "";
+    for await (const chunk of res.body) {
+      const lines = (rest + String(chunk)).split("\n");
+      rest = lines.pop() ?? "";
+      for (const line of lines) {
+        const frame = decodeFrame(line);
+        if (frame) frames.push(frame);
+      }
+      if (enough(frames)) break;
+    }
+  } catch {
+    // A broken stream ends where it broke.
+  }
+  return frames;
+}
+
+/** The text in `frames`, each checked to begin where the last one ended. */
+export function textOf(frames: readonly Frame[], from = 0): string {
+  let text = "";
+  let offset = from;
+  for (const frame of frames) {
+    if (frame.kind !== FrameKind.Tokens) continue;
+    if (frame.offset !== offset) throw new Error("frames left a gap");
+    text += frame.tokens.join("");
+    offset += frame.tokens.length;
+  }
+  return text;
+}
+
+/** Tokens in `frames`. */
+export function countOf(frames: readonly Frame[]): number {
+  let count = 0;
+  for (const frame of frames) {
+    if (frame.kind === FrameKind.Tokens) count += frame.tokens.length;
+  }
+  return count;
+}
+
+export async function call(
+  sidecar: Sidecar,
+  requestId: string,
+  fields: Partial<PlainCallRequest> = {},
+): Promise<PlainCallReply> {
+  const body: PlainCallRequest = {
+    requestId,
+    attempt: 1,
+    entryId: "entry-1",
+    incarnation: sidecar.incarnation,
+    method: "POST",
+    path: "/orders",
+    headers: { "content-type": "text/plain" },
+    bodyBase64: Buffer.from(`body of ${requestId}`).toString("base64"),
+    timeoutMs: 5_000,
+    ...fields,
+  };
+  const res = await post(sidecar.address, PLAIN_CALL_PATH, body);
+  return await res.body.json() as PlainCallReply;
+}
+
+export async function attach(
+  sidecar: Sidecar,
+  requestId: string,
+  fields: Partial<PlainAttachRequest> = {},
+): Promise<PlainCallReply> {
+  const body: PlainAttachRequest = {
+    requestId,
+    attempt: 1,
+    incarnation: sidecar.incarnation,
+    waitMs: 0,
+    settle: true,
+    ...fields,
+  };
+  const res = await post(sidecar.address, PLAIN_ATTACH_PATH, body);
+  return await res.body.json() as PlainCallReply;
+}
+
+/** Waits until `holds`; fails after ten seconds. */
+export async function until(
+  what: string,
+  holds: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const end = performance.now() + 10_000;
+  while (!await holds()) {
+    if (performance.now() > end) throw new Error(`never came: ${what}`);
+    await sleep(5);
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/control.ts
@@ -0,0 +1,183 @@
+/** The control calls of a sidecar. */
+import {
+  BackendRole,
+  type CancelReply,
+  type CancelRequest,
+  CancelState,
+  type DrainReply,
+  type DrainRequest,
+  type OrderReply,
+  type OrderRequest,
+  type PrefillReply,
+  type PrefillRequest,
+  RefusalReason,
+  type RenewReply,
+  type RenewRequest,
+  type ReserveReply,
+  type ReserveRequest,
+  type SidecarControl,
+  type SidecarStatus,
+} from "@sassafrascleat/protocol";
+import { createLogger } from "@sassafrascleat/runtime";
+import { attemptId, AttemptState } from "./attempt_ledger.ts";
+import type { BackendState } from "./backend_state.ts";
+import { type Place, PlaceResult } from "./capacity.ts";
+import { FULL_RETRY_MAX_MS } from "./constants.ts";
+import { OrderGuard } from "./order_guard.ts";
+import type { PlainCalls } from "./plain_calls.ts";
+import { Prefills } from "./prefills.ts";
+
+const log = createLogger("sidecar:control");
+
+/** Serves the control calls on the shared state. */
+export class ControlCalls implements SidecarControl {
+  readonly #state: BackendState;
+  readonly #prefills: Prefills;
+  readonly #orders: OrderGuard;
+  readonly #plain: PlainCalls | undefined;
+
+  constructor(state: BackendState, plain: PlainCalls | undefined) {
+    this.#state = state;
+    this.#plain = plain;
+    this.#prefills = new Prefills(state);
+    this.#orders = new OrderGuard(
+      state.parts?.engine,
+      state.incarnation,
+      (req) => state.onOrder(req),
+    );
+  }
+
+  async reserve(req: ReserveRequest): Promise<ReserveReply> {
+    const reply = this.#reserve(req);
+    const result = reply.granted ? "granted" : reply.reason;
+    this.#state.metrics.reservations.inc({ result });
+    log("reserve", { request: attemptId(req), result });
+    return reply;
+  }
+
+  prefill(req: PrefillRequest): Promise<PrefillReply> {
+    return this.#prefills.prefill(req);
+  }
+
+  async renew(req: RenewRequest): Promise<RenewReply> {
+    const { attempts, cfg, incarnation } = this.#state;
+    const now = cfg.clock.now();
+    const missing = req.attempts.filter((ref) =>
+      !attempts.renew(ref, req.entryId, now)
+    );
+    return { incarnation, missing, hint: this.#state.hint() };
+  }
+
+  async cancel(req: CancelRequest): Promise<CancelReply> {
+    const { attempts, cfg, incarnation } = this.#state;
+    const found = attempts.cancel(req, cfg.clock.now());
+    const ran = this.#plain?.started(req.requestId) ?? false;
+    const state = ran && found === CancelState.NotStarted
+      ? CancelState.Running
+      : found;
+    this.#freeResult(req, state);
+    log("cancel", { request: attemptId(req), state });
+    return { incarnation, state };
+  }
+
+  async drain(req: DrainRequest): Promise<DrainReply> {
+    this.#state.leaving = req.leaving;
+    const { incarnation, inFlight, leaving } = this.#state;
+    log("drain", { leaving, in_flight: inFlight });
+    return { incarnation, leaving, inFlight };
+  }
+
+  order(req: OrderRequest): Promise<OrderReply> {
+    return this.#orders.order(req);
+  }
+
+  async status(): Promise<SidecarStatus> {
+    const { cfg, incarnation, inFlight, leaving } = this.#state;
+    return {
+      backendServer: { ...cfg.backendServer, role: this.#state.role },
+      incarnation,
+      leaving,
+      hint: this.#state.hint(),
+      inFlight,
+      lastOrder: this.#orders.last,
+    };
+  }
+
+  /** Frees a prefill result before its time, since nobody will use it. */
+  #freeResult(req: CancelRequest, state: CancelState): void {
+    const { parts, role } = this.#state;
+    if (role !== BackendRole.Prefill) return;
+    if (state !== CancelState.Finished) return;
+    void parts?.canceller.cancel(attemptId(req));
+  }
+
+  #reserve(req: ReserveRequest): ReserveReply {
+    const { attempts, capacity, cfg } = this.#state;
+    const refusal = attempts.refusal(req);
+    if (refusal) return this.#refused(refusal);
+    const known = attempts.find(req);
+    if (known) {
+      const place = capacity.find(attemptId(req));
+      const open = known.state === AttemptState.Reserved && place;
+      if (!open) return this.#refused(RefusalReason.Superseded);
+      attempts.renew(req, req.entryId, cfg.clock.now());
+      return this.#granted(place, capacity.readyInMs(place));
+    }
+    const closed = this.#closed();
+    if (closed) return this.#refused(closed);
+    return this.#place(req);
+  }
+
+  /** Why nothing new is taken now. */
+  #closed(): RefusalReason | undefined {
+    const { leaving, ready, role } = this.#state;
+    if (leaving) return RefusalReason.Leaving;
+    const wrongRole = role === BackendRole.Prefill;
+    return !ready || wrongRole ? RefusalReason.EngineDown : undefined;
+  }
+
+  #place(req: ReserveRequest): ReserveReply {
+    const { attempts, capacity, cfg } = this.#state;
+    const now = cfg.clock.now();
+    attempts.supersede(req, now);
+    const reply = capacity.reserve(
+      {
+        id: attemptId(req),
+        requestClass: req.requestClass,
+        promptTokens: req.promptTokens,
+        expectedTokens: req.expectedOutputTokens,
+        maxTokens: req.maxOutputTokens,
+      },
+      req.maxWaitMs,
+      now,
+    );
+    if (reply.result === PlaceResult.TooLarge) {
+      return this.#refused(RefusalReason.TooLarge);
+    }
+    if (reply.result === PlaceResult.Full) {
+      return this.#refused(RefusalReason.Full, reply.retryAfterMs);
+    }
+    attempts.admit(req, req.entryId, now);
+    return this.#granted(reply.place, reply.readyInMs);
+  }
+
+  #granted(place: Place, readyInMs: number): ReserveReply {
+    const { cfg, incarnation } = this.#state;
+    const heldMs = cfg.clock.now() - (place.heldAtMs ?? cfg.clock.now());
+    const expiresInMs = readyInMs + cfg.grantTtlMs - heldMs;
+    const hint = this.#state.hint();
+    return { granted: true, incarnation, readyInMs, expiresInMs, hint };
+  }
+
+  #refused(reason: RefusalReason, retryAfterMs = 0): ReserveReply {
+    const { incarnation } = this.#state;
+    const hint = this.#state.hint();
+    return {
+      granted: false,
+      incarnation,
+      reason,
+      retryAfterMs: Math.min(retryAfterMs, FULL_RETRY_MAX_MS),
+      hint,
+    };
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/options.ts
@@ -0,0 +1,134 @@
+/** Options of a sidecar. */
+import type { Engine, PlainBackend } from "@sassafrascleat/engine";
+import {
+  type BackendServer,
+  GRANT_TTL_MS,
+  LEDGER_RETENTION_MS,
+  RENEW_GRACE_MS,
+  STREAM_HEARTBEAT_MS,
+} from "@sassafrascleat/protocol";
+import { type Clock, type Secret, systemClock } from "@sassafrascleat/runtime";
+import {
+  DEFAULT_MAX_RUNNING,
+  DEFAULT_MAX_TRANSFERS,
+  DEFAULT_PLAIN_CONCURRENCY,
+  DEFAULT_PREFILL_WINDOW_TOKENS,
+  DEFAULT_TBT_TARGET_MS,
+  DEFAULT_TRANSFER_TIMEOUT_MS,
+  DRAIN_LINGER_MS,
+  RECONCILE_INTERVAL_MS,
+} from "./constants.ts";
+
+/** Options of `createSidecar`. */
+export interface SidecarOptions {
+  /** The backend server beside this sidecar. */
+  backendServer: BackendServer;
+  /** Address of the system listener. */
+  host: string;
+  /**
+   * Port of the system listener; 0 takes a free one.
+   * @default 0
+   */
+  port?: number;
+  /** Secrets that callers of the system listener may present. */
+  secrets: readonly Secret[];
+  /** The engine, for the roles prefill and decode. */
+  engine?: Engine;
+  /** The plain service, for the role plain. */
+  plain?: PlainBackend;
+  /**
+   * Target between tokens that bounds the slots, in milliseconds.
+   * @default 43
+   */
+  tbtTargetMs?: number;
+  /**
+   * Decode requests at a time at most.
+   * @default 20
+   */
+  maxRunning?: number;
+  /**
+   * Calls at a time to a plain service.
+   * @default 32
+   */
+  plainConcurrency?: number;
+  /**
+   * KV imports at a time.
+   * @default 4
+   */
+  maxTransfers?: number;
+  /**
+   * Time for one KV import, in milliseconds.
+   * @default 1000
+   */
+  transferTimeoutMs?: number;
+  /**
+   * Prompt tokens handed to a prefill engine ahead of need.
+   * @default 4096
+   */
+  prefillWindowTokens?: number;
+  /**
+   * Lifetime of a grant after its slot is ready, in milliseconds.
+   * @default 5000
+   */
+  grantTtlMs?: number;
+  /**
+   * Time without renewal after which an attempt is cancelled, in milliseconds.
+   * @default 2000
+   */
+  renewGraceMs?: number;
+  /**
+   * Time that tombstones and finished answers are kept, in milliseconds.
+   * @default 600000
+   */
+  retentionMs?: number;
+  /**
+   * Interval between heartbeats on a stream, in milliseconds.
+   * @default 200
+   */
+  heartbeatMs?: number;
+  /**
+   * Time after the last end during which a drain answers resumes, in milliseconds.
+   * @default 1500
+   */
+  drainLingerMs?: number;
+  /**
+   * Interval between comparisons with what the engine holds, in milliseconds.
+   * @default 2000
+   */
+  reconcileMs?: number;
+  /** @default systemClock */
+  clock?: Clock;
+}
+
+/** `SidecarOptions` with every default filled in. */
+export type ResolvedSidecarOptions =
+  & Required<Omit<SidecarOptions, "engine" | "plain">>
+  & Pick<SidecarOptions, "engine" | "plain">;
+
+/** Fills in the defaults. */
+export function resolveSidecarOptions(
+  raw: SidecarOptions,
+): ResolvedSidecarOptions {
+  return {
+    backendServer: raw.backendServer,
+    host: raw.host,
+    port: raw.port ?? 0,
+    secrets: raw.secrets,
+    engine: raw.engine,
+    plain: raw.plain,
+    tbtTargetMs: raw.tbtTargetMs ?? DEFAULT_TBT_TARGET_MS,
+    maxRunning: raw.maxRunning ?? DEFAULT_MAX_RUNNING,
+    plainConcurrency: raw.plainConcurrency ?? DEFAULT_PLAIN_CONCURRENCY,
+    maxTransfers: raw.maxTransfers ?? DEFAULT_MAX_TRANSFERS,
+    transferTimeoutMs: raw.transferTimeoutMs ?? DEFAULT_TRANSFER_TIMEOUT_MS,
+    prefillWindowTokens: raw.prefillWindowTokens ??
+      DEFAULT_PREFILL_WINDOW_TOKENS,
+    grantTtlMs: raw.grantTtlMs ?? GRANT_TTL_MS,
+    renewGraceMs: raw.renewGraceMs ?? RENEW_GRACE_MS,
+    retentionMs: raw.retentionMs ?? LEDGER_RETENTION_MS,
+    heartbeatMs: raw.heartbeatMs ?? STREAM_HEARTBEAT_MS,
+    drainLingerMs: raw.drainLingerMs ?? DRAIN_LINGER_MS,
+    reconcileMs: raw.reconcileMs ?? RECONCILE_INTERVAL_MS,
+    clock: raw.clock ?? systemClock,
+  };
+}
--- /dev/null
+++ b/packages/testing/src/engine/kv_client.ts
@@ -0,0 +1,72 @@
+/** Fetches prefill results from other engines. */
+import { type EngineDecodeRequest, EngineStatus } from "@sassafrascleat/engine";
+import { childController, sleep } from "@sassafrascleat/runtime";
+import { request } from "undici";
+import { KvPath } from "./constants.ts";
+import type { ResolvedEngineServerOptions } from "./options.ts";
+import type { SharedLink } from "./shared_link.ts";
+
+/** Imports KV caches over the engine's own incoming link. */
+export class KvClient {
+  readonly #cfg: ResolvedEngineServerOptions;
+  readonly #link: SharedLink;
+
+  constructor(cfg: ResolvedEngineServerOptions, link: SharedLink) {
+    this.#cfg = cfg;
+    this.#link = link;
+  }
+
+  /** Fetches the result that `req` names, in `req.transferTimeoutMs` at most. */
+  async fetch(
+    req: EngineDecodeRequest,
+    signal: AbortSignal,
+  ): Promise<EngineStatus> {
+    const timeout = AbortSignal.timeout(req.transferTimeoutMs);
+    const stop = childController(AbortSignal.any([signal, timeout]));
+    const { availabilityZone, engineAddress, handle, tokens } = req.kv;
+    await sleep(this.#cfg.zoneLatencyMs[availabilityZone] ?? 0, stop.signal);
+    const exported = this.#export(engineAddress, handle, stop.signal);
+    const imported = this.#link.transfer(tokens, stop.signal);
+    const status = await exported;
+    if (status !== 200) stop.abort();
+    const carried = await imported;
+    stop.abort();
+    if (status === 410) return EngineStatus.Expired;
+    const ok = status === 200 && carried;
+    return ok ? EngineStatus.Ok : EngineStatus.TransferFailed;
+  }
+
+  /** Tells the exporting engine that a decode with the result has begun. */
+  async confirm(req: EngineDecodeRequest): Promise<void> {
+    const { engineAddress, handle } = req.kv;
+    await this.#post(engineAddress + KvPath.Used, { handle });
+  }
+
+  async #export(
+    address: string,
+    handle: string,
+    signal: AbortSignal,
+  ): Promise<number> {
+    return await this.#post(address + KvPath.Export, { handle }, signal);
+  }
+
+  /** The status of the answer; 0 when there was none. */
+  async #post(
+    url: string,
+    body: unknown,
+    signal: AbortSignal = AbortSignal.timeout(1_000),
+  ): Promise<number> {
+    try {
+      const res = await request(url, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(body),
+        signal,
+      });
+      await res.body.dump();
+      return res.statusCode;
+    } catch {
+      return 0;
+    }
+  }
+}
--- /dev/null
+++ b/packages/testing/src/engine/line_stream.ts
@@ -0,0 +1,49 @@
+/** Streams of lines from the stand-in engine, with heartbeats. */
+import {
+  encodeWireLine,
+  ENGINE_HEARTBEAT_MS,
+  WireKind,
+  type WireLine,
+} from "@sassafrascleat/engine";
+import type { FastifyReply } from "fastify";
+
+/** An open streamed answer. */
+export class LineStream {
+  readonly #res: FastifyReply["raw"];
+  readonly #closed = new AbortController();
+  readonly #heartbeat: NodeJS.Timeout;
+
+  constructor(reply: FastifyReply) {
+    reply.hijack();
+    this.#res = reply.raw;
+    this.#res.writeHead(200, { "content-type": "application/x-ndjson" });
+    this.#res.flushHeaders();
+    this.#res.on("close", () => this.#close());
+    this.#res.on("error", () => this.#close());
+    this.#heartbeat = setInterval(
+      () => this.send({ kind: WireKind.Heartbeat }),
+      ENGINE_HEARTBEAT_MS,
+    );
+  }
+
+  /** Aborts when the other end has gone or the stream has ended. */
+  get signal(): AbortSignal {
+    return this.#closed.signal;
+  }
+
+  send(line: WireLine): void {
+    if (!this.signal.aborted) this.#res.write(encodeWireLine(line));
+  }
+
+  /** Sends a last line and ends the answer. */
+  end(line?: WireLine): void {
+    if (line) this.send(line);
+    this.#close();
+    this.#res.end();
+  }
+
+  #close(): void {
+    clearInterval(this.#heartbeat);
+    this.#closed.abort();
+  }
+}
