feat(membership): orders to engines and a follower of the store's log

Cause: pools name the model, version, adapters and role of their engines, and something has to bring the engines there without a coordinator. Change: createOrderIssuer gives fenced, idempotent orders; all issuers go through a pool in one order, so that together they keep to maxConcurrentLoads. createChangeLogFollower joins store watch and change log for relay heads; config exports CHANGES_PREFIX for it. Before: nothing gave orders. Conclusion: any number of heads may issue; the fencing number settles races.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./config_view.ts";
 export { createOperations, type Proposal } from "./evaluate.ts";
 export { formatIssues, type Issue } from "./issue.ts";
+export { CHANGES_PREFIX } from "./log_keys.ts";
 export * from "./objects.ts";
 export {
   type AcceptedPatch,
--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -128,3 +128,15 @@
 
 /** Interval at which an order issuer looks for work, in milliseconds. */
 export const ORDER_INTERVAL_MS = 1_000;
+
+/** First pause before a failed order is sent again, in milliseconds. */
+export const ORDER_RETRY_MS = 2_000;
+
+/** Longest pause before a failed order is sent again, in milliseconds. */
+export const ORDER_RETRY_MAX_MS = 60_000;
+
+/** Time that an order without an answer counts as running, in milliseconds. */
+export const ORDER_SILENCE_MS = 30_000;
+
+/** Mean interval at which a finished order is checked, in milliseconds. */
+export const ORDER_RECHECK_MS = 60_000;
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -11,7 +11,11 @@
   createHttpHostSource,
   type HttpHostSourceOptions,
 } from "./hosts/http_host_source.ts";
-export type { ChangeLogFollower } from "./relay/change_log_follower.ts";
+export {
+  type ChangeLogFollower,
+  createChangeLogFollower,
+  type StoreFollowerOptions,
+} from "./relay/change_log_follower.ts";
 export {
   createRelay,
   type Relay,
@@ -34,3 +38,9 @@
   type PresenceSubject,
 } from "./relay/presence.ts";
 export type { OfficeStatus, RelayStatus, ZoneStatus } from "./relay/status.ts";
+export {
+  createOrderIssuer,
+  type OrderIssuer,
+  type OrderIssuerOptions,
+  type PoolProgress,
+} from "./orders/order_issuer.ts";
--- a/packages/membership/src/relay/store_reader.ts
+++ b/packages/membership/src/relay/store_reader.ts
@@ -42,6 +42,7 @@
 export class StoreReader {
   readonly #parts: StoreReaderParts;
   #failures = 0;
+  #upkeep: Promise<void> | undefined;
   #lastFallbackMs: number;
   #fallbackFactor: number;
 
@@ -60,10 +61,12 @@
       else if (this.#isFallbackDue()) await this.#fallBack(signal);
       else await sleep(ROLE_CHECK_MS, signal);
     }
+    await this.#upkeep;
   }
 
   async #watch(signal: AbortSignal): Promise<void> {
     const answered = await this.#poll(STORE_WATCH_MS, signal);
+    if (answered) this.#startUpkeep(signal);
     const backoffMs = STORE_RETRY_MS * 2 ** Math.max(0, this.#failures - 1);
     const pauseMs = answered
       ? STORE_PAUSE_MS
@@ -71,6 +74,12 @@
     await sleep(jitter(pauseMs, this.#parts.random), signal);
   }
 
+  #startUpkeep(signal: AbortSignal): void {
+    if (this.#upkeep) return;
+    this.#upkeep = this.#parts.follower.maintain?.(signal)
+      .finally(() => this.#upkeep = undefined);
+  }
+
   #isFallbackDue(): boolean {
     const { clock, freshness, puller } = this.#parts;
     const silent = puller.silentMs() > SILENT_AFTER_MS;
