--- a/packages/daemon/src/dev/dev_backend.ts
+++ b/packages/daemon/src/dev/dev_backend.ts
@@ -1,5 +1,8 @@
 /** One backend server of the demo: a stand-in and the sidecar beside it. */
-import { createHttpEngine, createHttpPlainBackend } from "@sassafrascleat/engine";
+import {
+  createHttpEngine,
+  createHttpPlainBackend,
+} from "@sassafrascleat/engine";
 import {
   BackendRole,
   type BackendServer,
--- a/packages/daemon/src/dev/dev_role.ts
+++ b/packages/daemon/src/dev/dev_role.ts
@@ -87,13 +87,15 @@
   plan: PlannedOffice,
   ctx: DevContext,
 ): Promise<DevOffice> {
-  const backends = await Promise.all(plan.backends.map((backend, index) =>
-    startDevBackend(backend, {
-      office: plan.office,
-      secret: ctx.systemSecret,
-      seed: ctx.seed + index,
-    })
-  ));
+  const backends = await Promise.all(
+    plan.backends.map((backend, index) =>
+      startDevBackend(backend, {
+        office: plan.office,
+        secret: ctx.systemSecret,
+        seed: ctx.seed + index,
+      })
+    ),
+  );
   const hostList = new DevHostList(DEV_HOST_LIST_LAG_MS);
   hostList.set(backends.map((backend) => backend.listed));
   const entries = await startEntries(plan, hostList, ctx);
@@ -185,7 +187,9 @@
     seed: cfg.seed,
   };
   const plans = planOffices();
-  const offices = await Promise.all(plans.map((plan) => startOffice(plan, ctx)));
+  const offices = await Promise.all(
+    plans.map((plan) => startOffice(plan, ctx)),
+  );
   await seedConfiguration(offices);
   return new RunningDeployment(ctx, offices);
 }
--- a/packages/daemon/src/entry_process.ts
+++ b/packages/daemon/src/entry_process.ts
@@ -20,12 +20,18 @@
   type RelayPeer,
   type RunningHostView,
 } from "@sassafrascleat/membership";
-import { createPlacementPolicy, type PolicyName } from "@sassafrascleat/routing";
+import {
+  createPlacementPolicy,
+  type PolicyName,
+} from "@sassafrascleat/routing";
 import type { Secret } from "@sassafrascleat/runtime";
 import type { ObjectStore } from "@sassafrascleat/store";
 import { createLogFollower } from "./log_follower.ts";
 import type { RunningDaemon } from "./running.ts";
-import { createSystemListener, type SystemListener } from "./system_listener.ts";
+import {
+  createSystemListener,
+  type SystemListener,
+} from "./system_listener.ts";
 
 /** An address to bind. */
 export interface ListenAddress {
--- a/packages/daemon/src/entry_role.ts
+++ b/packages/daemon/src/entry_role.ts
@@ -15,7 +15,9 @@
 }
 
 /** Starts the role; throws when secrets can't be read or a listener opened. */
-export async function startEntryRole(cfg: EntrySettings): Promise<EntryProcess> {
+export async function startEntryRole(
+  cfg: EntrySettings,
+): Promise<EntryProcess> {
   const systemSecrets = await requireSecrets(
     cfg.systemSecrets,
     "/systemSecrets",
--- a/packages/daemon/src/log_follower.ts
+++ b/packages/daemon/src/log_follower.ts
@@ -38,7 +38,11 @@
     if (read.status !== LogReadStatus.Ok) return false;
     await changeLog.maintain(signal);
     if (replica.sequence > before) return true;
-    const watch = { prefix: CHANGES_PREFIX, afterRevision: read.revision, waitMs };
+    const watch = {
+      prefix: CHANGES_PREFIX,
+      afterRevision: read.revision,
+      waitMs,
+    };
     const seen = await store.watch(watch, signal);
     if (seen.status !== StoreStatus.Ok) return false;
     if (seen.events.length === 0) return true;
--- a/packages/daemon/src/sidecar_role.ts
+++ b/packages/daemon/src/sidecar_role.ts
@@ -1,5 +1,8 @@
 /** The `sidecar` role: the process beside one backend server. */
-import { createHttpEngine, createHttpPlainBackend } from "@sassafrascleat/engine";
+import {
+  createHttpEngine,
+  createHttpPlainBackend,
+} from "@sassafrascleat/engine";
 import {
   BackendRole,
   type BackendServer,
--- a/packages/daemon/src/system_listener.ts
+++ b/packages/daemon/src/system_listener.ts
@@ -31,7 +31,9 @@
 class LateRelay implements RelayControl {
   target: RelayControl | undefined;
 
-  pull(req: Parameters<RelayControl["pull"]>[0]): ReturnType<RelayControl["pull"]> {
+  pull(
+    req: Parameters<RelayControl["pull"]>[0],
+  ): ReturnType<RelayControl["pull"]> {
     if (!this.target) return Promise.reject(new Error("the relay is starting"));
     return this.target.pull(req);
   }
--- /dev/null
+++ b/playground/src/caller/model_caller.ts
@@ -0,0 +1,104 @@
+/** A caller of the model API, as a script or a bench uses it. */
+import { request } from "undici";
+
+/** What one model request ended with, as its caller saw it. */
+export interface ModelAnswer {
+  status: number;
+  text: string;
+  /** True when the stream said that the answer is whole. */
+  finished: boolean;
+  /** `not_run` or `unknown` from an error body or event. */
+  outcome?: string;
+  /** Time to the first token, in milliseconds. */
+  ttftMs?: number;
+  /** Times between chunks, in milliseconds. */
+  gapsMs: number[];
+}
+
+/** One model request. */
+export interface ModelRequest {
+  address: string;
+  model: string;
+  prompt: string;
+  maxTokens: number;
+  stream: boolean;
+  headers?: Record<string, string>;
+  signal?: AbortSignal;
+}
+
+interface CompletionBody {
+  choices?: { text?: string; finish_reason?: string | null }[];
+  error?: { outcome?: string };
+}
+
+/** Splits a response into the data of its server-sent events. */
+async function* readEvents(
+  body: AsyncIterable<Uint8Array>,
+): AsyncGenerator<string> {
+  const decoder = new TextDecoder();
+  let buffer = "";
+  for await (const chunk of body) {
+    buffer += decoder.decode(chunk, { stream: true });
+    const events = buffer.split("\n\n");
+    buffer = events.pop() ?? "";
+    for (const event of events) {
+      if (event.startsWith("data: ")) yield event.slice("data: ".length);
+    }
+  }
+}
+
+function addEvent(answer: ModelAnswer, body: CompletionBody): void {
+  if (body.error) answer.outcome = body.error.outcome;
+  const choice = body.choices?.[0];
+  answer.text += choice?.text ?? "";
+}
+
+async function readStream(
+  answer: ModelAnswer,
+  body: AsyncIterable<Uint8Array>,
+  startMs: number,
+): Promise<void> {
+  let lastMs = startMs;
+  for await (const data of readEvents(body)) {
+    if (data === "[DONE]") {
+      answer.finished = answer.outcome === undefined;
+      return;
+    }
+    const before = answer.text.length;
+    addEvent(answer, JSON.parse(data) as CompletionBody);
+    if (answer.text.length === before) continue;
+    const nowMs = performance.now();
+    if (answer.ttftMs === undefined) answer.ttftMs = nowMs - startMs;
+    else answer.gapsMs.push(nowMs - lastMs);
+    lastMs = nowMs;
+  }
+}
+
+/** Sends a completion and reads the whole answer; throws when cut off. */
+export async function callModel(req: ModelRequest): Promise<ModelAnswer> {
+  const startMs = performance.now();
+  const res = await request(`${req.address}/v1/completions`, {
+    method: "POST",
+    signal: req.signal,
+    headers: { "content-type": "application/json", ...req.headers },
+    body: JSON.stringify({
+      model: req.model,
+      prompt: req.prompt,
+      max_tokens: req.maxTokens,
+      stream: req.stream,
+    }),
+  });
+  const answer: ModelAnswer = {
+    status: res.statusCode,
+    text: "",
+    finished: false,
+    gapsMs: [],
+  };
+  if (req.stream && res.statusCode === 200) {
+    await readStream(answer, res.body, startMs);
+    return answer;
+  }
+  addEvent(answer, await res.body.json() as CompletionBody);
+  answer.finished = res.statusCode === 200;
+  return answer;
+}
