--- /dev/null
+++ b/packages/config/src/__tests__/archive_test.ts
@@ -0,0 +1,193 @@
+/** Snapshots, the archive, old patch ids and daemons that wake up late. */
+import { describe, expect, test } from "@jest/globals";
+import {
+  ABSENT,
+  createMemoryStore,
+  type ObjectStore,
+  StoreStatus,
+} from "@sassafrascleat/store";
+import { createSizedChangeLog } from "../change_log.ts";
+import {
+  type ChangeLog,
+  LogReadStatus,
+  ProposeKind,
+} from "../change_log_contract.ts";
+import { changeKey, CHANGES_PREFIX } from "../log_keys.ts";
+import { ObjectKind } from "../objects.ts";
+import { createConfigReplica } from "../replica.ts";
+import { createPolicy, forever, patchPolicy } from "./fixtures.ts";
+
+const SIZES = {
+  snapshotEvery: 3,
+  pieceBytes: 700,
+  segmentChanges: 4,
+  keptTail: 3,
+};
+
+function open(store: ObjectStore) {
+  const replica = createConfigReplica({ keptPatchIds: 6, keptChanges: 6 });
+  const options = { store, replica, office: "gastonia", compactionPauseMs: 0 };
+  return { replica, log: createSizedChangeLog(options, SIZES) };
+}
+
+async function accept(log: ChangeLog, from: number, to: number) {
+  for (let i = from; i <= to; i++) {
+    const request = i === 1
+      ? createPolicy("p1", "std")
+      : patchPolicy(`p${i}`, "std", i - 1, (i % 16) + 1);
+    const outcome = await log.propose(request, forever);
+    expect(outcome)
+      .toEqual({ kind: ProposeKind.Accepted, sequence: i, version: i });
+    await log.maintain(forever);
+  }
+}
+
+async function auditIds(log: ChangeLog): Promise<string[]> {
+  const result = await log.history({ limit: 1_000 }, forever);
+  expect(result.status).toBe(LogReadStatus.Ok);
+  return result.status === LogReadStatus.Ok
+    ? result.changes.map((change) => change.patchId)
+    : [];
+}
+
+function idsDown(from: number): string[] {
+  return Array.from({ length: from }, (_, i) => `p${from - i}`);
+}
+
+async function tailLength(store: ObjectStore): Promise<number> {
+  const listed = await store.list({ prefix: CHANGES_PREFIX });
+  return listed.status === StoreStatus.Ok ? listed.objects.length : -1;
+}
+
+/** The same store with another way to write. */
+function withPut(inner: ObjectStore, put: ObjectStore["put"]): ObjectStore {
+  return {
+    put,
+    get: (...args) => inner.get(...args),
+    delete: (...args) => inner.delete(...args),
+    list: (...args) => inner.list(...args),
+    watch: (...args) => inner.watch(...args),
+  };
+}
+
+/** Holds every write of `key` until `release` is called. */
+function pausedStore(inner: ObjectStore, key: string) {
+  let release: () => void = () => undefined;
+  const released = new Promise<void>((resolve) => release = resolve);
+  let onReached: () => void = () => undefined;
+  const reached = new Promise<void>((resolve) => onReached = resolve);
+  const store = withPut(inner, async (target, ...args) => {
+    if (target === key) {
+      onReached();
+      await released;
+    }
+    return inner.put(target, ...args);
+  });
+  return { store, reached, release };
+}
+
+describe("archive", () => {
+  test("keeps every audit entry once while the tail stays short", async () => {
+    const store: ObjectStore = createMemoryStore();
+    const { log } = open(store);
+    await accept(log, 1, 40);
+    expect(await tailLength(store)).toBeLessThan(20);
+    expect(await auditIds(log)).toEqual(idsDown(40));
+  });
+
+  test("filters the history and pages through it", async () => {
+    const { log } = open(createMemoryStore());
+    await accept(log, 1, 20);
+    await log.propose(createPolicy("other", "waste-first"), forever);
+    expect(await log.history({ name: "waste-first" }, forever))
+      .toMatchObject({ changes: [{ patchId: "other", sequence: 21 }] });
+    const page = await log.history({ before: 9, limit: 3 }, forever);
+    expect(page).toMatchObject({
+      changes: [{ patchId: "p8" }, { patchId: "p7" }, { patchId: "p6" }],
+    });
+    const none = await log.history({ since: "2100-01-01T00:00:00Z" }, forever);
+    expect(none).toMatchObject({ changes: [] });
+  });
+
+  test("an old patch id gives its first result", async () => {
+    const store: ObjectStore = createMemoryStore();
+    await accept(open(store).log, 1, 40);
+    const late = open(store);
+    for (const i of [2, 20, 39]) {
+      const request = patchPolicy(`p${i}`, "std", i - 1, 1);
+      expect(await late.log.propose(request, forever))
+        .toEqual({ kind: ProposeKind.Accepted, sequence: i, version: i });
+    }
+  });
+
+  test("a new daemon starts from the pieces of a snapshot and the tail", async () => {
+    const store: ObjectStore = createMemoryStore();
+    const { log, replica } = open(store);
+    for (let i = 1; i <= 30; i++) {
+      await log.propose(createPolicy(`p${i}`, `policy-${i}`), forever);
+      await log.maintain(forever);
+    }
+    const latest = await store.get("snapshots/latest");
+    const whole = { object: { value: { snapshot: expect.anything() } } };
+    expect(latest).not.toMatchObject(whole);
+    const fresh = open(store);
+    await fresh.log.catchUp(forever);
+    expect(fresh.replica.snapshot()).toEqual(replica.snapshot());
+  });
+
+  test("an interrupted compaction is finished by another daemon", async () => {
+    const store: ObjectStore = createMemoryStore();
+    const first = open(store);
+    await accept(first.log, 1, 10);
+    let refused = 0;
+    const half = withPut(store, (key, ...args) => {
+      if (!key.startsWith("patches/")) return store.put(key, ...args);
+      refused += 1;
+      return Promise.resolve({ status: StoreStatus.Unknown, message: "lost" });
+    });
+    await accept(open(half).log, 11, 20);
+    expect(refused).toBeGreaterThan(0);
+    await accept(first.log, 21, 30);
+    expect(await auditIds(first.log)).toEqual(idsDown(30));
+    expect(await tailLength(store)).toBeLessThan(20);
+  });
+});
+
+describe("a daemon that was paused", () => {
+  test("is not accepted under a sequence that was archived", async () => {
+    const store: ObjectStore = createMemoryStore();
+    const { log } = open(store);
+    await accept(log, 1, 6);
+    const paused = pausedStore(store, changeKey(7));
+    const sleeper = open(paused.store);
+    const asked = sleeper.log.propose(createPolicy("late", "late"), forever);
+    await paused.reached;
+    await accept(log, 7, 40);
+    paused.release();
+    expect(await asked)
+      .toEqual({ kind: ProposeKind.Accepted, sequence: 41, version: 1 });
+    expect(await auditIds(log)).toEqual(["late", ...idsDown(40)]);
+    expect(await store.get(changeKey(7))).toMatchObject({ object: undefined });
+  });
+
+  test("does not replay a key that stands below the archive", async () => {
+    const store: ObjectStore = createMemoryStore();
+    const sleeper = open(store);
+    const { log, replica } = open(store);
+    await accept(log, 1, 6);
+    await sleeper.log.catchUp(forever);
+    await accept(log, 7, 40);
+    const stray = {
+      ...createPolicy("stray", "stray"),
+      sequence: 7,
+      office: "hobart-a",
+      time: "2026-01-01T00:00:00.000Z",
+    };
+    const written = await store.put(changeKey(7), stray, ABSENT);
+    expect(written.status).toBe(StoreStatus.Ok);
+    await sleeper.log.catchUp(forever);
+    expect(sleeper.replica.get(ObjectKind.Policy, "stray")).toBeUndefined();
+    expect(sleeper.replica.snapshot().objects)
+      .toEqual(replica.snapshot().objects);
+  });
+});
--- a/packages/config/src/archive.ts
+++ b/packages/config/src/archive.ts
@@ -14,21 +14,22 @@
 import type { Change } from "./change.ts";
 import {
   COMPACTION_PAUSE_MS,
-  KEPT_TAIL,
   LIST_PAGE,
   PATCH_ID_RETENTION_MS,
-  SEGMENT_CHANGES,
 } from "./constants.ts";
 import { changeKey, CHANGES_PREFIX } from "./log_keys.ts";
 import { parseChange } from "./log_reader.ts";
 import { forgetPatch, recordPatch } from "./patch_records.ts";
-import { isWhole, readSegment, writeSegment } from "./segments.ts";
+import type { LogSizes } from "./log_sizes.ts";
+import type { SegmentStore } from "./segments.ts";
 
 const log = createLogger("config");
 
 /** Options of an archiver. */
 export interface ArchiverOptions {
   store: ObjectStore;
+  segments: SegmentStore;
+  sizes: LogSizes;
   /** Milliseconds since 1970, to end the retention of patch ids. */
   wallClock: () => number;
   /** Pause between two writes, in milliseconds. @default 10 */
@@ -38,30 +39,31 @@
 /** Archives the log of one store. */
 export class Archiver {
   readonly #store: ObjectStore;
+  readonly #segments: SegmentStore;
+  readonly #sizes: LogSizes;
   readonly #wallClock: () => number;
   readonly #pauseMs: number;
 
   constructor(options: ArchiverOptions) {
     this.#store = options.store;
+    this.#segments = options.segments;
+    this.#sizes = options.sizes;
     this.#wallClock = options.wallClock;
     this.#pauseMs = options.pauseMs ?? COMPACTION_PAUSE_MS;
   }
 
   /**
-   * Archives whole segments that end `KEPT_TAIL` changes before `sequence` and
-   * that a snapshot at `snapshotSequence` covers.
+   * Archives whole segments that end `keptTail` changes before `sequence`, the
+   * sequence of the newest snapshot.
    */
-  async run(
-    sequence: number,
-    snapshotSequence: number,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const limit = Math.min(sequence - KEPT_TAIL, snapshotSequence);
+  async run(sequence: number, signal: AbortSignal): Promise<void> {
+    const { keptTail, segmentChanges } = this.#sizes;
+    const limit = sequence - keptTail;
     while (!signal.aborted) {
       const head = await readArchiveHead(this.#store, signal);
       if (!head) return;
       await this.#deleteArchived(head.through, signal);
-      if (head.through + SEGMENT_CHANGES > limit) return;
+      if (head.through + segmentChanges > limit) return;
       const archived = await this.#archiveNext(head, signal);
       if (!archived) return;
     }
@@ -73,16 +75,13 @@
   ): Promise<boolean> {
     const segment = head.segments;
     const changes = await this.#readChanges(head.through);
-    if (!isWhole(segment, changes)) return false;
-    const written = await writeSegment(this.#store, segment, changes, signal);
+    if (!this.#segments.isWhole(segment, changes)) return false;
+    const written = await this.#segments.write(segment, changes, signal);
     if (!written) return false;
-    for (const change of changes) {
-      const recorded = await recordPatch(this.#store, change, signal);
-      if (!recorded) return false;
-      await sleep(this.#pauseMs, signal);
-    }
+    const recorded = await this.#recordPatches(changes, signal);
+    if (!recorded) return false;
     const next = {
-      through: head.through + SEGMENT_CHANGES,
+      through: head.through + this.#sizes.segmentChanges,
       segments: segment + 1,
       firstPatchSegment: await this.#forgetOldPatches(head, signal),
     };
@@ -96,11 +95,23 @@
     return moved;
   }
 
+  async #recordPatches(
+    changes: readonly Change[],
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    for (const change of changes) {
+      const recorded = await recordPatch(this.#store, change, signal);
+      if (!recorded) return false;
+      await sleep(this.#pauseMs, signal);
+    }
+    return true;
+  }
+
   async #readChanges(through: number): Promise<Change[]> {
     const listed = await this.#store.list({
       prefix: CHANGES_PREFIX,
       after: changeKey(through),
-      limit: SEGMENT_CHANGES,
+      limit: this.#sizes.segmentChanges,
     });
     if (listed.status !== StoreStatus.Ok) return [];
     return listed.objects.map(parseChange).filter((item) => item !== undefined);
@@ -136,7 +147,7 @@
   ): Promise<number> {
     const segment = head.firstPatchSegment;
     if (segment >= head.segments) return segment;
-    const changes = await readSegment(this.#store, segment, signal);
+    const changes = await this.#segments.read(segment, signal);
     const last = changes?.at(-1);
     if (!changes || !last) return segment;
     const age = this.#wallClock() - Date.parse(last.time);
--- a/packages/config/src/change_log.ts
+++ b/packages/config/src/change_log.ts
@@ -21,15 +21,16 @@
 import {
   FALLBACK_MAX_MS,
   FALLBACK_MS,
-  SNAPSHOT_EVERY,
   WATCH_MS,
   WATCH_SPACING_MS,
 } from "./constants.ts";
 import { readHistory } from "./history.ts";
 import { CHANGES_PREFIX } from "./log_keys.ts";
 import { LogReader } from "./log_reader.ts";
+import { LOG_SIZES, type LogSizes } from "./log_sizes.ts";
 import { Proposer } from "./proposer.ts";
 import type { MemoryReplica } from "./replica.ts";
+import { SegmentStore } from "./segments.ts";
 import { SnapshotStore } from "./snapshot_store.ts";
 
 const log = createLogger("config");
@@ -78,21 +79,36 @@
 
 class StoreChangeLog implements ChangeLog {
   readonly #options: ResolvedChangeLogOptions;
+  readonly #sizes: LogSizes;
+  readonly #segments: SegmentStore;
   readonly #snapshots: SnapshotStore;
   readonly #reader: LogReader;
   readonly #proposer: Proposer;
   readonly #archiver: Archiver;
+  /** Changes after which this daemon looks whether a snapshot is due. */
+  readonly #snapshotDue: number;
   #snapshotSequence = 0;
   #upkeep: Promise<void> | undefined;
 
-  constructor(raw: ChangeLogOptions) {
+  constructor(raw: ChangeLogOptions, sizes: LogSizes) {
     const options = resolveChangeLogOptions(raw);
-    const { store, replica, writer, compactionPauseMs } = options;
+    const { store, replica, writer, random, compactionPauseMs } = options;
+    const segments = new SegmentStore(store, sizes);
+    const snapshots = new SnapshotStore(store, sizes, writer);
+    const reader = new LogReader(store, replica, snapshots);
     this.#options = options;
-    this.#snapshots = new SnapshotStore(store, writer);
-    this.#reader = new LogReader(store, replica, this.#snapshots);
-    this.#proposer = new Proposer({ ...options, reader: this.#reader });
-    this.#archiver = new Archiver({ ...options, pauseMs: compactionPauseMs });
+    this.#sizes = sizes;
+    this.#segments = segments;
+    this.#snapshots = snapshots;
+    this.#reader = reader;
+    this.#snapshotDue = sizes.snapshotEvery * (1 + random.float());
+    this.#proposer = new Proposer({ ...options, segments, reader });
+    this.#archiver = new Archiver({
+      ...options,
+      segments,
+      sizes,
+      pauseMs: compactionPauseMs,
+    });
   }
 
   propose(req: ProposeRequest, signal: AbortSignal): Promise<ProposeOutcome> {
@@ -104,7 +120,7 @@
   }
 
   history(query: HistoryQuery, signal: AbortSignal): Promise<HistoryResult> {
-    return readHistory(this.#options.store, query, signal);
+    return readHistory(this.#options.store, this.#segments, query, signal);
   }
 
   async follow(signal: AbortSignal): Promise<void> {
@@ -127,18 +143,16 @@
 
   async maintain(signal: AbortSignal): Promise<void> {
     const { replica } = this.#options;
-    const { sequence } = replica;
-    if (sequence - this.#snapshotSequence < SNAPSHOT_EVERY) return;
+    if (replica.sequence - this.#snapshotSequence < this.#snapshotDue) return;
     const stored = await this.#snapshots.sequence(signal);
     if (stored === undefined) return;
     this.#snapshotSequence = stored;
-    if (sequence - stored >= SNAPSHOT_EVERY) {
-      const snapshot = replica.snapshot();
-      const written = await this.#snapshots.write(snapshot, signal);
-      if (!written) return;
-      this.#snapshotSequence = snapshot.sequence;
-    }
-    await this.#archiver.run(sequence, this.#snapshotSequence, signal);
+    const snapshot = replica.snapshot();
+    if (snapshot.sequence - stored < this.#sizes.snapshotEvery) return;
+    const written = await this.#snapshots.write(snapshot, signal);
+    if (!written) return;
+    this.#snapshotSequence = snapshot.sequence;
+    await this.#archiver.run(snapshot.sequence, signal);
   }
 
   /** Watches from `revision` until a call fails or something has to be read. */
@@ -169,5 +183,13 @@
 
 /** Creates the change log of a store. */
 export function createChangeLog(options: ChangeLogOptions): ChangeLog {
-  return new StoreChangeLog(options);
+  return new StoreChangeLog(options, LOG_SIZES);
+}
+
+/** Creates a change log with other document sizes, for tests. */
+export function createSizedChangeLog(
+  options: ChangeLogOptions,
+  sizes: LogSizes,
+): ChangeLog {
+  return new StoreChangeLog(options, sizes);
 }
--- a/packages/config/src/history.ts
+++ b/packages/config/src/history.ts
@@ -8,7 +8,7 @@
 } from "./change_log_contract.ts";
 import { CLOCK_SKEW_MS, HISTORY_LIMIT } from "./constants.ts";
 import { readTail } from "./log_tail.ts";
-import { readSegment, segmentOf } from "./segments.ts";
+import type { SegmentStore } from "./segments.ts";
 
 function matches(query: HistoryQuery, change: Change): boolean {
   const time = Date.parse(change.time);
@@ -33,6 +33,7 @@
 /** Reads entries that match `query`. */
 export async function readHistory(
   store: ObjectStore,
+  segments: SegmentStore,
   query: HistoryQuery,
   signal: AbortSignal,
 ): Promise<HistoryResult> {
@@ -42,11 +43,11 @@
   const found = select(query, tail.changes);
   const last = Math.min(tail.through, (query.before ?? Infinity) - 1);
   for (
-    let segment = segmentOf(last);
+    let segment = segments.segmentOf(last);
     segment >= 0 && found.length < limit;
     segment--
   ) {
-    const changes = await readSegment(store, segment, signal);
+    const changes = await segments.read(segment, signal);
     if (!changes) {
       const message = `archive segment ${segment} can't be read`;
       return { status: LogReadStatus.Unavailable, message };
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -15,6 +15,7 @@
   type AcceptedPatch,
   createConfigReplica,
   MemoryReplica,
+  type ReplicaOptions,
 } from "./replica.ts";
 export * from "./replica_contract.ts";
 export { validateObject, type Validation } from "./validate.ts";
--- a/packages/config/src/proposer.ts
+++ b/packages/config/src/proposer.ts
@@ -41,7 +41,7 @@
 import type { LogReader } from "./log_reader.ts";
 import { findPatch } from "./patch_records.ts";
 import type { MemoryReplica } from "./replica.ts";
-import { readSegment, segmentOf } from "./segments.ts";
+import type { SegmentStore } from "./segments.ts";
 import { toIssues } from "./validate.ts";
 
 const log = createLogger("config");
@@ -51,6 +51,7 @@
   store: ObjectStore;
   replica: MemoryReplica;
   reader: LogReader;
+  segments: SegmentStore;
   office: string;
   random: Random;
   /** Milliseconds since 1970, for the audit trail. */
@@ -233,12 +234,12 @@
   }
 
   async #standing(change: Change, signal: AbortSignal): Promise<Standing> {
-    const { store } = this.#options;
+    const { store, segments } = this.#options;
     const head = await readArchiveHead(store, signal);
     if (!head) return Standing.Unknown;
     if (head.through < change.sequence) return Standing.InLog;
-    const segment = segmentOf(change.sequence);
-    const archived = await readSegment(store, segment, signal);
+    const segment = segments.segmentOf(change.sequence);
+    const archived = await segments.read(segment, signal);
     if (!archived) return Standing.Unknown;
     const winner = archived.find((item) => item.sequence === change.sequence);
     return winner?.patchId === change.patchId ? Standing.InLog : Standing.Stray;
--- a/packages/config/src/replica.ts
+++ b/packages/config/src/replica.ts
@@ -31,14 +31,29 @@
   version: number;
 }
 
+/** Options of a replica. */
+export interface ReplicaOptions {
+  /** Accepted changes that are kept for peers. @default 4096 */
+  keptChanges?: number;
+  /** Accepted patch ids that are remembered. @default 4096 */
+  keptPatchIds?: number;
+}
+
 /** A replica that proposals can be checked against. */
 export class MemoryReplica implements ConfigReplica {
+  readonly #keptChanges: number;
+  readonly #keptPatchIds: number;
   #state = new ConfigState();
   #sequence = 0;
   #changes: Change[] = [];
   #patches = new Map<string, AcceptedPatch>();
   readonly #listeners = new Set<(sequence: number) => void>();
 
+  constructor(options: ReplicaOptions = {}) {
+    this.#keptChanges = options.keptChanges ?? KEPT_CHANGES;
+    this.#keptPatchIds = options.keptPatchIds ?? KEPT_PATCH_IDS;
+  }
+
   get sequence(): number {
     return this.#sequence;
   }
@@ -149,10 +164,10 @@
   #remember(change: Change, version: number): void {
     this.#sequence = change.sequence;
     this.#changes.push(change);
-    if (this.#changes.length > KEPT_CHANGES) this.#changes.shift();
+    if (this.#changes.length > this.#keptChanges) this.#changes.shift();
     const { sequence } = change;
     this.#patches.set(change.patchId, { sequence, version });
-    if (this.#patches.size <= KEPT_PATCH_IDS) return;
+    if (this.#patches.size <= this.#keptPatchIds) return;
     const oldest = this.#patches.keys().next().value;
     if (oldest !== undefined) this.#patches.delete(oldest);
   }
@@ -177,6 +192,6 @@
 }
 
 /** Creates an empty replica. */
-export function createConfigReplica(): MemoryReplica {
-  return new MemoryReplica();
+export function createConfigReplica(options?: ReplicaOptions): MemoryReplica {
+  return new MemoryReplica(options);
 }
--- a/packages/config/src/segments.ts
+++ b/packages/config/src/segments.ts
@@ -1,90 +1,92 @@
 /**
- * Archive segments: runs of `SEGMENT_CHANGES` changes, each in one or more
+ * Archive segments: runs of a fixed number of changes, each in one or more
  * pieces. A segment is never changed once the archive's head names it.
  */
-import {
-  ABSENT,
-  type ObjectStore,
-  type StoredObject,
-  StoreStatus,
-} from "@sassafrascleat/store";
+import { ABSENT, type ObjectStore, StoreStatus } from "@sassafrascleat/store";
 import { isDeepStrictEqual } from "node:util";
 import { z } from "zod";
 import { type Change, changeSchema } from "./change.ts";
-import { PIECE_BYTES, SEGMENT_CHANGES } from "./constants.ts";
 import { pieceKey, segmentPrefix } from "./log_keys.ts";
+import type { LogSizes } from "./log_sizes.ts";
 import { splitItems } from "./pieces.ts";
 
 const pieceSchema = z.object({ changes: z.array(changeSchema) });
 
-/** The segment that a sequence belongs to; segments count from 0. */
-export function segmentOf(sequence: number): number {
-  return Math.floor((sequence - 1) / SEGMENT_CHANGES);
-}
+/** Reads and writes the segments of one store. */
+export class SegmentStore {
+  readonly #store: ObjectStore;
+  readonly #sizes: LogSizes;
 
-/** Reads a segment in sequence order; undefined when it is not whole. */
-export async function readSegment(
-  store: ObjectStore,
-  segment: number,
-  signal: AbortSignal,
-): Promise<Change[] | undefined> {
-  const prefix = segmentPrefix(segment);
-  const listed = await store.list({ prefix }, signal);
-  if (listed.status !== StoreStatus.Ok) return undefined;
-  const bySequence = new Map<number, Change>();
-  for (const object of listed.objects) {
-    const parsed = pieceSchema.safeParse(object.value);
-    if (!parsed.success) return undefined;
-    for (const change of parsed.data.changes) {
-      bySequence.set(change.sequence, change);
-    }
+  constructor(store: ObjectStore, sizes: LogSizes) {
+    this.#store = store;
+    this.#sizes = sizes;
   }
-  const changes = [...bySequence.values()];
-  changes.sort((a, b) => a.sequence - b.sequence);
-  return isWhole(segment, changes) ? changes : undefined;
-}
 
-/** Whether `changes` are all changes of the segment, in order. */
-export function isWhole(segment: number, changes: readonly Change[]): boolean {
-  const first = segment * SEGMENT_CHANGES + 1;
-  return changes.length === SEGMENT_CHANGES &&
-    changes.every((change, index) => change.sequence === first + index);
-}
+  /** The segment that a sequence belongs to; segments count from 0. */
+  segmentOf(sequence: number): number {
+    return Math.floor((sequence - 1) / this.#sizes.segmentChanges);
+  }
 
-/** Writes one piece; a different one that an interrupted writer left goes. */
-async function writePiece(
-  store: ObjectStore,
-  key: string,
-  value: unknown,
-  signal: AbortSignal,
-): Promise<boolean> {
-  let expected = ABSENT;
-  let current: StoredObject | undefined;
-  for (let attempt = 0; attempt < 2; attempt++) {
-    const result = await store.put(key, value, expected, signal);
-    if (result.status === StoreStatus.Ok) return true;
-    if (result.status !== StoreStatus.Conflict) return false;
-    current = result.current;
-    if (current && isDeepStrictEqual(current.value, value)) return true;
-    expected = current?.version ?? ABSENT;
+  /** Whether `changes` are all changes of the segment, in order. */
+  isWhole(segment: number, changes: readonly Change[]): boolean {
+    const size = this.#sizes.segmentChanges;
+    const first = segment * size + 1;
+    return changes.length === size &&
+      changes.every((change, index) => change.sequence === first + index);
   }
-  return false;
-}
 
-/** Writes a segment and reads it back; false when it is not stored whole. */
-export async function writeSegment(
-  store: ObjectStore,
-  segment: number,
-  changes: readonly Change[],
-  signal: AbortSignal,
-): Promise<boolean> {
-  const prefix = segmentPrefix(segment);
-  const runs = splitItems(changes, PIECE_BYTES);
-  for (const [index, run] of runs.entries()) {
-    const key = pieceKey(prefix, index);
-    const written = await writePiece(store, key, { changes: run }, signal);
-    if (!written) return false;
+  /** Reads a segment in sequence order; undefined when it is not whole. */
+  async read(
+    segment: number,
+    signal: AbortSignal,
+  ): Promise<Change[] | undefined> {
+    const prefix = segmentPrefix(segment);
+    const listed = await this.#store.list({ prefix }, signal);
+    if (listed.status !== StoreStatus.Ok) return undefined;
+    const bySequence = new Map<number, Change>();
+    for (const object of listed.objects) {
+      const parsed = pieceSchema.safeParse(object.value);
+      if (!parsed.success) return undefined;
+      for (const change of parsed.data.changes) {
+        bySequence.set(change.sequence, change);
+      }
+    }
+    const changes = [...bySequence.values()];
+    changes.sort((a, b) => a.sequence - b.sequence);
+    return this.isWhole(segment, changes) ? changes : undefined;
+  }
+
+  /** Writes a segment and reads it back; false when it is not stored whole. */
+  async write(
+    segment: number,
+    changes: readonly Change[],
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const prefix = segmentPrefix(segment);
+    const runs = splitItems(changes, this.#sizes.pieceBytes);
+    for (const [index, run] of runs.entries()) {
+      const key = pieceKey(prefix, index);
+      const written = await this.#writePiece(key, { changes: run }, signal);
+      if (!written) return false;
+    }
+    const stored = await this.read(segment, signal);
+    return stored !== undefined && isDeepStrictEqual(stored, changes);
+  }
+
+  /** Writes one piece; a different one that an interrupted writer left goes. */
+  async #writePiece(
+    key: string,
+    value: unknown,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    let expected = ABSENT;
+    for (let attempt = 0; attempt < 2; attempt++) {
+      const result = await this.#store.put(key, value, expected, signal);
+      if (result.status === StoreStatus.Ok) return true;
+      if (result.status !== StoreStatus.Conflict) return false;
+      if (isDeepStrictEqual(result.current?.value, value)) return true;
+      expected = result.current?.version ?? ABSENT;
+    }
+    return false;
   }
-  const stored = await readSegment(store, segment, signal);
-  return stored !== undefined && isDeepStrictEqual(stored, changes);
 }
--- a/packages/config/src/snapshot_store.ts
+++ b/packages/config/src/snapshot_store.ts
@@ -11,13 +11,13 @@
 } from "@sassafrascleat/store";
 import { z } from "zod";
 import { type Snapshot, snapshotSchema } from "./change.ts";
-import { PIECE_BYTES } from "./constants.ts";
 import {
   LATEST_SNAPSHOT_KEY,
   pieceKey,
   SNAPSHOT_PIECES_PREFIX,
   snapshotPiecesPrefix,
 } from "./log_keys.ts";
+import type { LogSizes } from "./log_sizes.ts";
 import { splitItems } from "./pieces.ts";
 
 /** The value of `snapshots/latest`. */
@@ -50,12 +50,12 @@
   return { status: StoreStatus.Unavailable, message };
 }
 
-function toPieces(snapshot: Snapshot): Piece[] {
+function toPieces(snapshot: Snapshot, maxBytes: number): Piece[] {
   const { objects, deleted, recentPatches } = snapshot;
   return [
-    ...splitItems(objects, PIECE_BYTES).map((run) => ({ objects: run })),
-    ...splitItems(deleted, PIECE_BYTES).map((run) => ({ deleted: run })),
-    ...splitItems(recentPatches, PIECE_BYTES)
+    ...splitItems(objects, maxBytes).map((run) => ({ objects: run })),
+    ...splitItems(deleted, maxBytes).map((run) => ({ deleted: run })),
+    ...splitItems(recentPatches, maxBytes)
       .map((run) => ({ recentPatches: run })),
   ];
 }
@@ -72,11 +72,13 @@
 /** Reads and writes the newest snapshot. */
 export class SnapshotStore {
   readonly #store: ObjectStore;
+  readonly #sizes: LogSizes;
   readonly #writer: string;
 
   /** `writer` keeps the pieces of two daemons apart. */
-  constructor(store: ObjectStore, writer: string) {
+  constructor(store: ObjectStore, sizes: LogSizes, writer: string) {
     this.#store = store;
+    this.#sizes = sizes;
     this.#writer = writer;
   }
 
@@ -151,9 +153,10 @@
   ): Promise<Latest | undefined> {
     const { sequence } = snapshot;
     const bytes = Buffer.byteLength(JSON.stringify(snapshot));
-    if (bytes <= PIECE_BYTES) return { sequence, snapshot, pieces: 0 };
+    const { pieceBytes } = this.#sizes;
+    if (bytes <= pieceBytes) return { sequence, snapshot, pieces: 0 };
     const piecesPrefix = snapshotPiecesPrefix(sequence, this.#writer);
-    const pieces = toPieces(snapshot);
+    const pieces = toPieces(snapshot, pieceBytes);
     for (const [index, piece] of pieces.entries()) {
       const key = pieceKey(piecesPrefix, index);
       const result = await this.#store.put(key, piece, ABSENT, signal);
