--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -8,9 +8,15 @@
 } from "./change_log.ts";
 export * from "./change_log_contract.ts";
 export * from "./config_view.ts";
-export { createOperations, type Proposal } from "./evaluate.ts";
+export {
+  createOperations,
+  type Evaluation,
+  EvaluationKind,
+  type Proposal,
+} from "./evaluate.ts";
 export { formatIssues, type Issue } from "./issue.ts";
 export * from "./objects.ts";
+export * from "./operator_messages.ts";
 export {
   type AcceptedPatch,
   createConfigReplica,
@@ -18,4 +24,4 @@
   type ReplicaOptions,
 } from "./replica.ts";
 export * from "./replica_contract.ts";
-export { validateObject, type Validation } from "./validate.ts";
+export { toIssues, validateObject, type Validation } from "./validate.ts";
