--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -15,6 +15,7 @@
   type Proposal,
 } from "./evaluate.ts";
 export { formatIssues, type Issue } from "./issue.ts";
+export { CHANGES_PREFIX } from "./log_keys.ts";
 export * from "./objects.ts";
 export * from "./operator_messages.ts";
 export {
