feat(playground): decision bench; tests of traces and the bound

Cause: a placement has to stay cheap with thousands of engines, and the bound must not be lower than what a real schedule serves. Change: npm run bench -- decisions times one placement and its allocations with 6 to 6,700 engines known; tests check the trace's load and prompts and compare the fluid bound with every schedule of small random instances.

--- /dev/null
+++ b/playground/src/bench/decisions/main.ts
@@ -0,0 +1,194 @@
+/**
+ * `npm run bench -- decisions`: the cost of one placement at an entry that
+ * knows few or many engines. A placement is what an entry does for a request:
+ * candidates of both pools, their corrected states, whom to ask for a decode
+ * slot, and where and when to prefill. Prints one line of JSON.
+ */
+import { createHostView, type HostView } from "@sassafrascleat/membership";
+import {
+  BackendRole,
+  type BackendServer,
+  HostState,
+  type LoadHint,
+  RequestClass,
+} from "@sassafrascleat/protocol";
+import {
+  createHintBook,
+  createPlacementPolicy,
+  type HintBook,
+  type PlacementPolicy,
+  type PlacementRequest,
+  PolicyName,
+} from "@sassafrascleat/routing";
+import {
+  createRandom,
+  type Random,
+  systemClock,
+} from "@sassafrascleat/runtime";
+import { parseArgs } from "node:util";
+
+const ENGINE_COUNTS = [6, 60, 600, 6_700];
+const ZONES = Array.from({ length: 14 }, (_, i) => `zone-${i}`);
+const BATCH = 200;
+const BATCHES = 60;
+const WARM_UP_BATCHES = 20;
+/** Pieces in a prompt of 24,000 tokens. */
+const PIECES = 12;
+
+/** The cost of one placement. */
+interface DecisionCost {
+  engines: number;
+  /** Median over batches. */
+  microseconds: number;
+  /** Memory allocated for one placement, median over batches. */
+  allocatedBytes: number;
+  /** JSON of the request's description, the first probe and the prefill plan. */
+  messageBytes: number;
+  /** Servers compared. */
+  candidates: number;
+}
+
+/** What one placement works on. */
+interface Subject {
+  hosts: HostView;
+  hints: HintBook;
+  policy: PlacementPolicy;
+  random: Random;
+}
+
+/** Runs the bench. */
+export async function main(args: string[]): Promise<number> {
+  const { values } = parseArgs({
+    args,
+    options: { policy: { type: "string", default: PolicyName.JustInTime } },
+  });
+  const policy = Object.values(PolicyName).find((it) => it === values.policy);
+  if (!policy) {
+    console.error(`--policy ${Object.values(PolicyName).join("|")}`);
+    return 2;
+  }
+  const costs: DecisionCost[] = [];
+  for (const engines of ENGINE_COUNTS) {
+    costs.push(measure(await createSubject(engines, policy), engines));
+  }
+  console.log(JSON.stringify({ policy, costs }));
+  return 0;
+}
+
+async function createSubject(
+  engines: number,
+  policy: PolicyName,
+): Promise<Subject> {
+  const servers = Array.from({ length: engines }, (_, i) => serverOf(i));
+  const hosts = createHostView({
+    source: { list: () => Promise.resolve(servers) },
+    office: "office",
+    availabilityZone: ZONES[0]!,
+    entryId: "entry",
+  });
+  await hosts.refresh(new AbortController().signal);
+  const random = createRandom(1);
+  const hints = createHintBook(systemClock);
+  for (const server of servers) {
+    hints.observe(server.name, hintOf(random));
+  }
+  return { hosts, hints, policy: createPlacementPolicy(policy), random };
+}
+
+function serverOf(index: number): BackendServer {
+  const role = index % 3 === 0 ? BackendRole.Prefill : BackendRole.Decode;
+  return {
+    name: `engine-${index}`,
+    office: "office",
+    availabilityZone: ZONES[index % ZONES.length]!,
+    pool: role,
+    role,
+    sidecarAddress: "http://10.0.0.1:80",
+    engineAddress: "http://10.0.0.1:81",
+    state: HostState.Live,
+  };
+}
+
+function hintOf(random: Random): LoadHint {
+  return {
+    running: random.int(0, 20),
+    reserved: random.int(0, 3),
+    slots: 20,
+    freePieces: random.int(0, 400),
+    totalPieces: 400,
+    queuedTokens: random.int(0, 8_000),
+    rate: 25_000,
+    leaving: false,
+  };
+}
+
+function requestOf(index: number, random: Random): PlacementRequest {
+  const nowMs = systemClock.now();
+  const prefix = random.int(0, 50);
+  return {
+    requestId: `request-${index}`,
+    customer: `customer-${random.int(0, 5_600)}`,
+    requestClass: RequestClass.Standard,
+    promptTokens: 24_000,
+    maxOutputTokens: 512,
+    expectedOutputTokens: 200,
+    pieceHashes: Array.from(
+      { length: PIECES },
+      (_, i) => i < 3 ? `prefix-${prefix}-${i}` : `own-${index}-${i}`,
+    ),
+    arrivedAtMs: nowMs,
+    firstTokenDueMs: nowMs + 5_000,
+    deadlineMs: nowMs + 120_000,
+    tbtTargetMs: 43,
+  };
+}
+
+function measure(subject: Subject, engines: number): DecisionCost {
+  const times: number[] = [];
+  const bytes: number[] = [];
+  for (let batch = 0; batch < WARM_UP_BATCHES + BATCHES; batch++) {
+    const requests = Array.from(
+      { length: BATCH },
+      (_, i) => requestOf(batch * BATCH + i, subject.random),
+    );
+    const heapBefore = process.memoryUsage().heapUsed;
+    const startMs = performance.now();
+    for (const req of requests) place(subject, req);
+    const spentMs = performance.now() - startMs;
+    const allocated = process.memoryUsage().heapUsed - heapBefore;
+    if (batch < WARM_UP_BATCHES) continue;
+    times.push(spentMs * 1_000 / BATCH);
+    // A collection inside the batch makes the difference meaningless.
+    if (allocated > 0) bytes.push(allocated / BATCH);
+  }
+  const req = requestOf(0, subject.random);
+  const { first, plan, candidates } = place(subject, req);
+  return {
+    engines,
+    microseconds: Math.round(median(times) * 10) / 10,
+    allocatedBytes: Math.round(median(bytes)),
+    messageBytes: JSON.stringify({ req, first, plan }).length,
+    candidates,
+  };
+}
+
+function place(subject: Subject, req: PlacementRequest) {
+  const { hosts, hints, policy } = subject;
+  const nowMs = systemClock.now();
+  const decode = hosts.candidates(BackendRole.Decode);
+  const probes = policy.decodeProbes(req, hints.states(decode), nowMs);
+  const first = probes[0]!;
+  const grant = {
+    name: first.name,
+    availabilityZone: hosts.find(first.name)!.availabilityZone,
+    readyInMs: 0,
+  };
+  const prefill = hosts.candidates(BackendRole.Prefill);
+  const plan = policy.prefillPlan(req, grant, hints.states(prefill), nowMs);
+  return { first, plan, candidates: decode.length + prefill.length };
+}
+
+function median(values: readonly number[]): number {
+  const ordered = [...values].sort((a, b) => a - b);
+  return ordered[Math.floor(ordered.length / 2)] ?? 0;
+}
--- a/playground/src/bench/main.ts
+++ b/playground/src/bench/main.ts
@@ -7,6 +7,7 @@
 type Bench = (args: string[]) => Promise<number>;
 
 const BENCHES: Record<string, () => Promise<{ main: Bench }>> = {
+  decisions: () => import("./decisions/main.ts"),
   placement: () => import("./placement/main.ts"),
 };
 
--- /dev/null
+++ b/playground/src/bench/placement/__tests__/trace_test.ts
@@ -0,0 +1,89 @@
+/** Traces and the bound that the placement bench measures against. */
+import { describe, expect, test } from "@jest/globals";
+import { CHARS_PER_TOKEN } from "@sassafrascleat/protocol";
+import fc from "fast-check";
+import { goodputBound } from "../bound.ts";
+import { Deployment, DEPLOYMENTS } from "../deployment.ts";
+import { type Job, mostJobs } from "../fluid_machine.ts";
+import { promptText } from "../prompt_text.ts";
+import { createTrace, traceDemand } from "../trace.ts";
+
+const shape = DEPLOYMENTS[Deployment.Coop];
+const options = { shape, seed: 1, durationMs: 20_000, cancelShare: 0.1 };
+
+describe("createTrace", () => {
+  test.each([0.5, 1.2])("fills the bottleneck to load %p", (load) => {
+    const trace = createTrace({ ...options, load });
+    const demand = traceDemand(trace, shape, options.durationMs);
+    const highest = Math.max(demand.prefill, demand.decode);
+    expect(highest).toBeGreaterThanOrEqual(load);
+    expect(highest).toBeLessThan(load + 0.03);
+    const arrivals = trace.map((req) => req.atMs);
+    expect(arrivals).toEqual([...arrivals].sort((a, b) => a - b));
+    expect(arrivals.at(-1)).toBeLessThan(options.durationMs);
+  });
+
+  test("depends on its options only", () => {
+    const draw = (seed: number) => createTrace({ ...options, load: 1, seed });
+    expect(draw(1)).toEqual(draw(1));
+    expect(draw(1)).not.toEqual(draw(2));
+  });
+
+  test("prompts are as long as their tokens and share their prefixes", () => {
+    const trace = createTrace({ ...options, load: 0.5 });
+    const [a, b] = trace.filter((req) => req.prefix === trace[0]!.prefix);
+    for (const req of [a!, b!]) {
+      const text = promptText(req);
+      expect(text).toHaveLength(req.promptTokens * CHARS_PER_TOKEN);
+      expect(text).toContain(`#len=${req.answerTokens} `);
+    }
+    const chars = a!.prefixTokens * CHARS_PER_TOKEN;
+    expect(promptText(a!).slice(0, chars)).toBe(promptText(b!).slice(0, chars));
+  });
+});
+
+/** Runs jobs one after another without interruption, in every order. */
+function mostWhole(jobs: readonly Job[], nowMs = 0): number {
+  let most = 0;
+  for (const [i, job] of jobs.entries()) {
+    const endMs = Math.max(nowMs, job.releaseMs) + job.workMs;
+    if (endMs > job.dueMs) continue;
+    const rest = jobs.filter((_, k) => k !== i);
+    most = Math.max(most, 1 + mostWhole(rest, endMs));
+  }
+  return most;
+}
+
+const arbitraryJob = fc.record({
+  releaseMs: fc.integer({ min: 0, max: 20 }),
+  windowMs: fc.integer({ min: 1, max: 15 }),
+  workMs: fc.integer({ min: 1, max: 10 }),
+}).map(({ releaseMs, windowMs, workMs }) => ({
+  releaseMs,
+  dueMs: releaseMs + windowMs,
+  workMs,
+}));
+
+describe("the bound", () => {
+  test("is never below what a schedule without interruption serves", () => {
+    fc.assert(
+      fc.property(fc.array(arbitraryJob, { maxLength: 6 }), (jobs) => {
+        expect(mostJobs(jobs)).toBeGreaterThanOrEqual(mostWhole(jobs) - 1e-9);
+      }),
+      { seed: 41 },
+    );
+  });
+
+  test("counts the fraction that fits and no more", () => {
+    const job = { releaseMs: 0, dueMs: 10, workMs: 8 };
+    expect(mostJobs([job, job])).toBeCloseTo(1.25, 3);
+    expect(mostJobs([job, { ...job, releaseMs: 10, dueMs: 20 }])).toBe(2);
+  });
+
+  test("falls as the load rises", () => {
+    const at = (load: number) =>
+      goodputBound(createTrace({ ...options, load }), shape).goodput;
+    expect(at(0.2)).toBeGreaterThan(at(0.9));
+    expect(at(0.9)).toBeGreaterThan(at(1.5));
+  });
+});
