feat(daemon): operators' listener, orders, status and the settings schema

Cause: operators had no way in; the schema for editors was missing. Conclusion: three listeners keep callers, operators and processes apart.

--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -20,3 +20,12 @@
 
 /** Backend servers of one pool that an entry talks to at most. */
 export const DEFAULT_SUBSET_SIZE = 48;
+
+/** Time for one rare control call to a sidecar, in milliseconds. */
+export const CONTROL_CALL_TIMEOUT_MS = 1_000;
+
+/** Sidecars that a status call asks at most; the others are only listed. */
+export const MAX_STATUS_CALLS = 64;
+
+/** Time that a status call spends on collecting progress, in milliseconds. */
+export const STATUS_TIMEOUT_MS = 2_000;
--- a/packages/daemon/src/dev/constants.ts
+++ b/packages/daemon/src/dev/constants.ts
@@ -17,3 +17,9 @@
 
 /** Interval between two looks at the sequences in force, in milliseconds. */
 export const DEV_POLL_MS = 20;
+
+/** Name of the demo's operator in the audit trail. */
+export const DEV_OPERATOR_NAME = "dev-operator";
+
+/** The demo's operator secret; the demo listens on loopback only. */
+export const DEV_OPERATOR_SECRET = "dev-operator-secret";
--- a/packages/daemon/src/dev/dev_role.ts
+++ b/packages/daemon/src/dev/dev_role.ts
@@ -3,8 +3,13 @@
  * two offices of three availability zones, an entry in each zone, stand-in
  * engines and plain services.
  */
-import { type ChangeLog, ProposeKind } from "@sassafrascleat/config";
-import { ChangeAction, createOperations } from "@sassafrascleat/config";
+
+import {
+  ChangeAction,
+  type ChangeLog,
+  createOperations,
+  ProposeKind,
+} from "@sassafrascleat/config";
 import { PolicyName } from "@sassafrascleat/routing";
 import { invariant, Secret, sleep } from "@sassafrascleat/runtime";
 import { createMemoryStore, type MemoryStore } from "@sassafrascleat/store";
@@ -18,6 +23,8 @@
   DEV_HOST,
   DEV_HOST_LIST_LAG_MS,
   DEV_HOST_REFRESH_MS,
+  DEV_OPERATOR_NAME,
+  DEV_OPERATOR_SECRET,
   DEV_POLL_MS,
 } from "./constants.ts";
 import { type DevBackend, startDevBackend } from "./dev_backend.ts";
@@ -69,7 +76,9 @@
       office: plan.office,
       availabilityZone,
       callers: { host: DEV_HOST, port: ctx.nextPort() },
+      operators: { host: DEV_HOST, port: ctx.nextPort() },
       system: { host: DEV_HOST, port: 0 },
+      operatorSecrets: [ctx.operatorSecret],
       systemSecrets: [ctx.systemSecret],
       store: ctx.store,
       hostSource: hostList,
@@ -154,6 +163,7 @@
     for (const entry of offices.flatMap((office) => office.entries)) {
       const zone = entry.availabilityZone;
       this.addresses[`callers_${zone}`] = entry.addresses.callers ?? "";
+      this.addresses[`operators_${zone}`] = entry.addresses.operators ?? "";
     }
   }
 
@@ -182,7 +192,7 @@
   const ctx: DevContext = {
     store: createMemoryStore(),
     systemSecret: new Secret("dev-system", randomUUID()),
-    operatorSecret: new Secret("dev-operator", randomUUID()),
+    operatorSecret: new Secret(DEV_OPERATOR_NAME, DEV_OPERATOR_SECRET),
     nextPort: createPorts(cfg.basePort),
     seed: cfg.seed,
   };
--- a/packages/daemon/src/entry_process.ts
+++ b/packages/daemon/src/entry_process.ts
@@ -11,11 +11,13 @@
 import { createEntry, type Entry } from "@sassafrascleat/entry";
 import {
   createHostView,
+  createOrderIssuer,
   createRelay,
   createStaticPeers,
   createStorePresence,
   type HostSource,
   joinPeerSources,
+  type OrderIssuer,
   type Relay,
   type RelayPeer,
   type RunningHostView,
@@ -27,7 +29,16 @@
 import type { Secret } from "@sassafrascleat/runtime";
 import type { ObjectStore } from "@sassafrascleat/store";
 import { createLogFollower } from "./log_follower.ts";
+import {
+  createOperatorListener,
+  type OperatorListener,
+} from "./operator_listener.ts";
+import { collectStatus } from "./operator_status.ts";
 import type { RunningDaemon } from "./running.ts";
+import {
+  createSidecarControlClient,
+  type SidecarControlClient,
+} from "./sidecar_control_client.ts";
 import {
   createSystemListener,
   type SystemListener,
@@ -45,7 +56,9 @@
   office: string;
   availabilityZone: string;
   callers: ListenAddress;
+  operators: ListenAddress;
   system: ListenAddress;
+  operatorSecrets: readonly Secret[];
   /** The first is sent, all are accepted. */
   systemSecrets: readonly [Secret, ...Secret[]];
   store: ObjectStore;
@@ -138,6 +151,58 @@
   });
 }
 
+function createIssuer(
+  options: EntryProcessOptions,
+  parts: ControlParts,
+  relay: Relay,
+  control: SidecarControlClient,
+): OrderIssuer {
+  return createOrderIssuer({
+    config: parts.replica,
+    hosts: parts.hosts,
+    office: options.office,
+    send: (server, req, signal) => control.order(server, req, signal),
+    isActive: () => relay.isHead(),
+  });
+}
+
+/** Opens the operators' listener over the parts that serve its calls. */
+function openOperators(
+  options: EntryProcessOptions,
+  parts: ControlParts & { relay: Relay; issuer: OrderIssuer },
+  control: SidecarControlClient,
+  signal: AbortSignal,
+): Promise<OperatorListener> {
+  const { id, office, availabilityZone } = options;
+  const { changeLog, replica, hosts, relay, issuer } = parts;
+  const sources = {
+    id,
+    office,
+    availabilityZone,
+    relay,
+    hosts,
+    issuer,
+    control,
+  };
+  return createOperatorListener(options.operators, {
+    changeLog,
+    replica,
+    secrets: options.operatorSecrets,
+    status: () => collectStatus(sources),
+    drain: async (name, leaving) => {
+      const server = hosts.find(name);
+      return server && await control.drain(server, leaving);
+    },
+    signal,
+  });
+}
+
+/** The listeners of an entry process besides the callers'. */
+interface ControlListeners {
+  system: SystemListener;
+  operators: OperatorListener;
+}
+
 class StartedEntry implements EntryProcess {
   readonly availabilityZone: string;
   readonly addresses: Record<string, string>;
@@ -146,13 +211,13 @@
   readonly changeLog: ChangeLog;
   readonly replica: MemoryReplica;
   readonly hosts: RunningHostView;
-  readonly #listener: SystemListener;
+  readonly #listeners: ControlListeners;
   readonly #controller: AbortController;
   readonly #drainTimeoutMs: number;
 
   constructor(
     parts: ControlParts & { entry: Entry; relay: Relay },
-    listener: SystemListener,
+    listeners: ControlListeners,
     controller: AbortController,
     options: EntryProcessOptions,
   ) {
@@ -162,12 +227,13 @@
     this.changeLog = parts.changeLog;
     this.replica = parts.replica;
     this.hosts = parts.hosts;
-    this.#listener = listener;
+    this.#listeners = listeners;
     this.#controller = controller;
     this.#drainTimeoutMs = options.drainTimeoutMs;
     this.addresses = {
       callers: parts.entry.callersAddress,
-      system: listener.address,
+      operators: listeners.operators.address,
+      system: listeners.system.address,
     };
   }
 
@@ -179,7 +245,8 @@
   async close(): Promise<void> {
     await this.entry.close();
     this.#controller.abort();
-    await this.#listener.close();
+    const { system, operators } = this.#listeners;
+    await Promise.all([system.close(), operators.close()]);
   }
 }
 
@@ -188,17 +255,28 @@
   options: EntryProcessOptions,
 ): Promise<EntryProcess> {
   const controller = new AbortController();
+  const { signal } = controller;
   const parts = createControlParts(options);
-  const listener = await createSystemListener({
+  const system = await createSystemListener({
     ...options.system,
     secrets: options.systemSecrets,
   });
-  const relay = createProcessRelay(options, parts, listener.address);
-  listener.serve(relay.control);
-  await parts.hosts.refresh(controller.signal);
-  void parts.hosts.run(controller.signal);
-  void relay.run(controller.signal);
+  const relay = createProcessRelay(options, parts, system.address);
+  system.serve(relay.control);
+  const control = createSidecarControlClient(options.systemSecrets[0]);
+  const issuer = createIssuer(options, parts, relay, control);
+  await parts.hosts.refresh(signal);
+  void parts.hosts.run(signal);
+  void relay.run(signal);
+  void issuer.run(signal);
+  const operatorParts = { ...parts, relay, issuer };
+  const operators = await openOperators(
+    options,
+    operatorParts,
+    control,
+    signal,
+  );
   const entry = await createCallersEntry(options, parts);
   const all = { ...parts, entry, relay };
-  return new StartedEntry(all, listener, controller, options);
+  return new StartedEntry(all, { system, operators }, controller, options);
 }
--- a/packages/daemon/src/entry_role.ts
+++ b/packages/daemon/src/entry_role.ts
@@ -1,6 +1,5 @@
 /** The `entry` role: an entry process as the settings file describes it. */
 import { createHttpHostSource } from "@sassafrascleat/membership";
-import { PolicyName } from "@sassafrascleat/routing";
 import { invariant, type Secret } from "@sassafrascleat/runtime";
 import { createHttpStore } from "@sassafrascleat/store";
 import { type EntryProcess, startEntryProcess } from "./entry_process.ts";
@@ -22,20 +21,26 @@
     cfg.systemSecrets,
     "/systemSecrets",
   );
+  const operatorSecrets = await requireSecrets(
+    cfg.operatorSecrets,
+    "/operatorSecrets",
+  );
   const { baseUrl, timeoutMs } = cfg.store;
   return startEntryProcess({
     id: cfg.id,
     office: cfg.office,
     availabilityZone: cfg.availabilityZone,
     callers: cfg.callers,
+    operators: cfg.operators,
     system: cfg.system,
+    operatorSecrets,
     systemSecrets: nonEmptySecrets(systemSecrets),
     store: createHttpStore({ baseUrl, timeoutMs }),
     hostSource: createHttpHostSource({ baseUrl: cfg.hostsBaseUrl }),
     peers: cfg.peers.map(({ id, ...peer }) => ({ daemonId: id, ...peer })),
     hostRefreshMs: cfg.hostRefreshMs,
     subsetSize: cfg.subsetSize,
-    placement: cfg.placement as PolicyName,
+    placement: cfg.placement,
     drainTimeoutMs: cfg.drainTimeoutMs,
   });
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,6 @@
 /** The daemon's settings and roles, for embedding and for tests. */
 export { ExitCode } from "./constants.ts";
+export { DEV_OPERATOR_SECRET } from "./dev/constants.ts";
 export { type DevDeployment, startDevDeployment } from "./dev/dev_role.ts";
 export {
   type EntryProcess,
--- a/packages/daemon/src/load_settings.ts
+++ b/packages/daemon/src/load_settings.ts
@@ -28,6 +28,9 @@
 /** Longest excerpt of a wrong value in a message, in characters. */
 const MAX_VALUE_EXCERPT_CHARS = 80;
 
+/** What the schema library puts before the expectation. */
+const ZOD_PREFIX = /^Invalid (input|option): (expected )?/;
+
 function valueAt(document: unknown, path: readonly PropertyKey[]): string {
   let value = document;
   for (const key of path) {
@@ -42,7 +45,7 @@
   return {
     path: "/" + issue.path.map(String).join("/"),
     value: valueAt(document, issue.path),
-    expected: issue.message,
+    expected: issue.message.replace(ZOD_PREFIX, ""),
   };
 }
 
--- /dev/null
+++ b/packages/daemon/src/operator_listener.ts
@@ -0,0 +1,24 @@
+/** The listener for operators, apart from callers and from other daemons. */
+import {
+  createOperatorRoutes,
+  type OperatorRouteOptions,
+} from "@sassafrascleat/entry";
+import Fastify from "fastify";
+import { addressOf } from "./listener_address.ts";
+
+/** An open listener. */
+export interface OperatorListener {
+  readonly address: string;
+  close(): Promise<void>;
+}
+
+/** Opens the listener; throws when the address can't be bound. */
+export async function createOperatorListener(
+  listen: { host: string; port: number },
+  routes: OperatorRouteOptions,
+): Promise<OperatorListener> {
+  const app = Fastify({ logger: false, forceCloseConnections: true });
+  await app.register(createOperatorRoutes(routes));
+  await app.listen(listen);
+  return { address: addressOf(app), close: () => app.close() };
+}
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -4,6 +4,7 @@
  * of `settings.schema.json`, of the defaults and of docs/CONFIG.md.
  */
 import { BackendRole } from "@sassafrascleat/protocol";
+import { PolicyName } from "@sassafrascleat/routing";
 import { z } from "zod";
 import {
   DEFAULT_DRAIN_TIMEOUT_MS,
@@ -88,7 +89,7 @@
     .describe("Interval between reads of the host list, in milliseconds"),
   subsetSize: z.number().int().min(1).default(DEFAULT_SUBSET_SIZE)
     .describe("Backend servers of a pool that this entry talks to"),
-  placement: z.string().default("just_in_time")
+  placement: z.enum(PolicyName).default(PolicyName.JustInTime)
     .describe("Name of the placement policy"),
 });
 
--- a/playground/src/demo/keep.ts
+++ b/playground/src/demo/keep.ts
@@ -1,12 +1,17 @@
 /** `npm start`: keeps the demo's deployment running until a signal. */
-import type { DevDeployment } from "@sassafrascleat/daemon";
+import {
+  DEV_OPERATOR_SECRET,
+  type DevDeployment,
+} from "@sassafrascleat/daemon";
 
-function commandsToTry(address: string): string[] {
+function commandsToTry(address: string, operators: string): string[] {
   return [
     `curl -N ${address}/v1/completions -H 'content-type: application/json' \\`,
     `  -d '{"model":"grievance-summarizer","prompt":"Summarize.","max_tokens":40,"stream":true}'`,
     `curl ${address}/services/whistle-app/punches`,
     `curl ${address}/metrics`,
+    `export SASSAFRASCLEAT_SECRET=${DEV_OPERATOR_SECRET}`,
+    `npx sassafrascleat status --endpoint ${operators}`,
   ];
 }
 
@@ -19,9 +24,11 @@
   for (const [name, address] of Object.entries(deployment.addresses)) {
     say(`  ${name} ${address}`);
   }
-  const first = deployment.offices[0]?.entries[0]?.entry.callersAddress ?? "";
+  const first = deployment.offices[0]?.entries[0]?.addresses;
   say("commands to try:");
-  for (const line of commandsToTry(first)) say(`  ${line}`);
+  for (
+    const line of commandsToTry(first?.callers ?? "", first?.operators ?? "")
+  ) say(`  ${line}`);
   say("stop with Ctrl-C");
   const stop = () => void deployment.drain().finally(() => process.exit(0));
   process.once("SIGINT", stop);
--- a/playground/src/demo/steps.ts
+++ b/playground/src/demo/steps.ts
@@ -5,6 +5,7 @@
 import { invariant } from "@sassafrascleat/runtime";
 import { randomUUID } from "node:crypto";
 import { callModel, type ModelRequest } from "../caller/model_caller.ts";
+import { applyChange } from "../caller/operator_caller.ts";
 import { callPlain } from "../caller/plain_caller.ts";
 import type { Ledger } from "./ledger.ts";
 
@@ -99,18 +100,20 @@
   const entry = entryAt(ctx, 0, 0);
   const name = "carolinas-policy";
   const baseVersion = entry.replica.get(ObjectKind.Policy, name)?.version ?? 0;
-  const patch = (patchId: string, maxQueueMs: number) =>
-    entry.changeLog.propose({
-      patchId,
-      author: "demo",
+  const target = {
+    address: entry.addresses.operators ?? "",
+    secret: ctx.deployment.operatorSecret,
+  };
+  const patch = (maxQueueMs: number) =>
+    applyChange(target, randomUUID(), {
+      action: ChangeAction.Patch,
       kind: ObjectKind.Policy,
       name,
-      action: ChangeAction.Patch,
       baseVersion,
       operations: [{ op: "replace", path: "/maxQueueMs", value: maxQueueMs }],
-    }, AbortSignal.timeout(5_000));
-  const first = await patch(randomUUID(), 9_000);
-  const second = await patch(randomUUID(), 8_000);
+    });
+  const first = await patch(9_000);
+  const second = await patch(8_000);
   ctx.say(
     `  first patch: ${first.kind}; second, on the same version: ${second.kind}`,
   );
