feat(cli): the sassafrascleat program with exit codes for scripts

Operators could reach the configuration only by hand-made HTTP calls. The program applies change documents against stated versions, reads objects, audit trail and status, drains backend servers and checks documents without a daemon.

Conclusion: rejected, invalid, not run and unknown have codes of their own.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,2 @@
-/** The sassafrascleat command-line program. */
-export {};
+/** The sassafrascleat command-line program; its exit codes for scripts. */
+export { ExitCode } from "./exit_code.ts";
--- /dev/null
+++ b/packages/cli/src/output.ts
@@ -0,0 +1,22 @@
+/** Prints results: documents and tables to standard output, the rest to errors. */
+import type { CommandResult } from "./result.ts";
+import { formatTable } from "./table.ts";
+
+/** Forms of output. */
+export enum OutputFormat {
+  Json = "json",
+  Table = "table",
+}
+
+/** Prints a result and sets the exit code of the process. */
+export function printResult(result: CommandResult, format: OutputFormat): void {
+  const { document, table, message } = result;
+  if (format === OutputFormat.Json && document !== undefined) {
+    process.stdout.write(`${JSON.stringify(document, null, 2)}\n`);
+  }
+  if (format === OutputFormat.Table && table) {
+    process.stdout.write(`${formatTable(table)}\n`);
+  }
+  if (message) process.stderr.write(`${message}\n`);
+  process.exitCode = result.exitCode;
+}
--- /dev/null
+++ b/packages/cli/src/read_changes.ts
@@ -0,0 +1,54 @@
+/** Reads change documents from a file or from standard input. */
+import {
+  type ChangeDocument,
+  changeDocumentSchema,
+  formatIssues,
+  toIssues,
+} from "@sassafrascleat/config";
+import { errorMessage } from "@sassafrascleat/runtime";
+import { readFile } from "node:fs/promises";
+import { text } from "node:stream/consumers";
+
+/** The documents, or what to change in the file. */
+export type ReadChanges =
+  | { ok: true; changes: ChangeDocument[]; isList: boolean }
+  | { ok: false; message: string };
+
+function refuse(message: string): ReadChanges {
+  return { ok: false, message };
+}
+
+async function readJson(path: string): Promise<unknown> {
+  const raw = path === "-"
+    ? await text(process.stdin)
+    : await readFile(path, "utf8");
+  return JSON.parse(raw);
+}
+
+function parse(raw: unknown): ReadChanges {
+  const isList = Array.isArray(raw);
+  const documents: unknown[] = isList ? raw : [raw];
+  if (documents.length === 0) return refuse("the file holds no change");
+  const changes: ChangeDocument[] = [];
+  const problems: string[] = [];
+  for (const [index, document] of documents.entries()) {
+    const result = changeDocumentSchema.safeParse(document);
+    if (result.success) changes.push(result.data);
+    else {
+      const issues = formatIssues(toIssues(document, result.error));
+      problems.push(isList ? `change ${index + 1}:\n${issues}` : issues);
+    }
+  }
+  if (problems.length === 0) return { ok: true, changes, isList };
+  return refuse(`the file is no change document:\n${problems.join("\n")}`);
+}
+
+/** Reads one change document or a list of them; `-` is standard input. */
+export async function readChanges(path: string): Promise<ReadChanges> {
+  try {
+    return parse(await readJson(path));
+  } catch (err) {
+    const name = path === "-" ? "standard input" : path;
+    return refuse(`${name} can't be read as JSON: ${errorMessage(err)}`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/run_command.ts
@@ -0,0 +1,23 @@
+/** Runs a command that asks a daemon, and prints its result. */
+import { connect, type ConnectionOptions } from "./connection.ts";
+import { ExitCode } from "./exit_code.ts";
+import type { OperatorClient } from "./operator_client.ts";
+import { type OutputFormat, printResult } from "./output.ts";
+import { type CommandResult, failure } from "./result.ts";
+
+/** Options of a command that asks a daemon. */
+export interface CommandOptions extends ConnectionOptions {
+  output: OutputFormat;
+}
+
+/** Connects, runs `work` and prints what it hands back. */
+export async function runCommand(
+  options: CommandOptions,
+  work: (client: OperatorClient) => Promise<CommandResult>,
+): Promise<void> {
+  const connection = await connect(options);
+  const result = connection.ok
+    ? await work(connection.client)
+    : failure(ExitCode.Usage, connection.message);
+  printResult(result, options.output);
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -2,3 +2,7 @@
 export { createEntry, type Entry } from "./entry.ts";
 export type { EntryMetrics } from "./metrics.ts";
 export type { EntryOptions, PlacementFactory } from "./options.ts";
+export {
+  createOperatorRoutes,
+  type OperatorRouteOptions,
+} from "./operator/index.ts";
