feat(sidecar): test the ledgers and every failure against the engines' books

The first version had four faults that these tests showed: a place that was not free could be promised for now (a plain service with no measured call, and a slot whose cancel the engine had not answered), a broken engine stream was resumed for longer than the renewal grace, a withdrawn prefill left its timer, and the stand-in forgot to expire a result whose timer fired early.

Predictions for occupied places are now at least 1 ms, engine streams are resumed for 1 s, and waits leave no timers. The sidecar follows the prefix cache through late events with gaps to predict its prefill queue.

--- a/packages/engine/src/engine.ts
+++ b/packages/engine/src/engine.ts
@@ -51,7 +51,7 @@
 }
 
 export interface EnginePrefillRequest {
-  /** Unique for the engine; `requestId/attempt`. */
+  /** Unique for the engine; `requestId/attempt`. A repeat joins the first. */
   id: string;
   model: string;
   prompt: string;
@@ -99,6 +99,11 @@
   | { kind: EngineEventKind.End; offset: number; finish: FinishReason }
   | { kind: EngineEventKind.Lost; message: string };
 
+/**
+ * A begun decode. Offsets count the tokens of this attempt, those in
+ * `generated` left out. The events end with `End` or `Lost`; when they end
+ * without either, the connection broke and the stream can be resumed.
+ */
 export type EngineDecodeResult =
   | { status: EngineStatus.Ok; events: AsyncIterable<EngineEvent> }
   | EngineFailure;
--- /dev/null
+++ b/packages/sidecar/src/__tests__/decode_test.ts
@@ -0,0 +1,417 @@
+/** Decode attempts under failures, checked against the engines' own books. */
+import { afterEach, beforeEach, describe, expect, test } from "@jest/globals";
+import {
+  BackendRole,
+  type Frame,
+  FrameKind,
+  RefusalReason,
+  RequestClass,
+  type ReserveRequest,
+  type StartRequest,
+  STREAM_RESUME_PATH,
+  STREAM_START_PATH,
+  StreamFailure,
+} from "@sassafrascleat/protocol";
+import {
+  createFaultProxy,
+  expectedText,
+  ProxyMode,
+} from "@sassafrascleat/testing";
+import type { Sidecar } from "../index.ts";
+import {
+  Bench,
+  countOf,
+  type EngineNode,
+  prefilled,
+  readFrames,
+  reserveRequest,
+  startRequest,
+  textOf,
+  until,
+} from "./harness.ts";
+
+let bench: Bench;
+let prefill: EngineNode;
+beforeEach(async () => {
+  bench = new Bench();
+  prefill = await bench.node(BackendRole.Prefill, { resultLifetimeMs: 10_000 });
+});
+afterEach(() => bench.close());
+
+interface Fields {
+  reserve?: Partial<ReserveRequest>;
+  start?: Partial<StartRequest>;
+}
+
+/** Reserves and prefills; returns the message that starts the attempt. */
+async function placed(
+  sidecar: Sidecar,
+  id: string,
+  prompt: string,
+  fields: Fields = {},
+): Promise<StartRequest> {
+  const grant = await sidecar.control.reserve(
+    reserveRequest(id, fields.reserve),
+  );
+  if (!grant.granted) throw new Error(`refused: ${grant.reason}`);
+  const { promptTokens = 100 } = fields.reserve ?? {};
+  const { kv } = await prefilled(prefill, id, prompt, { promptTokens });
+  const start = { promptTokens, ...fields.start };
+  return startRequest(sidecar, id, prompt, kv, start);
+}
+
+function stream(
+  address: string,
+  req: StartRequest,
+  enough?: (frames: Frame[]) => boolean,
+) {
+  return readFrames(address, STREAM_START_PATH, req, enough);
+}
+
+function resume(address: string, req: StartRequest, offset: number) {
+  return readFrames(address, STREAM_RESUME_PATH, { ...req, offset });
+}
+
+const someTokens = (frames: Frame[]) => countOf(frames) >= 5;
+const failedWith = (failure: StreamFailure) => ({
+  kind: FrameKind.Failed,
+  failure,
+});
+
+describe("starts", () => {
+  test("a repeated start streams the same single run", async () => {
+    const { server, sidecar } = await bench.node(BackendRole.Decode);
+    const req = await placed(sidecar, "r1", "a #len=20");
+    const both = await Promise.all([
+      stream(sidecar.address, req),
+      stream(sidecar.address, req),
+    ]);
+    const wanted = expectedText("a #len=20", 200);
+    expect(both.map((frames) => textOf(frames))).toEqual([wanted, wanted]);
+    expect(server.books().executions).toEqual({ "r1/1": 1 });
+  });
+
+  test("a start after a cancel or for another incarnation is refused", async () => {
+    const { server, sidecar } = await bench.node(BackendRole.Decode);
+    const req = await placed(sidecar, "r1", "a");
+    const other = { ...req, incarnation: "the one before" };
+    expect(await stream(sidecar.address, other)).toMatchObject([
+      { refusal: RefusalReason.WrongIncarnation },
+    ]);
+    await sidecar.control.cancel({ requestId: "r1", attempt: 1 });
+    expect(await stream(sidecar.address, req)).toMatchObject([
+      { refusal: RefusalReason.Tombstoned },
+    ]);
+    expect(server.books().executions).toEqual({});
+    expect((await sidecar.control.status()).inFlight).toBe(0);
+  });
+
+  test("a start waits until the slot before it is free", async () => {
+    const { server, sidecar } = await bench.node(BackendRole.Decode, {}, {
+      maxRunning: 1,
+    });
+    const first = await placed(sidecar, "r1", "a #len=20");
+    const running = stream(sidecar.address, first);
+    await until("decode", () => server.books().decodesStarted === 1);
+    const second = await placed(sidecar, "r2", "b #len=20", {
+      reserve: { maxWaitMs: 60_000 },
+    });
+    const third = await sidecar.control.reserve(reserveRequest("r3"));
+    expect(third).toMatchObject({ reason: RefusalReason.Full });
+    const frames = await stream(sidecar.address, second);
+    expect(textOf(frames)).toBe(expectedText("b #len=20", 200));
+    expect(textOf(await running)).toBe(expectedText("a #len=20", 200));
+  });
+
+  test("a new attempt ends the one before it", async () => {
+    const { server, sidecar } = await bench.node(BackendRole.Decode);
+    const req = await placed(sidecar, "r1", "a #len=200");
+    const old = stream(sidecar.address, req);
+    await until("decode", () => server.books().decodesStarted === 1);
+    const next = { reserve: { attempt: 2 }, start: { attempt: 2 } };
+    const again = await sidecar.control.reserve(
+      reserveRequest("r1", next.reserve),
+    );
+    expect(again.granted).toBe(true);
+    expect((await old).at(-1))
+      .toMatchObject(failedWith(StreamFailure.Cancelled));
+    await until("cancel", () => server.books().heldIds.length === 0);
+    const stale = await sidecar.control.reserve(reserveRequest("r1"));
+    expect(stale).toMatchObject({ reason: RefusalReason.Superseded });
+  });
+});
+
+describe("memory", () => {
+  test("an attempt that nobody renews is cancelled at the engine", async () => {
+    const { server, sidecar } = await bench.node(BackendRole.Decode, {}, {
+      renewGraceMs: 150,
+    });
+    const req = await placed(sidecar, "r1", "a #len=200");
+    const frames = await stream(sidecar.address, req);
+    expect(frames.at(-1)).toMatchObject(failedWith(StreamFailure.Cancelled));
+    await until("memory", () => server.books().heldPieces === 0);
+    expect(server.books().decodesCancelled).toBe(1);
+    const ref = { requestId: "r1", attempt: 1 };
+    const renewed = await sidecar.control.renew({
+      entryId: "entry-1",
+      attempts: [ref],
+    });
+    expect(renewed.missing).toEqual([ref]);
+  });
+
+  test("renewals keep an attempt alive", async () => {
+    const { sidecar } = await bench.node(BackendRole.Decode, {}, {
+      renewGraceMs: 300,
+    });
+    const req = await placed(sidecar, "r1", "a #len=60");
+    const renewals = setInterval(() => {
+      void sidecar.control.renew({ entryId: "entry-1", attempts: [req] });
+    }, 30);
+    const frames = await stream(sidecar.address, req);
+    clearInterval(renewals);
+    expect(textOf(frames)).toBe(expectedText("a #len=60", 200));
+  });
+
+  test("a slot is given back only when the engine has answered the cancel", async () => {
+    const server = await bench.engineServer();
+    const proxy = await createFaultProxy({ targetPort: server.port });
+    bench.defer(() => proxy.close());
+    const { sidecar } = await bench.sidecar(
+      BackendRole.Decode,
+      proxy.address,
+      server.address,
+      { maxRunning: 1 },
+    );
+    const req = await placed(sidecar, "r1", "a #len=200");
+    const running = stream(sidecar.address, req);
+    await until("decode", () => server.books().decodesStarted === 1);
+    proxy.setMode(ProxyMode.Reset);
+    proxy.resetAll();
+    await sidecar.control.cancel(req);
+    await running;
+    const refused = await sidecar.control.reserve(reserveRequest("r2"));
+    expect(refused).toMatchObject({ granted: false });
+    expect(server.books().heldIds).toEqual(["r1/1"]);
+    proxy.setMode(ProxyMode.Pass);
+    await until("memory", () => server.books().heldPieces === 0);
+    await until("slot", async () => {
+      const reply = await sidecar.control.reserve(reserveRequest("r3"));
+      return reply.granted;
+    });
+  });
+
+  test("an answer that outgrows memory ends the least urgent attempt", async () => {
+    const { server, sidecar } = await bench.node(BackendRole.Decode, {
+      totalPieces: 4,
+      timeScale: 0.1,
+    });
+    const reserve = {
+      promptTokens: 3_900,
+      expectedOutputTokens: 10,
+      maxOutputTokens: 400,
+    };
+    const start = { maxOutputTokens: 400 };
+    const urgent = await placed(sidecar, "urgent", "a #len=300", {
+      reserve: { ...reserve, requestClass: RequestClass.Interactive },
+      start,
+    });
+    const batch = await placed(sidecar, "batch", "b #len=300", {
+      reserve: { ...reserve, requestClass: RequestClass.Batch },
+      start,
+    });
+    const [kept, given] = await Promise.all([
+      stream(sidecar.address, urgent),
+      stream(sidecar.address, batch),
+    ]);
+    expect(textOf(kept)).toBe(expectedText("a #len=300", 400));
+    expect(given.at(-1)).toMatchObject(failedWith(StreamFailure.EngineLost));
+    expect(server.books()).toMatchObject({ decodesLost: 0, heldPieces: 0 });
+  });
+
+  test("a prompt that can never fit is refused as too large", async () => {
+    const { sidecar } = await bench.node(BackendRole.Decode, {
+      totalPieces: 2,
+    });
+    const reply = await sidecar.control.reserve(
+      reserveRequest("r1", { promptTokens: 5_000 }),
+    );
+    expect(reply).toMatchObject({ reason: RefusalReason.TooLarge });
+  });
+
+  test("a restarted sidecar cancels what its engine holds", async () => {
+    const { server, sidecar } = await bench.node(BackendRole.Decode);
+    const req = await placed(sidecar, "r1", "a #len=200");
+    const cut = stream(sidecar.address, req);
+    await until("decode", () => server.books().decodesStarted === 1);
+    await sidecar.close();
+    await cut;
+    expect(server.books().heldIds).toEqual(["r1/1"]);
+    const next = await bench.sidecar(BackendRole.Decode, server.address);
+    expect(server.books()).toMatchObject({ heldIds: [], heldPieces: 0 });
+    expect(await resume(next.sidecar.address, req, 0)).toMatchObject([
+      { refusal: RefusalReason.WrongIncarnation },
+    ]);
+  });
+
+  test("what the engine holds for nobody is cancelled", async () => {
+    const { engine, server } = await bench.node(BackendRole.Decode, {}, {
+      reconcileMs: 30,
+    });
+    const { kv } = await prefilled(prefill, "orphan", "a #len=500");
+    await engine.decode({
+      ...startRequest(
+        { incarnation: "" } as Sidecar,
+        "orphan",
+        "a #len=500",
+        kv,
+      ),
+      id: "orphan/1",
+      maxOutputTokens: 500,
+      transferTimeoutMs: 1_000,
+    }, new AbortController().signal);
+    await until("memory", () => server.books().decodesCancelled === 1);
+    expect(server.books().heldPieces).toBe(0);
+  });
+});
+
+describe("connections", () => {
+  test("a stream resumes at its offset after its connection was reset", async () => {
+    const { server, sidecar } = await bench.node(BackendRole.Decode);
+    const proxy = await createFaultProxy({
+      targetPort: Number(new URL(sidecar.address).port),
+    });
+    bench.defer(() => proxy.close());
+    const req = await placed(sidecar, "r1", "a #len=60");
+    const first = await stream(proxy.address, req, (frames) => {
+      if (someTokens(frames)) proxy.resetAll();
+      return false;
+    });
+    const offset = countOf(first);
+    expect(offset).toBeLessThan(60);
+    const rest = await resume(proxy.address, req, offset);
+    expect(textOf(first) + textOf(rest, offset))
+      .toBe(expectedText("a #len=60", 200));
+    expect(rest.at(-1)).toMatchObject({ kind: FrameKind.End, offset: 60 });
+    expect(server.books().tokensByRequest).toEqual({ r1: 60 });
+    const unknown = await resume(sidecar.address, {
+      ...req,
+      requestId: "r2",
+    }, 0);
+    expect(unknown).toMatchObject([failedWith(StreamFailure.NotFound)]);
+  });
+
+  test("a silent connection to the engine is replaced and resumed", async () => {
+    const server = await bench.engineServer();
+    const proxy = await createFaultProxy({ targetPort: server.port });
+    bench.defer(() => proxy.close());
+    const { sidecar } = await bench.sidecar(
+      BackendRole.Decode,
+      proxy.address,
+      server.address,
+    );
+    const req = await placed(sidecar, "r1", "a #len=40");
+    let silenced = false;
+    const frames = await stream(sidecar.address, req, (so) => {
+      if (!silenced && someTokens(so)) proxy.silence();
+      silenced ||= someTokens(so);
+      return false;
+    });
+    expect(proxy.counts.swallowed).toBeGreaterThan(0);
+    expect(textOf(frames)).toBe(expectedText("a #len=40", 200));
+    expect(server.books().executions).toEqual({ "r1/1": 1 });
+  });
+
+  test("an engine that dies ends its attempts and refuses new ones", async () => {
+    const { server, sidecar } = await bench.node(BackendRole.Decode);
+    const req = await placed(sidecar, "r1", "a #len=200");
+    const frames = await stream(sidecar.address, req, (so) => {
+      if (someTokens(so)) server.setFaults({ dead: true });
+      return false;
+    });
+    expect(frames.at(-1)).toMatchObject(failedWith(StreamFailure.EngineLost));
+    let number = 0;
+    await until("engine down", async () => {
+      const next = reserveRequest(`down${number++}`);
+      const reply = await sidecar.control.reserve(next);
+      return !reply.granted && reply.reason === RefusalReason.EngineDown;
+    });
+    server.setFaults({ dead: false });
+    await until("engine back", async () => {
+      const next = reserveRequest(`back${number++}`);
+      const reply = await sidecar.control.reserve(next);
+      return reply.granted;
+    });
+  });
+});
+
+describe("transfers", () => {
+  test("a stall is bounded and another engine takes the same result", async () => {
+    const first = await bench.node(BackendRole.Decode, {}, {
+      transferTimeoutMs: 100,
+    });
+    const second = await bench.node(BackendRole.Decode);
+    first.server.setFaults({ stallTransfers: true });
+    const prompt = "a #len=20";
+    const req = await placed(first.sidecar, "r1", prompt);
+    expect(await stream(first.sidecar.address, req)).toMatchObject([
+      failedWith(StreamFailure.TransferFailed),
+    ]);
+    await until("memory", () => first.server.books().heldPieces === 0);
+    const attempt = 2;
+    await second.sidecar.control.reserve(reserveRequest("r1", { attempt }));
+    const frames = await stream(
+      second.sidecar.address,
+      startRequest(second.sidecar, "r1", prompt, req.kv, { attempt }),
+    );
+    expect(textOf(frames)).toBe(expectedText(prompt, 200));
+    await until("use", () => prefill.server.books().prefillsUsed === 1);
+    expect(prefill.server.books().prefillsRun).toBe(1);
+  });
+
+  test("an expired result fails the attempt and frees the slot", async () => {
+    const { server, sidecar } = await bench.node(BackendRole.Decode);
+    const req = await placed(sidecar, "r1", "a");
+    await prefill.sidecar.control.cancel(req);
+    await until("result", () => prefill.server.books().heldPieces === 0);
+    expect((await stream(sidecar.address, req)).at(-1))
+      .toMatchObject(failedWith(StreamFailure.KvExpired));
+    expect(server.books().decodesStarted).toBe(0);
+    await until("slot", async () => {
+      return (await sidecar.control.status()).inFlight === 0;
+    });
+  });
+});
+
+describe("leaving", () => {
+  test("nothing new is taken and what runs is finished", async () => {
+    const { sidecar } = await bench.node(BackendRole.Decode, {}, {
+      drainLingerMs: 50,
+    });
+    const req = await placed(sidecar, "r1", "a #len=30");
+    const running = stream(sidecar.address, req);
+    await sidecar.control.drain({ leaving: true });
+    expect(await sidecar.control.reserve(reserveRequest("r2"))).toMatchObject({
+      reason: RefusalReason.Leaving,
+      hint: { leaving: true },
+    });
+    let drained = false;
+    const drain = sidecar.drain(new AbortController().signal)
+      .then(() => drained = true);
+    const frames = await stream(sidecar.address, req, () => {
+      expect(drained).toBe(false);
+      return false;
+    });
+    expect(textOf(frames)).toBe(expectedText("a #len=30", 200));
+    expect(textOf(await running)).toBe(textOf(frames));
+    await drain;
+    expect((await sidecar.control.status()).inFlight).toBe(0);
+  });
+
+  test("a notice can be taken back", async () => {
+    const { sidecar } = await bench.node(BackendRole.Decode);
+    await sidecar.control.drain({ leaving: true });
+    await sidecar.control.drain({ leaving: false });
+    const reply = await sidecar.control.reserve(reserveRequest("r1"));
+    expect(reply.granted).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/sidecar/src/__tests__/order_test.ts
@@ -0,0 +1,59 @@
+/** Orders are fenced by the sidecar, since some engines ignore the number. */
+import { afterEach, beforeEach, expect, test } from "@jest/globals";
+import {
+  BackendRole,
+  OrderKind,
+  type OrderRequest,
+  OrderState,
+  RefusalReason,
+} from "@sassafrascleat/protocol";
+import { Bench, reserveRequest } from "./harness.ts";
+
+let bench: Bench;
+beforeEach(() => {
+  bench = new Bench();
+});
+afterEach(() => bench.close());
+
+function load(fencingNumber: number, target = "model"): OrderRequest {
+  return { fencingNumber, kind: OrderKind.LoadModel, target, version: "1" };
+}
+
+test("older orders are refused and equal ones are followed once", async () => {
+  const { server, sidecar } = await bench.node(BackendRole.Decode, {
+    ignoreFencing: true,
+  });
+  const order = async (req: OrderRequest) =>
+    (await sidecar.control.order(req)).state;
+  expect(await order(load(5))).toBe(OrderState.Done);
+  expect(await order(load(5))).toBe(OrderState.Done);
+  expect(await order(load(5, "other"))).toBe(OrderState.Refused);
+  expect(await order(load(3))).toBe(OrderState.Refused);
+  expect(await order(load(6))).toBe(OrderState.Done);
+  const followed = server.books().orders.map((req) => req.fencingNumber);
+  expect(followed).toEqual([5, 6]);
+});
+
+test("a failed order can be sent again", async () => {
+  const { server, sidecar } = await bench.node(BackendRole.Decode);
+  server.setFaults({ dead: true });
+  const failed = await sidecar.control.order(load(1));
+  expect(failed.state).toBe(OrderState.Failed);
+  server.setFaults({ dead: false });
+  expect((await sidecar.control.order(load(1))).state).toBe(OrderState.Done);
+});
+
+test("a changed role closes the sidecar for the old one", async () => {
+  const { sidecar } = await bench.node(BackendRole.Decode);
+  const reply = await sidecar.control.order({
+    fencingNumber: 1,
+    kind: OrderKind.ChangeRole,
+    target: BackendRole.Prefill,
+    version: "",
+  });
+  expect(reply.state).toBe(OrderState.Done);
+  const { backendServer } = await sidecar.control.status();
+  expect(backendServer.role).toBe(BackendRole.Prefill);
+  expect(await sidecar.control.reserve(reserveRequest("r1")))
+    .toMatchObject({ reason: RefusalReason.EngineDown });
+});
--- /dev/null
+++ b/packages/sidecar/src/__tests__/plain_test.ts
@@ -0,0 +1,192 @@
+/** Plain calls run at most once, and answers about them are honest. */
+import { afterEach, beforeEach, describe, expect, test } from "@jest/globals";
+import {
+  CancelState,
+  PlainCallState,
+  RefusalReason,
+  UnknownReason,
+} from "@sassafrascleat/protocol";
+import { PlainFault } from "@sassafrascleat/testing";
+import { attach, Bench, call, reserveRequest, until } from "./harness.ts";
+
+let bench: Bench;
+beforeEach(() => {
+  bench = new Bench();
+});
+afterEach(() => bench.close());
+
+const PLACE = { promptTokens: 0, maxOutputTokens: 0, expectedOutputTokens: 0 };
+
+function reserve(id: string, attempt = 1) {
+  return reserveRequest(id, { ...PLACE, attempt });
+}
+
+describe("tombstones", () => {
+  test("a settled call is refused when it arrives late", async () => {
+    const { server, sidecar } = await bench.plain();
+    await sidecar.control.reserve(reserve("p1"));
+    const refusal = {
+      state: PlainCallState.NotRun,
+      reason: RefusalReason.Tombstoned,
+    };
+    expect(await attach(sidecar, "p1")).toMatchObject(refusal);
+    expect(await call(sidecar, "p1")).toMatchObject(refusal);
+    expect(server.books().total).toBe(0);
+  });
+
+  test("settling a call that waits for its place stops it", async () => {
+    const { server, sidecar } = await bench.plain({ plainConcurrency: 1 });
+    server.setDelay(150);
+    await sidecar.control.reserve(reserve("first"));
+    const first = call(sidecar, "first");
+    await until("first call", () => server.books().total === 1);
+    await sidecar.control.reserve({ ...reserve("second"), maxWaitMs: 60_000 });
+    const second = call(sidecar, "second");
+    await until("second settled", async () => {
+      const reply = await attach(sidecar, "second");
+      return reply.state === PlainCallState.NotRun;
+    });
+    expect((await second).state).toBe(PlainCallState.NotRun);
+    expect((await first).state).toBe(PlainCallState.Answered);
+    expect(server.books().executionsById).toEqual({ first: 1 });
+  });
+
+  test("a call without a grant is refused for good", async () => {
+    const { server, sidecar } = await bench.plain();
+    const refused = { state: PlainCallState.NotRun };
+    expect(await call(sidecar, "p1")).toMatchObject(refused);
+    const late = await sidecar.control.reserve(reserve("p1"));
+    expect(late.granted).toBe(false);
+    expect(await call(sidecar, "p1")).toMatchObject(refused);
+    expect(server.books().total).toBe(0);
+  });
+
+  test("a grant expires by itself and its call is refused", async () => {
+    const { server, sidecar } = await bench.plain({ grantTtlMs: 20 });
+    await sidecar.control.reserve(reserve("p1"));
+    await until("expiry", async () => {
+      const { hint } = await sidecar.control.status();
+      return hint.reserved === 0;
+    });
+    expect(await call(sidecar, "p1")).toMatchObject({
+      state: PlainCallState.NotRun,
+      reason: RefusalReason.GrantExpired,
+    });
+    expect(server.books().total).toBe(0);
+  });
+});
+
+describe("incarnations", () => {
+  test("a call for another incarnation is not run", async () => {
+    const { server, sidecar } = await bench.plain();
+    await sidecar.control.reserve(reserve("p1"));
+    const before = { incarnation: "the one before" };
+    expect(await call(sidecar, "p1", before)).toMatchObject({
+      state: PlainCallState.NotRun,
+      reason: RefusalReason.WrongIncarnation,
+    });
+    expect(await attach(sidecar, "p1", before)).toMatchObject({
+      state: PlainCallState.Unknown,
+      reason: UnknownReason.SidecarRestarted,
+    });
+    expect(server.books().total).toBe(0);
+  });
+});
+
+describe("at most once", () => {
+  test("repeats and later attempts get the first run's answer", async () => {
+    const { server, sidecar } = await bench.plain();
+    server.setDelay(50);
+    await sidecar.control.reserve(reserve("p1"));
+    const both = [call(sidecar, "p1"), call(sidecar, "p1")];
+    const [first, second] = await Promise.all(both);
+    await sidecar.control.reserve(reserve("p1", 2));
+    const third = await call(sidecar, "p1", { attempt: 2 });
+    expect(first?.state).toBe(PlainCallState.Answered);
+    expect([second, third]).toEqual([first, first]);
+    expect(server.books().executionsById).toEqual({ p1: 1 });
+    expect((await sidecar.control.status()).inFlight).toBe(0);
+  });
+
+  test("an answer that was lost on its way is there to attach to", async () => {
+    const { server, sidecar } = await bench.plain();
+    server.setDelay(100);
+    await sidecar.control.reserve(reserve("p1"));
+    const impatient = await call(sidecar, "p1", { timeoutMs: 10 })
+      .catch(() => undefined);
+    expect(impatient?.state).not.toBe(PlainCallState.Answered);
+    const late = await attach(sidecar, "p1", { waitMs: 5_000 });
+    expect([PlainCallState.Answered, PlainCallState.Unknown])
+      .toContain(late.state);
+    expect(server.books().executionsById).toEqual({ p1: 1 });
+  });
+
+  test("attach waits for a call that is running and keeps its answer", async () => {
+    const { server, sidecar } = await bench.plain();
+    server.setDelay(100);
+    await sidecar.control.reserve(reserve("p1"));
+    const running = call(sidecar, "p1");
+    await until("call", () => server.books().total === 1);
+    expect((await attach(sidecar, "p1")).state).toBe(PlainCallState.Running);
+    const waited = await attach(sidecar, "p1", { waitMs: 5_000 });
+    expect(waited.state).toBe(PlainCallState.Answered);
+    expect(await running).toEqual(waited);
+    expect(await attach(sidecar, "p1")).toEqual(waited);
+  });
+
+  test("a call whose answer the service lost is unknown and not resent", async () => {
+    const { server, sidecar } = await bench.plain();
+    server.setFault(PlainFault.AfterExecuting);
+    await sidecar.control.reserve(reserve("p1"));
+    const unknown = {
+      state: PlainCallState.Unknown,
+      reason: UnknownReason.BackendFailed,
+    };
+    expect(await call(sidecar, "p1")).toMatchObject(unknown);
+    server.setFault(PlainFault.None);
+    expect(await call(sidecar, "p1")).toMatchObject(unknown);
+    expect(await attach(sidecar, "p1")).toMatchObject(unknown);
+    expect(server.books().executionsById).toEqual({ p1: 1 });
+  });
+
+  test("a call that never left the sidecar was not run", async () => {
+    const { server, sidecar } = await bench.plain();
+    await sidecar.control.reserve(reserve("p1"));
+    await server.close();
+    expect(await call(sidecar, "p1")).toMatchObject({
+      state: PlainCallState.NotRun,
+      reason: RefusalReason.EngineDown,
+    });
+  });
+
+  test("a running call outlives its caller's renewals", async () => {
+    const { server, sidecar } = await bench.plain({ renewGraceMs: 20 });
+    server.setDelay(400);
+    await sidecar.control.reserve(reserve("p1"));
+    const reply = await call(sidecar, "p1");
+    expect(reply.state).toBe(PlainCallState.Answered);
+  });
+
+  test("a cancel tells that the call runs, and does not hide its answer", async () => {
+    const { server, sidecar } = await bench.plain();
+    server.setDelay(100);
+    await sidecar.control.reserve(reserve("p1"));
+    const running = call(sidecar, "p1");
+    await until("call", () => server.books().total === 1);
+    const ref = { requestId: "p1", attempt: 1 };
+    const { state } = await sidecar.control.cancel(ref);
+    expect(state).toBe(CancelState.Running);
+    expect((await running).state).toBe(PlainCallState.Answered);
+    const again = await sidecar.control.cancel(ref);
+    expect(again.state).not.toBe(CancelState.NotStarted);
+  });
+});
+
+test("concurrency is bounded, and a full service says when to come again", async () => {
+  const { sidecar } = await bench.plain({ plainConcurrency: 1 });
+  const first = await sidecar.control.reserve(reserve("p1"));
+  const repeat = await sidecar.control.reserve(reserve("p1"));
+  expect([first.granted, repeat.granted]).toEqual([true, true]);
+  const second = await sidecar.control.reserve(reserve("p2"));
+  expect(second).toMatchObject({ granted: false, reason: RefusalReason.Full });
+});
--- /dev/null
+++ b/packages/sidecar/src/__tests__/prefill_test.ts
@@ -0,0 +1,126 @@
+/** Prefills are run once, in time or not at all. */
+import { afterEach, beforeEach, describe, expect, test } from "@jest/globals";
+import { BackendRole, RefusalReason } from "@sassafrascleat/protocol";
+import {
+  Bench,
+  type EngineNode,
+  prefilled,
+  prefillRequest,
+  until,
+} from "./harness.ts";
+
+let bench: Bench;
+beforeEach(() => {
+  bench = new Bench();
+});
+afterEach(() => bench.close());
+
+/** Prompt tokens that keep a slow engine busy for a second. */
+const LONG = { promptTokens: 10_000 };
+
+function slowNode(overrides = {}): Promise<EngineNode> {
+  const options = { prefillRate: 10_000 };
+  return bench.node(BackendRole.Prefill, options, overrides);
+}
+
+describe("prefill", () => {
+  test("repeats of one attempt run the prompt once", async () => {
+    const node = await bench.node(BackendRole.Prefill);
+    const [first, second] = await Promise.all([
+      prefilled(node, "r1", "a"),
+      prefilled(node, "r1", "a"),
+    ]);
+    const third = await prefilled(node, "r1", "a");
+    expect([second.kv.handle, third.kv.handle])
+      .toEqual([first.kv.handle, first.kv.handle]);
+    expect(node.server.books().prefillsRun).toBe(1);
+  });
+
+  test("a prompt that is cancelled before its time is never run", async () => {
+    const node = await bench.node(BackendRole.Prefill);
+    const req = prefillRequest("r1", "a", { startInMs: 60_000 });
+    const reply = node.sidecar.control.prefill(req);
+    await node.sidecar.control.cancel(req);
+    expect(await reply).toMatchObject({ reason: RefusalReason.Tombstoned });
+    expect(await node.sidecar.control.prefill(req))
+      .toMatchObject({ reason: RefusalReason.Tombstoned });
+    expect(node.server.books()).toMatchObject({
+      prefillsRun: 0,
+      prefillsCancelled: 0,
+    });
+  });
+
+  test("a prompt that can't begin in time is refused at once", async () => {
+    const node = await slowNode();
+    const first = prefilled(node, "r1", "a", LONG);
+    const late = prefillRequest("r2", "b", { startWithinMs: 50 });
+    expect(await node.sidecar.control.prefill(late))
+      .toMatchObject({ reason: RefusalReason.Full });
+    await first;
+    expect(node.server.books().prefillsRun).toBe(1);
+  });
+
+  test("higher priority begins first", async () => {
+    const node = await slowNode({ prefillWindowTokens: 1 });
+    const ended: string[] = [];
+    const run = async (id: string, priority: number) => {
+      await prefilled(node, id, id, { promptTokens: 2_000, priority });
+      ended.push(id);
+    };
+    await Promise.all([run("first", 0), run("low", 0), run("high", 9)]);
+    expect(ended).toEqual(["first", "high", "low"]);
+  });
+
+  test("a cancel frees work in the engine and a result that was kept", async () => {
+    const node = await slowNode();
+    const working = node.sidecar.control.prefill(
+      prefillRequest("r1", "a", LONG),
+    );
+    await until("work", () => node.server.books().heldIds.length === 1);
+    await node.sidecar.control.cancel({ requestId: "r1", attempt: 1 });
+    expect((await working).done).toBe(false);
+    await until("memory", () => node.server.books().heldPieces === 0);
+    await prefilled(node, "r2", "b");
+    await node.sidecar.control.cancel({ requestId: "r2", attempt: 1 });
+    await until("memory", () => node.server.books().heldPieces === 0);
+    expect(node.server.books()).toMatchObject({
+      prefillsCancelled: 1,
+      prefillsExpired: 0,
+    });
+  });
+
+  test("a prompt that nobody renews is dropped", async () => {
+    const node = await slowNode({ renewGraceMs: 100 });
+    const reply = await node.sidecar.control.prefill(
+      prefillRequest("r1", "a", { promptTokens: 50_000 }),
+    );
+    expect(reply.done).toBe(false);
+    await until("memory", () => node.server.books().heldPieces === 0);
+    expect(node.server.books().prefillsRun).toBe(0);
+  });
+
+  test("a result lives briefly and is not run again under its attempt", async () => {
+    const node = await bench.node(BackendRole.Prefill, {
+      resultLifetimeMs: 30,
+    });
+    const done = await prefilled(node, "r1", "a");
+    expect(done.kv.expiresInMs).toBeLessThanOrEqual(30);
+    await until("expiry", () => node.server.books().prefillsExpired === 1);
+    expect(await node.sidecar.control.prefill(prefillRequest("r1", "a")))
+      .toMatchObject({ done: false, reason: RefusalReason.GrantExpired });
+    expect(node.server.books()).toMatchObject({
+      prefillsRun: 1,
+      wastedTokens: 100,
+      heldPieces: 0,
+    });
+  });
+
+  test("a cached prefix is not run again", async () => {
+    const node = await bench.node(BackendRole.Prefill);
+    const fields = { promptTokens: 4_500, pieceHashes: ["p1", "p2"] };
+    await prefilled(node, "r1", "a", fields);
+    const again = await prefilled(node, "r2", "a", fields);
+    expect(again.cachedTokens).toBe(4_000);
+    expect(node.server.books().prefillTokens).toBe(5_000);
+  });
+});
--- a/packages/sidecar/src/attempt_ledger.ts
+++ b/packages/sidecar/src/attempt_ledger.ts
@@ -139,6 +139,11 @@
     this.#cfg.onEnd(record, before);
   }
 
+  /** Stops the work on every open attempt; for the end of the sidecar. */
+  stopAll(): void {
+    for (const record of this.open()) record.stop.abort();
+  }
+
   finish(record: AttemptRecord, nowMs: number): void {
     if (!isOpen(record)) return;
     record.state = AttemptState.Finished;
@@ -164,11 +169,14 @@
     return [...this.#records.values()].filter(isOpen);
   }
 
-  /** Forgets attempts whose retention is over; returns their request ids. */
-  prune(nowMs: number): string[] {
+  /**
+   * Forgets attempts whose retention is over, save those that `keep` names;
+   * returns their request ids.
+   */
+  prune(nowMs: number, keep: (requestId: string) => boolean): string[] {
     const before = nowMs - this.#cfg.retentionMs;
     const old = [...this.#records.values()].filter((record) =>
-      !isOpen(record) && record.endedAtMs < before
+      !isOpen(record) && record.endedAtMs < before && !keep(record.requestId)
     );
     for (const record of old) this.#records.delete(record.requestId);
     return old.map((record) => record.requestId);
--- a/packages/sidecar/src/backend_state.ts
+++ b/packages/sidecar/src/backend_state.ts
@@ -14,7 +14,11 @@
   parseAttemptId,
 } from "./attempt_ledger.ts";
 import { CapacityLedger, type Place, PlaceState } from "./capacity.ts";
-import { LEDGER_CAPACITY, OVERDUE_SHARE } from "./constants.ts";
+import {
+  INITIAL_CALL_MS,
+  LEDGER_CAPACITY,
+  OVERDUE_SHARE,
+} from "./constants.ts";
 import { EngineCanceller } from "./engine_canceller.ts";
 import { EngineWatch } from "./engine_watch.ts";
 import { SidecarMetrics } from "./metrics.ts";
@@ -40,7 +44,7 @@
   leaving = false;
   role: BackendRole;
   /** Mean duration of plain calls, in milliseconds. */
-  callMs = 0;
+  callMs = INITIAL_CALL_MS;
 
   constructor(
     cfg: ResolvedSidecarOptions,
@@ -58,6 +62,7 @@
     this.capacity = new CapacityLedger({
       totalPieces: () => this.#totalPieces(),
       slots: () => this.slots(),
+      grantTtlMs: cfg.grantTtlMs,
       remainingMs: (place) => this.#remainingMs(place),
     });
     this.parts = cfg.engine && this.#createParts(cfg.engine, signal);
@@ -102,7 +107,7 @@
 
   /** Records how long a plain call took. */
   observeCall(ms: number): void {
-    this.callMs = this.callMs ? this.callMs * 0.9 + ms * 0.1 : ms;
+    this.callMs = this.callMs * 0.9 + ms * 0.1;
   }
 
   /** Follows the engine into its new role. */
@@ -124,12 +129,14 @@
     const canceller = new EngineCanceller(engine, signal);
     const knows = (id: string) => this.knows(id);
     const watch = new EngineWatch({ engine, canceller, reconcileMs, knows });
+    const { cache } = watch;
     const prefills = new PrefillScheduler({
       engine,
       canceller,
       clock,
       windowTokens: prefillWindowTokens,
-      costOf: (req) => req.promptTokens,
+      costOf: (req) =>
+        Math.max(1, req.promptTokens - cache.cachedTokens(req.pieceHashes)),
       assumedRate: () => watch.prefillRate,
     });
     return { engine, canceller, watch, prefills };
@@ -138,7 +145,7 @@
   /** A reserved attempt gives its place back at once; a running one later. */
   #onEnd(record: AttemptRecord, before: AttemptState): void {
     if (before !== AttemptState.Reserved) return;
-    this.capacity.release(attemptId(record), this.cfg.clock.now());
+    this.capacity.release(attemptId(record));
   }
 
   #totalPieces(): number {
--- a/packages/sidecar/src/capacity.ts
+++ b/packages/sidecar/src/capacity.ts
@@ -5,7 +5,7 @@
  * has confirmed its cancel. Pure but for the promise that a place is ready.
  */
 import { RequestClass, TOKENS_PER_PIECE } from "@sassafrascleat/protocol";
-import { GROWTH_LEAD_TOKENS, GROWTH_MARGIN } from "./constants.ts";
+import { GROWTH_LEAD_TOKENS, GROWTH_MARGIN, MIN_WAIT_MS } from "./constants.ts";
 
 /** Where a place stands. */
 export enum PlaceState {
@@ -36,8 +36,8 @@
   state: PlaceState;
   pieces: number;
   producedTokens: number;
-  /** When the place became `Held`; the grant expires from then on. */
-  heldAtMs: number | undefined;
+  /** When the grant expires unless its attempt was started. */
+  readonly expiresAtMs: number;
   /** Resolves when the place is no longer waiting. */
   readonly ready: Promise<void>;
   readonly setReady: () => void;
@@ -47,6 +47,8 @@
 export interface CapacityOptions {
   totalPieces(): number;
   slots(): number;
+  /** Lifetime of a grant after its place is ready, in milliseconds. */
+  grantTtlMs: number;
   /** Predicted time until the place is given back, in milliseconds. */
   remainingMs(place: Place): number;
 }
@@ -112,8 +114,9 @@
     if (readyInMs > maxWaitMs) {
       return { result: PlaceResult.Full, retryAfterMs: readyInMs };
     }
-    const place = this.#create(req, pieces);
-    this.promote(nowMs);
+    const expiresAtMs = nowMs + readyInMs + this.#cfg.grantTtlMs;
+    const place = this.#create(req, pieces, expiresAtMs);
+    this.promote();
     return { result: PlaceResult.Granted, place, readyInMs };
   }
 
@@ -155,33 +158,33 @@
   }
 
   /** Gives a place back, and hands it on to those who wait. */
-  release(id: string, nowMs: number): void {
+  release(id: string): void {
     const place = this.#places.get(id);
     if (!place) return;
     this.#places.delete(id);
     place.setReady();
-    this.promote(nowMs);
+    this.promote();
   }
 
   /** Hands free slots to waiting places, strictly in the order of grants. */
-  promote(nowMs: number): void {
+  promote(): void {
     for (const place of this.#waiting()) {
       if (this.occupied >= this.#cfg.slots()) return;
       if (this.freePieces < place.pieces) return;
       place.state = PlaceState.Held;
-      place.heldAtMs = nowMs;
       place.setReady();
     }
   }
 
-  /** Held places that were not started since `sinceMs`. */
-  unstarted(sinceMs: number): Place[] {
+  /** Waiting and held places whose grants have expired. */
+  expired(nowMs: number): Place[] {
     return [...this.#places.values()].filter((place) =>
-      place.state === PlaceState.Held && (place.heldAtMs ?? 0) < sinceMs
+      (place.state === PlaceState.Held ||
+        place.state === PlaceState.Waiting) && place.expiresAtMs < nowMs
     );
   }
 
-  #create(req: PlaceRequest, pieces: number): Place {
+  #create(req: PlaceRequest, pieces: number, expiresAtMs: number): Place {
     let setReady = () => {};
     const ready = new Promise<void>((resolve) => setReady = resolve);
     const place: Place = {
@@ -194,7 +197,7 @@
       state: PlaceState.Waiting,
       pieces,
       producedTokens: 0,
-      heldAtMs: undefined,
+      expiresAtMs,
       ready,
       setReady,
     };
@@ -222,7 +225,7 @@
         ends.sort((a, b) => a.atMs - b.atMs);
         const end = ends.shift();
         if (!end) return Infinity;
-        nowMs = Math.max(nowMs, end.atMs);
+        nowMs = Math.max(nowMs, end.atMs, MIN_WAIT_MS);
         freeSlots++;
         freePieces += end.pieces;
       }
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -22,7 +22,13 @@
 export const INITIAL_PREFILL_RATE = 20_000;
 
 /** Interval between polls of the engine's load, in milliseconds. */
-export const LOAD_POLL_MS = 200;
+export const LOAD_POLL_MS = 500;
+
+/** Interval between polls of the engine's cache events, in milliseconds. */
+export const CACHE_POLL_MS = 1_000;
+
+/** Time that a start waits for the engine to be cleaned up, in milliseconds. */
+export const STARTUP_CLEAN_MS = 2_000;
 
 /** Failed polls in a row after which an engine counts as down. */
 export const LOAD_FAILURES_DOWN = 3;
@@ -38,7 +44,7 @@
 export const CANCEL_RETRY_MAX_MS = 1_000;
 
 /** Time for which a broken engine stream is resumed, in milliseconds. */
-export const ENGINE_RESUME_MS = 3_000;
+export const ENGINE_RESUME_MS = 1_000;
 
 /** Delay between two resumes of an engine stream, in milliseconds. */
 export const ENGINE_RESUME_DELAY_MS = 50;
@@ -72,3 +78,9 @@
 
 /** Interval between looks at the work in flight during a drain, in milliseconds. */
 export const DRAIN_POLL_MS = 20;
+
+/** Shortest prediction for a place that isn't free now, in milliseconds. */
+export const MIN_WAIT_MS = 1;
+
+/** Assumed time of a plain call before one was measured, in milliseconds. */
+export const INITIAL_CALL_MS = 50;
--- a/packages/sidecar/src/control.ts
+++ b/packages/sidecar/src/control.ts
@@ -163,8 +163,7 @@
 
   #granted(place: Place, readyInMs: number): ReserveReply {
     const { cfg, incarnation } = this.#state;
-    const heldMs = cfg.clock.now() - (place.heldAtMs ?? cfg.clock.now());
-    const expiresInMs = readyInMs + cfg.grantTtlMs - heldMs;
+    const expiresInMs = Math.max(0, place.expiresAtMs - cfg.clock.now());
     const hint = this.#state.hint();
     return { granted: true, incarnation, readyInMs, expiresInMs, hint };
   }
--- a/packages/sidecar/src/decode_runner.ts
+++ b/packages/sidecar/src/decode_runner.ts
@@ -18,6 +18,7 @@
 import { type CapacityLedger, type Place, PlaceState } from "./capacity.ts";
 import { ENGINE_RESUME_DELAY_MS, ENGINE_RESUME_MS } from "./constants.ts";
 import type { EngineCanceller } from "./engine_canceller.ts";
+import { settleWithin } from "./settle_within.ts";
 import type { LogEnd, TokenLog } from "./token_log.ts";
 import type { TransferGate } from "./transfer_gate.ts";
 
@@ -61,7 +62,7 @@
     tokens: TokenLog,
   ): Promise<void> {
     const id = attemptId(record);
-    const { capacity, canceller, clock } = this.#opts;
+    const { capacity, canceller } = this.#opts;
     const { end, hold } = await this.#attempt(record, req, tokens);
     tokens.finish(end);
     log("attempt_ended", {
@@ -74,7 +75,7 @@
       if (place) place.state = PlaceState.Releasing;
       await canceller.cancel(id);
     }
-    capacity.release(id, clock.now());
+    capacity.release(id);
   }
 
   async #attempt(
@@ -108,12 +109,7 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     if (place.state === PlaceState.Waiting) {
-      const timeout = new AbortController();
-      await Promise.race([
-        place.ready,
-        sleep(expiresInMs, AbortSignal.any([signal, timeout.signal])),
-      ]);
-      timeout.abort();
+      await settleWithin(place.ready, expiresInMs, signal);
     }
     return place.state === PlaceState.Held && !signal.aborted;
   }
--- a/packages/sidecar/src/engine_watch.ts
+++ b/packages/sidecar/src/engine_watch.ts
@@ -5,12 +5,16 @@
  */
 import type { Engine, EngineLoad } from "@sassafrascleat/engine";
 import { createLogger, every } from "@sassafrascleat/runtime";
+import { CacheView } from "./cache_view.ts";
 import {
+  CACHE_POLL_MS,
   INITIAL_PREFILL_RATE,
   LOAD_FAILURES_DOWN,
   LOAD_POLL_MS,
+  STARTUP_CLEAN_MS,
 } from "./constants.ts";
 import type { EngineCanceller } from "./engine_canceller.ts";
+import { settleWithin } from "./settle_within.ts";
 import { StepModel } from "./step_model.ts";
 
 const log = createLogger("sidecar:engine");
@@ -27,14 +31,17 @@
 /** The sidecar's view of its engine. */
 export class EngineWatch {
   readonly steps = new StepModel();
+  readonly cache: CacheView;
   readonly #opts: EngineWatchOptions;
   #load: EngineLoad | undefined;
   #failures = 0;
   #clean = false;
+  #cleaning: Promise<void> | undefined;
   #suspects = new Set<string>();
 
   constructor(opts: EngineWatchOptions) {
     this.#opts = opts;
+    this.cache = new CacheView(opts.engine);
   }
 
   /** True once the engine is reached and holds nothing from before. */
@@ -59,7 +66,8 @@
   /** Cleans the engine up once and begins to watch until `signal` aborts. */
   async start(signal: AbortSignal): Promise<void> {
     await this.#poll();
-    await this.#cleanUp();
+    await settleWithin(this.#cleanUp(), STARTUP_CLEAN_MS, signal);
+    void every(CACHE_POLL_MS, signal, () => this.cache.poll());
     void every(LOAD_POLL_MS, signal, () => this.#poll());
     void every(this.#opts.reconcileMs, signal, () => this.#reconcile());
   }
@@ -74,11 +82,18 @@
     this.#failures = 0;
     this.#load = load;
     this.steps.observe(load.running, load.stepMs);
-    if (!this.#clean) await this.#cleanUp();
+    if (!this.#clean) void this.#cleanUp();
   }
 
   /** Cancels everything that the engine held before this sidecar started. */
-  async #cleanUp(): Promise<void> {
+  #cleanUp(): Promise<void> {
+    this.#cleaning ??= this.#cancelAll().finally(() =>
+      this.#cleaning = undefined
+    );
+    return this.#cleaning;
+  }
+
+  async #cancelAll(): Promise<void> {
     const ids = await this.#opts.engine.held();
     if (!ids) return;
     await Promise.all(ids.map((id) => this.#opts.canceller.cancel(id)));
--- a/packages/sidecar/src/listener.ts
+++ b/packages/sidecar/src/listener.ts
@@ -49,7 +49,7 @@
   });
   requireSecret(app, parts.state.cfg.secrets);
   serveControl(app, parts.control);
-  serveStreams(app, parts.streams);
+  if (parts.state.parts) serveStreams(app, parts.streams);
   if (parts.plain) servePlain(app, parts.state, parts.plain);
   serveHealth(app, parts.state);
   return app;
--- a/packages/sidecar/src/order_guard.ts
+++ b/packages/sidecar/src/order_guard.ts
@@ -10,7 +10,8 @@
   type OrderRequest,
   OrderState,
 } from "@sassafrascleat/protocol";
-import { createLogger, sleep } from "@sassafrascleat/runtime";
+import { createLogger } from "@sassafrascleat/runtime";
+import { settleWithin } from "./settle_within.ts";
 
 const log = createLogger("sidecar:order");
 
@@ -56,7 +57,7 @@
     this.#lastRequest = req;
     this.#last = this.#reply(OrderState.Running, "sent to the engine");
     this.#chain = this.#chain.then(() => this.#forward(req));
-    await Promise.race([this.#chain, sleep(CONTROL_TIMEOUT_MS)]);
+    await settleWithin(this.#chain, CONTROL_TIMEOUT_MS);
     return this.#last;
   }
 
--- a/packages/sidecar/src/plain_calls.ts
+++ b/packages/sidecar/src/plain_calls.ts
@@ -22,7 +22,6 @@
   type Clock,
   createLogger,
   errorMessage,
-  sleep,
 } from "@sassafrascleat/runtime";
 import {
   attemptId,
@@ -32,6 +31,7 @@
   isOpen,
 } from "./attempt_ledger.ts";
 import { type CapacityLedger, PlaceState } from "./capacity.ts";
+import { settleWithin } from "./settle_within.ts";
 
 const log = createLogger("sidecar:plain");
 
@@ -71,6 +71,12 @@
     return this.#runs.has(requestId);
   }
 
+  /** Whether a call under this request id is with the service now. */
+  running(requestId: string): boolean {
+    const run = this.#runs.get(requestId);
+    return run !== undefined && run.reply === undefined;
+  }
+
   /** Runs a granted call, or waits for the run that there is. */
   async call(req: PlainCallRequest): Promise<PlainCallReply> {
     if (req.incarnation !== this.#opts.incarnation) {
@@ -114,7 +120,7 @@
     const record = attempts.find(req);
     if (record?.state === AttemptState.Reserved) {
       attempts.finish(record, clock.now());
-      capacity.release(attemptId(req), clock.now());
+      capacity.release(attemptId(req));
     }
     return await this.#wait(run, req.timeoutMs);
   }
@@ -126,7 +132,7 @@
     const place = capacity.find(attemptId(req));
     if (!record || !isOpen(record) || !place) return this.#refuse(req);
     const { signal } = record.stop;
-    await Promise.race([place.ready, sleep(req.timeoutMs, signal)]);
+    await settleWithin(place.ready, req.timeoutMs, signal);
     if (this.#runs.has(req.requestId)) return undefined;
     const held = place.state === PlaceState.Held;
     if (held && !signal.aborted) return undefined;
@@ -168,7 +174,7 @@
     const ms = clock.now() - startedAtMs;
     if (result.status === EngineStatus.Ok) onDuration(ms);
     if (record) attempts.finish(record, clock.now());
-    capacity.release(attemptId(req), clock.now());
+    capacity.release(attemptId(req));
     log("call_ended", { request: attemptId(req), state: run.reply.state, ms });
   }
 
@@ -208,9 +214,7 @@
   }
 
   async #wait(run: Run, waitMs: number): Promise<PlainCallReply> {
-    const timeout = new AbortController();
-    await Promise.race([run.done, sleep(waitMs, timeout.signal)]);
-    timeout.abort();
+    await settleWithin(run.done, waitMs);
     return run.reply ?? this.#running();
   }
 
--- a/packages/sidecar/src/prefill_scheduler.ts
+++ b/packages/sidecar/src/prefill_scheduler.ts
@@ -221,6 +221,7 @@
   #withdraw(job: Job): void {
     if (!this.#queue.delete(job)) return;
     job.settle({ done: false, reason: job.record.refusal });
+    this.#schedule(this.#opts.clock.now());
   }
 }
 
--- a/packages/sidecar/src/reaper.ts
+++ b/packages/sidecar/src/reaper.ts
@@ -22,14 +22,16 @@
     if (isRunningCall(state, record)) continue;
     end(state, record, "not_renewed");
   }
-  for (const place of state.capacity.unstarted(now - state.cfg.grantTtlMs)) {
+  for (const place of state.capacity.expired(now)) {
     const record = state.attempts.find(parseAttemptId(place.id));
     if (record?.state === AttemptState.Reserved) {
       end(state, record, "grant_expired");
     }
   }
-  state.capacity.promote(now);
-  plain?.forget(state.attempts.prune(now));
+  state.capacity.promote();
+  const running = (id: string) => plain?.running(id) ?? false;
+  const forgotten = state.attempts.prune(now, running);
+  plain?.forget(forgotten);
 }
 
 /** A plain call that was handed over runs on: its answer may be asked for. */
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -57,6 +57,7 @@
     drain: (signal) => drain(state, signal),
     close: async () => {
       stop.abort();
+      state.attempts.stopAll();
       await app.close();
     },
   };
--- a/packages/testing/src/engine/engine_core.ts
+++ b/packages/testing/src/engine/engine_core.ts
@@ -141,6 +141,12 @@
     if (this.faults.dead) this.clear();
   }
 
+  /** Ends the engine for good. */
+  async close(): Promise<void> {
+    this.clear();
+    await this.#kv.close();
+  }
+
   /** Loses everything that is held. */
   clear(): void {
     for (const item of this.#imports.values()) item.stop.abort();
--- a/packages/testing/src/engine/engine_server.ts
+++ b/packages/testing/src/engine/engine_server.ts
@@ -56,7 +56,7 @@
     books: () => core.booksNow(),
     setFaults: (faults) => applyFaults(app, core, faults),
     close: async () => {
-      core.clear();
+      await core.close();
       await app.close();
     },
   };
--- a/packages/testing/src/engine/kv_client.ts
+++ b/packages/testing/src/engine/kv_client.ts
@@ -1,7 +1,7 @@
 /** Fetches prefill results from other engines. */
 import { type EngineDecodeRequest, EngineStatus } from "@sassafrascleat/engine";
 import { childController, sleep } from "@sassafrascleat/runtime";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { KvPath } from "./constants.ts";
 import type { ResolvedEngineServerOptions } from "./options.ts";
 import type { SharedLink } from "./shared_link.ts";
@@ -10,6 +10,7 @@
 export class KvClient {
   readonly #cfg: ResolvedEngineServerOptions;
   readonly #link: SharedLink;
+  readonly #agent = new Agent();
 
   constructor(cfg: ResolvedEngineServerOptions, link: SharedLink) {
     this.#cfg = cfg;
@@ -50,6 +51,10 @@
     return await this.#post(address + KvPath.Export, { handle }, signal);
   }
 
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
   /** The status of the answer; 0 when there was none. */
   async #post(
     url: string,
@@ -62,6 +67,7 @@
         headers: { "content-type": "application/json" },
         body: JSON.stringify(body),
         signal,
+        dispatcher: this.#agent,
       });
       await res.body.dump();
       return res.statusCode;
--- a/packages/testing/src/engine/prefill_queue.ts
+++ b/packages/testing/src/engine/prefill_queue.ts
@@ -237,13 +237,15 @@
   #scheduleExpiry(handle: string): void {
     const result = this.#results.get(handle);
     if (!result || result.exports > 0) return;
-    const waitMs = Math.max(0, result.expiresAt - performance.now());
+    const waitMs = Math.ceil(result.expiresAt - performance.now());
     setTimeout(() => this.#expire(handle, result), waitMs).unref();
   }
 
   #expire(handle: string, result: StoredResult): void {
     if (this.#results.get(handle) !== result || result.exports > 0) return;
-    if (result.expiresAt > performance.now() + 1) return;
+    if (result.expiresAt > performance.now()) {
+      return this.#scheduleExpiry(handle);
+    }
     this.#books.prefillsExpired++;
     this.#drop(handle);
   }
