feat(playground): a rig of real daemon processes behind fault proxies

Cause: promises have to be proved with real processes. Change: two entries and six sidecars as processes, stand-ins in the test's process, a TCP proxy on each link; kill, pause, resume, terminate, restart on the same ports.

--- /dev/null
+++ b/playground/src/rig/rig.ts
@@ -0,0 +1,215 @@
+/**
+ * A small deployment of real daemon processes before stand-ins that live in
+ * the test's process: two entries, two prefill and two decode engines, two
+ * plain services, a proxy on every link.
+ */
+import {
+  ChangeAction,
+  type ChangeDocument,
+  ObjectKind,
+  ProposeKind,
+} from "@sassafrascleat/config";
+import { BackendRole, HostState } from "@sassafrascleat/protocol";
+import { invariant, Secret, sleep } from "@sassafrascleat/runtime";
+import { createStoreServer, type StoreServer } from "@sassafrascleat/testing";
+import { randomUUID } from "node:crypto";
+import { applyChange } from "../caller/operator_caller.ts";
+import {
+  type BackendPlan,
+  RigBackend,
+  startRigBackend,
+} from "./rig_backend.ts";
+import { RigEntry, startRigEntry } from "./rig_entry.ts";
+
+/** Names that every rig uses. */
+export const RIG_OFFICE = "carolinas";
+export const RIG_MODEL = "grievance-summarizer";
+export const RIG_PLAIN_SERVICE = "relief-swaps";
+
+const ZONES = ["gastonia", "kannapolis"] as const;
+
+const BACKENDS: BackendPlan[] = ZONES.flatMap((availabilityZone, index) => [
+  {
+    name: `prefill-${index}`,
+    pool: "prefill",
+    role: BackendRole.Prefill,
+    availabilityZone,
+  },
+  {
+    name: `decode-${index}`,
+    pool: "decode",
+    role: BackendRole.Decode,
+    availabilityZone,
+  },
+  {
+    name: `plain-${index}`,
+    pool: "plain",
+    role: BackendRole.Plain,
+    availabilityZone,
+  },
+]);
+
+/** Options of a rig. */
+export interface RigOptions {
+  /** Factor on the stand-in engines' durations. @default 1 */
+  timeScale?: number;
+  /** Time that a plain call takes, in milliseconds. @default 20 */
+  plainDelayMs?: number;
+  /** Fields of the routing policy. @default {} */
+  policy?: Record<string, unknown>;
+}
+
+/** A running rig. */
+export class Rig {
+  readonly store: StoreServer;
+  readonly entries: [RigEntry, RigEntry];
+  readonly backends: readonly RigBackend[];
+  readonly operatorSecret: Secret;
+
+  constructor(
+    store: StoreServer,
+    entries: [RigEntry, RigEntry],
+    backends: readonly RigBackend[],
+    operatorSecret: Secret,
+  ) {
+    this.store = store;
+    this.entries = entries;
+    this.backends = backends;
+    this.operatorSecret = operatorSecret;
+  }
+
+  /** The backend server with this name. */
+  backend(name: string): RigBackend {
+    const found = this.backends.find((backend) => backend.listed.name === name);
+    invariant(found !== undefined, `the rig has no backend server ${name}`);
+    return found;
+  }
+
+  byRole(role: BackendRole): RigBackend[] {
+    return this.backends.filter((backend) => backend.listed.role === role);
+  }
+
+  /** Publishes the host list; the named backend servers leave. */
+  publishHosts(leaving: readonly string[] = [], lagMs = 0): void {
+    const hosts = this.backends.map(({ listed }) => ({
+      ...listed,
+      state: leaving.includes(listed.name) ? HostState.Leaving : HostState.Live,
+    }));
+    this.store.setHosts(hosts, lagMs);
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.entries.map((entry) => entry.close()));
+    await Promise.all(this.backends.map((backend) => backend.close()));
+    await this.store.close();
+  }
+}
+
+function createDocument(
+  kind: ObjectKind,
+  object: { name: string } & Record<string, unknown>,
+): ChangeDocument {
+  return { kind, action: ChangeAction.Create, object };
+}
+
+function rigConfiguration(policy: Record<string, unknown>): ChangeDocument[] {
+  const pools = [BackendRole.Prefill, BackendRole.Decode, BackendRole.Plain];
+  const common = { office: RIG_OFFICE, policy: "standard" };
+  return [
+    createDocument(ObjectKind.Policy, { name: "standard", ...policy }),
+    ...pools.map((role) =>
+      createDocument(ObjectKind.Pool, { name: role, office: RIG_OFFICE, role })
+    ),
+    createDocument(ObjectKind.Service, {
+      ...common,
+      kind: "model",
+      name: "summarizer",
+      model: RIG_MODEL,
+      prefillPool: BackendRole.Prefill,
+      decodePool: BackendRole.Decode,
+    }),
+    createDocument(ObjectKind.Service, {
+      ...common,
+      kind: "plain",
+      name: RIG_PLAIN_SERVICE,
+      pool: BackendRole.Plain,
+      repeatable: [{ method: "GET", path: "/" }],
+      timeoutMs: 5_000,
+    }),
+  ];
+}
+
+/** Interval between two looks at a condition, in milliseconds. */
+const POLL_MS = 5;
+
+/** Longest wait for a condition, in milliseconds. */
+const CONDITION_TIMEOUT_MS = 15_000;
+
+/** Waits until `holds` is true; false when it was not in time. */
+export async function until(
+  holds: () => boolean | Promise<boolean>,
+  timeoutMs = CONDITION_TIMEOUT_MS,
+): Promise<boolean> {
+  const endMs = performance.now() + timeoutMs;
+  while (performance.now() < endMs) {
+    if (await holds()) return true;
+    await sleep(POLL_MS);
+  }
+  return await holds();
+}
+
+async function isReady(entry: RigEntry): Promise<boolean> {
+  const res = await fetch(`${entry.address}/v1/models`).catch(() => undefined);
+  const body = await res?.text().catch(() => "");
+  return body?.includes(RIG_MODEL) ?? false;
+}
+
+async function configure(rig: Rig, policy: Record<string, unknown>) {
+  const target = {
+    address: rig.entries[0].operatorsAddress,
+    secret: rig.operatorSecret,
+  };
+  for (const change of rigConfiguration(policy)) {
+    const reply = await applyChange(target, randomUUID(), change);
+    invariant(
+      reply.kind === ProposeKind.Accepted,
+      `the rig's configuration was refused: ${JSON.stringify(reply)}`,
+    );
+  }
+  for (const entry of rig.entries) {
+    const ready = await until(() => isReady(entry));
+    invariant(ready, `${entry.id} did not get the rig's configuration`);
+  }
+}
+
+/** Starts all processes with their configuration in force. */
+export async function startRig(options: RigOptions = {}): Promise<Rig> {
+  const store = await createStoreServer({});
+  const operatorSecret = new Secret("rig-operator", randomUUID());
+  const env = {
+    SYSTEM_SECRET: randomUUID(),
+    OPERATOR_SECRET: operatorSecret.reveal(),
+  };
+  const ctx = {
+    office: RIG_OFFICE,
+    env,
+    timeScale: options.timeScale ?? 1,
+    plainDelayMs: options.plainDelayMs ?? 20,
+  };
+  const backends = await Promise.all(
+    BACKENDS.map((plan) => startRigBackend(plan, ctx)),
+  );
+  store.setHosts(backends.map((backend) => backend.listed));
+  const [first, second] = ZONES.map((availabilityZone, index) =>
+    startRigEntry({
+      id: `entry-${index}`,
+      office: RIG_OFFICE,
+      availabilityZone,
+      storePort: store.port,
+    }, env)
+  ) as [Promise<RigEntry>, Promise<RigEntry>];
+  const entries: [RigEntry, RigEntry] = [await first, await second];
+  const rig = new Rig(store, entries, backends, operatorSecret);
+  await configure(rig, options.policy ?? {});
+  return rig;
+}
