feat(playground): warm up before the placement bench and count the mean gap

Cause: the first seconds measured cold prefix caches and uncompiled code, and a target on 95 of 100 gaps of one short answer hangs on one late timer. Change: a fixed warm-up trace that is not counted; a request meets the target between tokens by its mean gap, and the share with 95 of 100 gaps in time is printed beside it.

--- a/playground/src/bench/placement/entry_worker.ts
+++ b/playground/src/bench/placement/entry_worker.ts
@@ -50,6 +50,8 @@
     availabilityZone: task.availabilityZone,
     callers: { host: "127.0.0.1", port: 0 },
     system: { host: "127.0.0.1", port: 0 },
+    operators: { host: "127.0.0.1", port: 0 },
+    operatorSecrets: [],
     systemSecrets: [new Secret("bench", task.secret)],
     store: createMemoryStore(),
     hostSource: { list: () => Promise.resolve(hosts) },
--- a/playground/src/bench/placement/main.ts
+++ b/playground/src/bench/placement/main.ts
@@ -7,7 +7,7 @@
 import { sleep } from "@sassafrascleat/runtime";
 import { parseArgs } from "node:util";
 import { goodputBound } from "./bound.ts";
-import { startCluster } from "./cluster.ts";
+import { type Cluster, startCluster } from "./cluster.ts";
 import { Deployment, DEPLOYMENTS } from "./deployment.ts";
 import { drive } from "./drive.ts";
 import { type RunReport, summarize } from "./report.ts";
@@ -16,6 +16,11 @@
 /** Time after the last answer in which engines free what is left, in milliseconds. */
 const SETTLE_MS = 2_500;
 
+/** The trace before the measured one; its figures are not counted. */
+const WARM_UP_LOAD = 0.5;
+const WARM_UP_SEED = -1;
+const WARM_UP_MS = 4_000;
+
 const USAGE = `usage: npm run bench -- placement
   --deployment coop|turretfold   (coop)
   --policy NAME|all              (all) ${Object.values(PolicyName).join(", ")}
@@ -67,6 +72,8 @@
 ) {
   const { deployment, seed, durationMs, kill } = options;
   const cluster = await startCluster({ deployment, policy, seed });
+  await warmUp(cluster, options);
+  await cluster.startBooks();
   const timer = kill
     ? setTimeout(() => void cluster.killEngine(), durationMs / 2)
     : undefined;
@@ -80,6 +87,21 @@
   }
 }
 
+/** Fills prefix caches and lets every process compile its code. */
+async function warmUp(cluster: Cluster, options: BenchOptions): Promise<void> {
+  const shape = DEPLOYMENTS[options.deployment];
+  await drive(
+    createTrace({
+      shape,
+      load: WARM_UP_LOAD,
+      seed: WARM_UP_SEED,
+      durationMs: WARM_UP_MS,
+      cancelShare: 0,
+    }),
+    cluster,
+  );
+}
+
 function parseOptions(args: string[]): BenchOptions | undefined {
   const { values } = parseArgs({
     args,
--- a/playground/src/bench/placement/report.ts
+++ b/playground/src/bench/placement/report.ts
@@ -1,7 +1,7 @@
 /** Sums up a run of the placement bench. */
-import type { EngineBooksNow } from "@sassafrascleat/testing";
 import type { GoodputBound } from "./bound.ts";
 import type { DeploymentShape } from "./deployment.ts";
+import type { RunBooks } from "./cluster.ts";
 import { type CallRecord, Ending } from "./drive.ts";
 
 /** Values at 50, 95 and 99 of 100, in milliseconds. */
@@ -18,7 +18,10 @@
   /** Goodput as a share of the bound. */
   ofBound: number;
   ttftMet: number;
+  /** Share whose mean time between tokens is within the target. */
   tbtMet: number;
+  /** Share with 95 of 100 of their gaps within the target; not part of goodput. */
+  gapsMet: number;
   ttftMs: Percentiles;
   tbtMs: Percentiles;
   /** Prompt tokens run for results never used, as a share of those run. */
@@ -41,7 +44,7 @@
 /** Computes the figures. */
 export function summarize(
   records: readonly CallRecord[],
-  books: readonly EngineBooksNow[],
+  books: readonly RunBooks[],
   bound: GoodputBound,
   shape: DeploymentShape,
 ): RunReport {
@@ -58,6 +61,9 @@
     ofBound: round(good.length / wanted.length / bound.goodput),
     ttftMet: share(ttftMet.length),
     tbtMet: share(tbtMet.length),
+    gapsMet: share(
+      answered.filter((it) => mostGapsMeetTbt(it, shape)).length,
+    ),
     ttftMs: percentiles(answered.map((it) => it.ttftMs ?? Infinity)),
     tbtMs: percentiles(answered.flatMap((it) => it.gapsMs)),
     ...prefillShares(books),
@@ -78,20 +84,24 @@
   };
 }
 
-/** Within the target at the mean and at 95 of 100 of its gaps. */
+/** The mean time between the answer's tokens is within the target. */
 function meetsTbt(record: CallRecord, shape: DeploymentShape): boolean {
   const { gapsMs } = record;
   if (gapsMs.length === 0) return true;
-  const mean = gapsMs.reduce((a, b) => a + b, 0) / gapsMs.length;
-  return mean <= shape.tbtTargetMs &&
-    percentile(sorted(gapsMs), 0.95) <= shape.tbtTargetMs;
+  return sum(gapsMs, (it) => it) / gapsMs.length <= shape.tbtTargetMs;
+}
+
+/** 95 of 100 of the answer's gaps are within the target. */
+function mostGapsMeetTbt(record: CallRecord, shape: DeploymentShape): boolean {
+  const ordered = sorted(record.gapsMs);
+  return percentile(ordered, 0.95) <= shape.tbtTargetMs;
 }
 
 function meetsTtft(record: CallRecord, shape: DeploymentShape): boolean {
   return (record.ttftMs ?? Infinity) <= shape.ttftTargetMs;
 }
 
-function prefillShares(books: readonly EngineBooksNow[]) {
+function prefillShares(books: readonly RunBooks[]) {
   const run = sum(books, (it) => it.prefillTokens);
   const cached = sum(books, (it) => it.cachedTokens);
   return {
