fix(sidecar): let urgent prompts pass long ones at the prefill engine

Cause: a prompt of 24,000 tokens filled the window before the engine, and shorter, more urgent ones waited up to a second behind it although engines honour priorities; the load hint counted that work as if nothing could pass it. Change: work of lower priority takes no room in the window; the hint names the tokens that are not late (urgentTokens, optional) and counts down work in hand. Work that is late already has LATE_PRIORITY or less. Conclusion: order at the prefill engine is by urgency, not by arrival.

--- a/packages/protocol/src/constants.ts
+++ b/packages/protocol/src/constants.ts
@@ -6,6 +6,9 @@
 /** Characters that one prompt token is estimated to have. */
 export const CHARS_PER_TOKEN = 4;
 
+/** Highest priority of prefill work that can no longer meet its target. */
+export const LATE_PRIORITY = -1;
+
 /** Interval between heartbeats on an open stream, in milliseconds. */
 export const STREAM_HEARTBEAT_MS = 200;
 
--- a/packages/protocol/src/reservation.ts
+++ b/packages/protocol/src/reservation.ts
@@ -62,6 +62,8 @@
   totalPieces: z.number().int(),
   /** Prompt tokens queued and in work; prefill only. */
   queuedTokens: z.number(),
+  /** The part of `queuedTokens` that is not of `LATE_PRIORITY`. */
+  urgentTokens: z.number().optional(),
   /** Measured rate, prompt tokens a second for prefill, steps a second for decode. */
   rate: z.number(),
   leaving: z.boolean(),
--- a/packages/sidecar/src/backend_state.ts
+++ b/packages/sidecar/src/backend_state.ts
@@ -100,6 +100,7 @@
       freePieces: this.parts ? this.capacity.freePieces : 0,
       totalPieces: this.parts ? this.#totalPieces() : 0,
       queuedTokens: prefills?.queuedTokens ?? 0,
+      urgentTokens: prefills?.urgentTokens ?? 0,
       rate: prefill ? prefills?.rate ?? 0 : steps,
       leaving: this.leaving,
     };
--- a/packages/sidecar/src/prefill_scheduler.ts
+++ b/packages/sidecar/src/prefill_scheduler.ts
@@ -8,7 +8,11 @@
   type EnginePrefillResult,
   EngineStatus,
 } from "@sassafrascleat/engine";
-import { type PrefillRequest, RefusalReason } from "@sassafrascleat/protocol";
+import {
+  LATE_PRIORITY,
+  type PrefillRequest,
+  RefusalReason,
+} from "@sassafrascleat/protocol";
 import { type Clock, createLogger } from "@sassafrascleat/runtime";
 import { attemptId, type AttemptRecord } from "./attempt_ledger.ts";
 import type { EngineCanceller } from "./engine_canceller.ts";
@@ -60,6 +64,8 @@
   readonly #working = new Set<Job>();
   #timer: NodeJS.Timeout | undefined;
   #measuredRate = 0;
+  /** When the engine began with the work in hand, or last ended some. */
+  #workingSinceMs = 0;
 
   constructor(opts: PrefillSchedulerOptions) {
     this.#opts = opts;
@@ -72,7 +78,12 @@
 
   /** Prompt tokens queued and in work. */
   get queuedTokens(): number {
-    return sumCost(this.#queue) + sumCost(this.#working);
+    return this.#tokensFrom(-Infinity);
+  }
+
+  /** Prompt tokens queued and in work that can still meet their target. */
+  get urgentTokens(): number {
+    return this.#tokensFrom(LATE_PRIORITY + 1);
   }
 
   get queued(): number {
@@ -112,11 +123,15 @@
 
   /** Predicted time until new work of `priority` begins, in milliseconds. */
   #waitMs(priority: number): number {
-    let tokens = sumCost(this.#working);
-    for (const job of this.#queue) {
-      if (job.req.priority >= priority) tokens += job.cost;
-    }
-    return tokens * 1000 / this.rate;
+    return this.#tokensFrom(priority) * 1000 / this.rate;
+  }
+
+  /** Tokens left of the work of `priority` or higher. */
+  #tokensFrom(priority: number): number {
+    const working = sumCost(this.#working, priority);
+    const spentMs = this.#opts.clock.now() - this.#workingSinceMs;
+    const left = Math.max(0, working - spentMs * this.rate / 1000);
+    return sumCost(this.#queue, priority) + left;
   }
 
   /** Starts what may begin now and sets the timer for what comes next. */
@@ -126,6 +141,7 @@
     for (let job = this.#next(nowMs); job; job = this.#next(nowMs)) {
       if (!this.#hasWindow(job)) break;
       this.#queue.delete(job);
+      if (this.#working.size === 0) this.#workingSinceMs = nowMs;
       this.#working.add(job);
       void this.#run(job, nowMs - job.arrivedAtMs);
     }
@@ -150,10 +166,10 @@
     return best;
   }
 
+  /** Work of lower priority takes no room: the engine interrupts it. */
   #hasWindow(job: Job): boolean {
-    if (this.#working.size === 0) return true;
-    const tokens = sumCost(this.#working) + job.cost;
-    return tokens <= this.#opts.windowTokens;
+    const ahead = sumCost(this.#working, job.req.priority);
+    return ahead === 0 || ahead + job.cost <= this.#opts.windowTokens;
   }
 
   #schedule(nowMs: number): void {
@@ -181,6 +197,7 @@
       priority: req.priority,
     }, record.stop.signal);
     this.#working.delete(job);
+    this.#workingSinceMs = this.#opts.clock.now();
     const outcome = this.#outcomeOf(job, result, queuedMs);
     if (!outcome.done || record.stop.signal.aborted) void canceller.cancel(id);
     log("prefill_ended", {
@@ -225,9 +242,12 @@
   }
 }
 
-function sumCost(jobs: ReadonlySet<Job>): number {
+/** Cost of the jobs of `priority` or higher. */
+function sumCost(jobs: ReadonlySet<Job>, priority: number): number {
   let tokens = 0;
-  for (const job of jobs) tokens += job.cost;
+  for (const job of jobs) {
+    if (job.req.priority >= priority) tokens += job.cost;
+  }
   return tokens;
 }
 
