feat(routing): hold requests back until prefill has room, and choose whom to serve

Cause: requests queued up to 2 s at the prefill engines, each holding a decode slot meanwhile (1,547 refused reservations in 15 s), and in bursts all became late together. Change: PlacementPolicy.outlook (optional) tells an entry to keep a request in its queue while the prefill pool has enough to do; tokens of requests that are being placed are counted; hints count expected instead of whole prompts and learn from replies what was cached. The queue puts off the longest requests when not all can be in time (Moore and Hodgson, with equal shares among customers), at the rate that it measures. PrefillPlan.expectedTokens is new.

--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -91,7 +91,7 @@
 export const ASSUMED_PREFILL_TOKENS_PER_MS = 20;
 
 /** Time to the first token beside the prefill, in milliseconds. */
-export const ASSUMED_SERVICE_MS = 20;
+export const ASSUMED_SERVICE_MS = 100;
 
 /** Time that a closing entry gives to its cancels, in milliseconds. */
 export const CLOSE_GRACE_MS = 1_000;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -17,6 +17,7 @@
 import { Admitter } from "./lifecycle/admitter.ts";
 import type { EntryContext } from "./lifecycle/context.ts";
 import { Lanes } from "./lifecycle/lanes.ts";
+import { PlannedPrefills } from "./lifecycle/planned_prefills.ts";
 import { OutputEstimator } from "./lifecycle/output_estimator.ts";
 import { createEntryMetrics, type EntryMetrics } from "./metrics.ts";
 import {
@@ -85,6 +86,7 @@
     canceller: new Canceller(clock, signal),
     metrics: createEntryMetrics(),
     outputs: new OutputEstimator(),
+    planned: new PlannedPrefills(),
     observe(name, incarnation, hint) {
       hints.observe(name, hint);
       hosts.observe(name, incarnation, hint);
--- a/packages/entry/src/lifecycle/admitter.ts
+++ b/packages/entry/src/lifecycle/admitter.ts
@@ -104,6 +104,7 @@
     const close = () => {
       clearTimeout(timer);
       controller.abort();
+      this.#ctx.planned.remove(req.requestId);
       this.#close(service.name, customer, lane);
     };
     return { call, ticket: ticketOf(req, lane), lane, close };
@@ -142,6 +143,9 @@
 
 function ticketOf(req: PlacementRequest, lane: Lane): AdmissionTicket {
   const { arrivedAtMs } = req;
+  const outlook = lane.placement.outlook?.(req, [], 0, arrivedAtMs);
+  const expectedTokens = outlook?.expectedTokens ?? req.promptTokens;
+  const workMs = expectedTokens / ASSUMED_PREFILL_TOKENS_PER_MS;
   return {
     requestId: req.requestId,
     customer: req.customer,
@@ -149,7 +153,7 @@
     arrivedAtMs,
     firstTokenDueMs: req.firstTokenDueMs,
     giveUpAtMs: arrivedAtMs + lane.policy.maxQueueMs,
-    expectedServiceMs: req.promptTokens / ASSUMED_PREFILL_TOKENS_PER_MS +
-      ASSUMED_SERVICE_MS,
+    workMs,
+    expectedServiceMs: workMs + ASSUMED_SERVICE_MS,
   };
 }
--- a/packages/entry/src/lifecycle/context.ts
+++ b/packages/entry/src/lifecycle/context.ts
@@ -8,6 +8,7 @@
 import type { Canceller } from "../sidecar_client/canceller.ts";
 import type { Renewer } from "../sidecar_client/renewer.ts";
 import type { SidecarClients } from "../sidecar_client/sidecar_clients.ts";
+import type { PlannedPrefills } from "./planned_prefills.ts";
 import type { OutputEstimator } from "./output_estimator.ts";
 
 /** Shared parts, made once by the entry. */
@@ -23,6 +24,7 @@
   canceller: Canceller;
   metrics: EntryMetrics;
   outputs: OutputEstimator;
+  planned: PlannedPrefills;
   /** Records what a sidecar said about itself. */
   observe(name: string, incarnation: string, hint: LoadHint): void;
 }
--- a/packages/entry/src/lifecycle/prefiller.ts
+++ b/packages/entry/src/lifecycle/prefiller.ts
@@ -162,11 +162,12 @@
     server: BackendServer,
     input: PrefillInput,
   ): Promise<PrefillResult> {
-    const { clients, hints, hosts, renewer } = this.#ctx;
+    const { clients, hints, hosts, planned, renewer } = this.#ctx;
     const client = clients.at(server.sidecarAddress);
     const ref = call.ref;
     const waitMs = this.#expectedMs(call, plan, server);
-    hints.sent(server.name, call.req.promptTokens);
+    planned.remove(call.requestId);
+    hints.sent(server.name, plan.expectedTokens ?? call.req.promptTokens);
     const lease = renewer.add(client, ref, () => {});
     const reply = await client.prefill(
       this.#message(call, plan, input),
@@ -218,6 +219,7 @@
     if (!reply.done) {
       return { done: false, reason: reply.reason, mayHaveRun: false };
     }
+    call.placement.observePrefill?.(call.req, server.name, reply.cachedTokens);
     const tokens = Math.max(0, reply.kv.tokens - reply.cachedTokens);
     const service = call.service.name;
     const { prefillTokens } = this.#ctx.metrics;
--- a/packages/entry/src/lifecycle/reserver.ts
+++ b/packages/entry/src/lifecycle/reserver.ts
@@ -3,6 +3,7 @@
  * ask. A reservation whose answer was lost is cancelled in the background and
  * its attempt number is not used again.
  */
+import { ServiceKind } from "@sassafrascleat/config";
 import type { BackendServer, ReserveReply } from "@sassafrascleat/protocol";
 import type { DecodeProbe } from "@sassafrascleat/routing";
 import { createLogger } from "@sassafrascleat/runtime";
@@ -28,9 +29,17 @@
 
   /** Asks the backend servers that the policy names, in its order. */
   async reserve(call: Call): Promise<ReserveResult> {
-    const { hosts, hints, clock } = this.#ctx;
+    const { hosts, hints, clock, planned } = this.#ctx;
+    const holdMs = this.#holdMs(call);
     const servers = hosts.candidates(call.pool)
       .filter((server) => !call.avoid.has(server.name));
+    if (holdMs > 0 && servers.length > 0) {
+      return {
+        placed: false,
+        retryAfterMs: holdMs,
+        candidates: servers.length,
+      };
+    }
     const states = hints.states(servers);
     const probes = call.placement.decodeProbes(call.req, states, clock.now());
     let retryAfterMs = MAX_BLOCKED_MS;
@@ -42,12 +51,31 @@
       if (reply?.granted) return { placed: true, place: reply.place };
       if (reply) retryAfterMs = Math.min(retryAfterMs, reply.retryAfterMs);
     }
+    planned.remove(call.requestId);
     if (servers.length === 0) call.avoid.clear();
     return { placed: false, retryAfterMs, candidates: servers.length };
   }
 
+  /** Time for which the prefill pool is busy enough; plans the prompt when 0. */
+  #holdMs(call: Call): number {
+    const { hosts, hints, clock, planned } = this.#ctx;
+    if (call.service.kind !== ServiceKind.Model) return 0;
+    const pool = call.service.prefillPool;
+    const outlook = call.placement.outlook?.(
+      call.req,
+      hints.states(hosts.candidates(pool)),
+      planned.tokens(pool),
+      clock.now(),
+    );
+    if (!outlook) return 0;
+    if (outlook.holdMs > 0) return outlook.holdMs;
+    planned.add(call.requestId, pool, outlook.expectedTokens);
+    return 0;
+  }
+
   /** Gives a place back; nothing stays held at its sidecar. */
   release(place: Place): void {
+    this.#ctx.planned.remove(place.ref.requestId);
     place.lease.release();
     void this.#ctx.canceller.cancel(place.client, place.ref);
   }
--- /dev/null
+++ b/packages/routing/src/__tests__/selection_test.ts
@@ -0,0 +1,76 @@
+/** Choosing whom to serve in time, and learning how much can be served. */
+import { describe, expect, test } from "@jest/globals";
+import fc from "fast-check";
+import { selectInTime, type TimedWork } from "../selection.ts";
+import { ServiceMeter } from "../service_meter.ts";
+
+function work(expectedServiceMs: number, firstTokenDueMs: number): TimedWork {
+  return { customer: "c", expectedServiceMs, firstTokenDueMs };
+}
+
+/** The most items that one server can do in time, by trying every subset. */
+function mostInTime(items: readonly TimedWork[]): number {
+  let most = 0;
+  for (let mask = 0; mask < 2 ** items.length; mask++) {
+    const chosen = items.filter((_, i) => mask & (1 << i));
+    chosen.sort((a, b) => a.firstTokenDueMs - b.firstTokenDueMs);
+    let nowMs = 0;
+    const inTime = chosen.every((item) => {
+      nowMs += item.expectedServiceMs;
+      return nowMs <= item.firstTokenDueMs;
+    });
+    if (inTime) most = Math.max(most, chosen.length);
+  }
+  return most;
+}
+
+const arbitraryWork = fc.tuple(
+  fc.integer({ min: 1, max: 300 }),
+  fc.integer({ min: 1, max: 900 }),
+).map(([serviceMs, dueMs]) => work(serviceMs, dueMs));
+
+describe("selectInTime", () => {
+  test("keeps as many as any choice can serve in time on one server", () => {
+    fc.assert(
+      fc.property(fc.array(arbitraryWork, { maxLength: 9 }), (items) => {
+        items.sort((a, b) => a.firstTokenDueMs - b.firstTokenDueMs);
+        expect(selectInTime(items, 1, 0).size).toBe(mostInTime(items));
+      }),
+      { seed: 51 },
+    );
+  });
+
+  test("puts off the work of whoever has more than an equal share", () => {
+    const burst = Array.from({ length: 10 }, () => work(50, 400));
+    const other = { ...work(200, 400), customer: "other" };
+    const kept = selectInTime([...burst, other], 1, 0);
+    expect(kept.has(other)).toBe(true);
+    expect(kept.size).toBe(5);
+  });
+});
+
+describe("ServiceMeter", () => {
+  test("learns the servers at work from what was taken while others waited", () => {
+    const meter = new ServiceMeter();
+    expect(meter.servers).toBe(1);
+    for (let i = 0; i < 100; i++) {
+      meter.advance(i * 50, true);
+      meter.take(150, 100);
+      meter.take(500, 0);
+    }
+    expect(meter.servers).toBeGreaterThan(2.5);
+    expect(meter.servers).toBeLessThan(3.5);
+  });
+
+  test("takes back what found no place and skips idle times", () => {
+    const meter = new ServiceMeter();
+    for (let i = 0; i < 100; i++) {
+      meter.advance(i * 50, i % 2 === 0);
+      meter.take(25, 100);
+      meter.take(100, 100);
+      meter.take(-100, 100);
+    }
+    expect(meter.servers).toBeGreaterThan(0.8);
+    expect(meter.servers).toBeLessThan(1.2);
+  });
+});
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -13,6 +13,8 @@
   giveUpAtMs: number;
   /** Estimated time from placement to the first token, in milliseconds. */
   expectedServiceMs: number;
+  /** The part of it during which a server is taken. @default expectedServiceMs */
+  workMs?: number;
   /** The caller holds a part of the answer: placed first and never shed. */
   midAnswer?: boolean;
 }
--- a/packages/routing/src/admission_queue.ts
+++ b/packages/routing/src/admission_queue.ts
@@ -1,8 +1,10 @@
 /**
  * The admission queue. Tickets that can still meet their target go first, by
- * class, then by fair turns among customers, then by due time. A fixed share
- * of the picks goes to the oldest ticket whatever its state, so that a ticket
- * with `n` older ones is served within `(n + 1) * oldestPickInterval` picks.
+ * class, then by fair turns among customers, then by due time. When not all
+ * can be in time at the rate that the pool takes work, the longest are put off
+ * behind the others. A fixed share of the picks goes to the oldest ticket
+ * whatever its state, so that a ticket with `n` older ones is served within
+ * `(n + 1) * oldestPickInterval` picks.
  */
 import {
   type NotRun,
@@ -13,12 +15,14 @@
 import type { AdmissionQueue, AdmissionTicket } from "./admission.ts";
 import { FAIRNESS_SLACK_MS, OLDEST_PICK_INTERVAL } from "./constants.ts";
 import { FairTurns } from "./fair_turns.ts";
+import { selectInTime, workOf } from "./selection.ts";
+import { ServiceMeter } from "./service_meter.ts";
 
 /** Options of an admission queue. */
 export interface AdmissionQueueOptions {
   /** Tickets that may wait at once. @default 400 */
   maxLength?: number;
-  /** Every how many picks the oldest ticket is served. @default 8 */
+  /** Every how many picks the oldest ticket is served. @default 16 */
   oldestPickInterval?: number;
   /** Service time by which customers may run apart, in milliseconds. @default 250 */
   fairnessSlackMs?: number;
@@ -58,6 +62,8 @@
   readonly #waiting = new Map<string, AdmissionTicket>();
   readonly #waitingOfCustomer = new Map<string, number>();
   readonly #turns = new FairTurns();
+  readonly #meter = new ServiceMeter();
+  #nowMs = 0;
   #shed: AdmissionTicket[] = [];
   #picks = 0;
 
@@ -70,6 +76,7 @@
   }
 
   offer(ticket: AdmissionTicket, nowMs: number): NotRun | undefined {
+    this.#advance(nowMs);
     if (this.#waiting.size >= this.#options.maxLength) {
       const victim = this.#victim(ticket, nowMs);
       if (victim === ticket) return this.#queueFull(ticket);
@@ -81,17 +88,20 @@
   }
 
   next(nowMs: number): AdmissionTicket | undefined {
+    this.#advance(nowMs);
     if (this.#waiting.size === 0) return undefined;
     this.#picks += 1;
     const turnOfOldest = this.#picks % this.#options.oldestPickInterval === 0;
     const ticket = turnOfOldest ? this.#oldest() : this.#best(nowMs);
     this.#take(ticket);
     this.#turns.charge(ticket);
+    this.#meter.take(workOf(ticket), nowMs - ticket.arrivedAtMs);
     return ticket;
   }
 
   requeue(ticket: AdmissionTicket): void {
     this.#turns.refund(ticket);
+    this.#meter.take(-workOf(ticket), this.#nowMs - ticket.arrivedAtMs);
     this.#add(ticket);
   }
 
@@ -111,6 +121,11 @@
     return over;
   }
 
+  #advance(nowMs: number): void {
+    this.#nowMs = nowMs;
+    this.#meter.advance(nowMs, this.#waiting.size > 0);
+  }
+
   #add(ticket: AdmissionTicket): void {
     this.#waiting.set(ticket.requestId, ticket);
     this.#turns.join(ticket);
@@ -151,16 +166,24 @@
 
   /** The tickets of the first non-empty rank. */
   #firstGroup(nowMs: number): AdmissionTicket[] {
-    let group: AdmissionTicket[] = [];
-    let rankOfGroup = Infinity;
+    const ranks = Array.from(
+      { length: LATE_RANK + 1 },
+      (): AdmissionTicket[] => [],
+    );
     for (const ticket of this.#waiting.values()) {
-      const rank = pickRank(ticket, nowMs);
-      if (rank > rankOfGroup) continue;
-      if (rank < rankOfGroup) group = [];
-      rankOfGroup = rank;
-      group.push(ticket);
+      ranks[pickRank(ticket, nowMs)]!.push(ticket);
     }
-    return group;
+    const first = ranks.findIndex((group) => group.length > 0);
+    const group = ranks[first]!;
+    const inTime = first > MID_ANSWER_RANK && first < LATE_RANK;
+    return inTime ? this.#withoutPutOff(group, nowMs) : group;
+  }
+
+  /** The tickets of one class that can all be in time; at least one is left. */
+  #withoutPutOff(tickets: AdmissionTicket[], nowMs: number): AdmissionTicket[] {
+    tickets.sort((a, b) => a.firstTokenDueMs - b.firstTokenDueMs);
+    const kept = selectInTime(tickets, this.#meter.servers, nowMs);
+    return kept.size > 0 ? [...kept] : tickets;
   }
 
   /** The ticket to refuse when one too many wants to wait. */
@@ -193,10 +216,14 @@
   }
 }
 
+const MID_ANSWER_RANK = 0;
+const LATE_RANK = 4;
+
 /** Mid-answer first, then by class while the target can be met, late ones last. */
 function pickRank(ticket: AdmissionTicket, nowMs: number): number {
-  if (ticket.midAnswer) return -1;
-  return isLate(ticket, nowMs) ? 3 : classRank(ticket.requestClass);
+  if (ticket.midAnswer) return MID_ANSWER_RANK;
+  if (isLate(ticket, nowMs)) return LATE_RANK;
+  return MID_ANSWER_RANK + 1 + classRank(ticket.requestClass);
 }
 
 function compareKeys(a: readonly number[], b: readonly number[]): number {
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -1,7 +1,7 @@
 /** Numbers of the routing decisions. */
 
 /** Every how many picks the queue serves its oldest ticket, whatever its state. */
-export const OLDEST_PICK_INTERVAL = 8;
+export const OLDEST_PICK_INTERVAL = 16;
 
 /** Service time by which customers of a class may run apart, in milliseconds. */
 export const FAIRNESS_SLACK_MS = 250;
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -52,8 +52,21 @@
   startInMs: number;
   /** The work is dropped when it cannot begin within this time, in milliseconds. */
   startWithinMs: number;
-  /** Larger is sooner. */
+  /** Larger is sooner; at most `LATE_PRIORITY` when the target can't be met. */
   priority: number;
+  /** Prompt tokens expected to run, those cached left out. @default the prompt */
+  expectedTokens?: number;
+}
+
+/** Whether a request should be placed now, by the state of its prefill pool. */
+export interface PrefillOutlook {
+  /**
+   * Time until placing makes sense, in milliseconds; 0 is now. A request that
+   * is held stays in the entry's queue, where others can still overtake it.
+   */
+  holdMs: number;
+  /** Prompt tokens expected to run, those cached left out. */
+  expectedTokens: number;
 }
 
 /** The slot that a decode sidecar granted. */
@@ -78,6 +91,16 @@
     pool: readonly BackendState[],
     nowMs: number,
   ): PrefillPlan | undefined;
+  /**
+   * Whether to place now; optional for a policy. `plannedTokens` are of requests
+   * that are being placed and have not reached their prefill server yet.
+   */
+  outlook?(
+    req: PlacementRequest,
+    pool: readonly BackendState[],
+    plannedTokens: number,
+    nowMs: number,
+  ): PrefillOutlook;
   /** Tells what a prefill server's cache really held; optional for a policy. */
   observePrefill?(
     req: PlacementRequest,
--- a/packages/routing/src/policy/estimate.ts
+++ b/packages/routing/src/policy/estimate.ts
@@ -38,9 +38,14 @@
   return tokens / prefillRate(state) * 1_000;
 }
 
-/** Time until the work queued at a prefill server is done, in milliseconds. */
-export function prefillQueueMs(state: BackendState): number {
-  const hinted = prefillWorkMs(state, state.hint?.queuedTokens ?? 0);
+/**
+ * Time until the work queued at a prefill server is done, in milliseconds.
+ * Work that is late already is interrupted for a request that is in time.
+ */
+export function prefillQueueMs(state: BackendState, inTime = false): number {
+  const { hint } = state;
+  const queued = inTime ? hint?.urgentTokens : hint?.queuedTokens;
+  const hinted = prefillWorkMs(state, queued ?? hint?.queuedTokens ?? 0);
   const remaining = Math.max(0, hinted - state.hintAgeMs);
   return remaining + prefillWorkMs(state, state.tokensSentSinceHint);
 }
--- a/packages/routing/src/policy/just_in_time.ts
+++ b/packages/routing/src/policy/just_in_time.ts
@@ -5,7 +5,7 @@
  * a bounded sample; prefill servers by predicted end of the work, which counts
  * the queue, the prefix that is probably cached and the way to the slot.
  */
-import { TOKENS_PER_PIECE } from "@sassafrascleat/protocol";
+import { LATE_PRIORITY, TOKENS_PER_PIECE } from "@sassafrascleat/protocol";
 import { rendezvousRank } from "@sassafrascleat/runtime";
 import { classRank } from "../admission_queue.ts";
 import {
@@ -20,6 +20,7 @@
   DecodeProbe,
   PlacementPolicy,
   PlacementRequest,
+  PrefillOutlook,
   PrefillPlan,
 } from "../placement.ts";
 import {
@@ -37,6 +38,8 @@
 /** A prefill server with the predicted course of one prompt. */
 interface Candidate {
   state: BackendState;
+  /** Prompt tokens that are probably not cached. */
+  expectedTokens: number;
   queueMs: number;
   workMs: number;
   transferMs: number;
@@ -75,7 +78,7 @@
     pool: readonly BackendState[],
     nowMs: number,
   ): PrefillPlan | undefined {
-    const best = this.#bestPrefill(req, grant, pool);
+    const best = this.#bestPrefill(req, grant, pool, nowMs);
     if (!best) return undefined;
     const leadMs = best.workMs + best.transferMs;
     const soonestMs = best.queueMs + leadMs;
@@ -90,9 +93,33 @@
       startInMs,
       startWithinMs: this.#startWithin(req, grant, leadMs, startInMs, nowMs),
       priority: priorityOf(req, soonestMs, nowMs),
+      expectedTokens: best.expectedTokens,
     };
   }
 
+  outlook(
+    req: PlacementRequest,
+    pool: readonly BackendState[],
+    plannedTokens: number,
+    nowMs: number,
+  ): PrefillOutlook {
+    const cached = cachedTokens(req, this.#memory.bestMatch(req.pieceHashes));
+    const expectedTokens = req.promptTokens - cached;
+    const able = this.#prefillSample(req, pool).filter(takesWork);
+    if (able.length === 0) return { holdMs: 0, expectedTokens };
+    const inTime = able.some((state) =>
+      meetsTarget(req, prefillWorkMs(state, expectedTokens), nowMs)
+    );
+    const queues = able.map((state) =>
+      prefillQueueMs(state, inTime) +
+      prefillWorkMs(state, plannedTokens / able.length)
+    );
+    const waitMs = Math.min(...queues) - this.#margins.prefillQueueMs;
+    const longestMs = inTime ? Infinity : this.#margins.longestLateHoldMs;
+    const holdMs = Math.max(0, Math.min(waitMs, longestMs));
+    return { holdMs, expectedTokens };
+  }
+
   /** Tells what the prefix cache really held. */
   observePrefill(
     req: PlacementRequest,
@@ -127,11 +154,12 @@
     req: PlacementRequest,
     grant: DecodeGrant,
     pool: readonly BackendState[],
+    nowMs: number,
   ): Candidate | undefined {
     let best: Candidate | undefined;
     for (const state of this.#prefillSample(req, pool)) {
       if (!takesWork(state)) continue;
-      const candidate = this.#candidate(req, grant, state);
+      const candidate = this.#candidate(req, grant, state, nowMs);
       if (!best || isBetter(candidate, best)) best = candidate;
     }
     return best;
@@ -149,17 +177,17 @@
     req: PlacementRequest,
     grant: DecodeGrant,
     state: BackendState,
+    nowMs: number,
   ): Candidate {
     const { name, availabilityZone } = state.server;
     const matched = this.#memory.match(name, req.pieceHashes);
-    const cached = Math.min(
-      matched * TOKENS_PER_PIECE,
-      Math.max(0, req.promptTokens - 1),
-    );
+    const expectedTokens = req.promptTokens - cachedTokens(req, matched);
+    const workMs = prefillWorkMs(state, expectedTokens);
     return {
       state,
-      queueMs: prefillQueueMs(state),
-      workMs: prefillWorkMs(state, req.promptTokens - cached),
+      expectedTokens,
+      queueMs: prefillQueueMs(state, meetsTarget(req, workMs, nowMs)),
+      workMs,
       transferMs: transferMs(
         req.promptTokens,
         availabilityZone === grant.availabilityZone,
@@ -204,6 +232,22 @@
   return a.rank > b.rank;
 }
 
+/** Prompt tokens of the first `pieces` pieces; at least one token runs. */
+function cachedTokens(req: PlacementRequest, pieces: number): number {
+  const most = Math.max(0, req.promptTokens - 1);
+  return Math.min(pieces * TOKENS_PER_PIECE, most);
+}
+
+/** Whether the target can be met when the prefill takes `workMs` from now on. */
+function meetsTarget(
+  req: PlacementRequest,
+  workMs: number,
+  nowMs: number,
+): boolean {
+  const restMs = transferMs(req.promptTokens, false);
+  return nowMs + workMs + restMs <= req.firstTokenDueMs;
+}
+
 const CLASS_PRIORITY_STEP = 1_000_000;
 
 /** By class, then least slack first; those that are late anyway go last. */
@@ -212,8 +256,9 @@
   soonestMs: number,
   nowMs: number,
 ): number {
-  const base = (2 - classRank(req.requestClass)) * CLASS_PRIORITY_STEP;
-  const slackMs = req.firstTokenDueMs - nowMs - soonestMs;
-  if (slackMs < 0) return base - CLASS_PRIORITY_STEP / 2;
-  return base - Math.min(Math.round(slackMs), CLASS_PRIORITY_STEP / 4);
+  const slackMs = Math.round(req.firstTokenDueMs - nowMs - soonestMs);
+  const rank = classRank(req.requestClass);
+  if (slackMs < 0) return LATE_PRIORITY - rank;
+  const urgency = CLASS_PRIORITY_STEP - Math.min(slackMs, CLASS_PRIORITY_STEP);
+  return (2 - rank) * CLASS_PRIORITY_STEP + urgency;
 }
--- a/packages/routing/src/policy/margins.ts
+++ b/packages/routing/src/policy/margins.ts
@@ -20,6 +20,10 @@
   longestSlotWaitMs: number;
   /** Longest time that a free slot is held for a prefill. */
   longestSlotHoldMs: number;
+  /** Queue before the prefill engines from which on requests are held back. */
+  prefillQueueMs: number;
+  /** Longest hold of a request that is late, so that it blocks no other. */
+  longestLateHoldMs: number;
 }
 
 const GOODPUT_MARGINS: PolicyMargins = {
@@ -28,6 +32,8 @@
   freeSlotWaitMs: 60,
   longestSlotWaitMs: 2_000,
   longestSlotHoldMs: 1_500,
+  prefillQueueMs: 120,
+  longestLateHoldMs: 20,
 };
 
 const WASTE_MARGINS: PolicyMargins = {
@@ -36,6 +42,8 @@
   freeSlotWaitMs: 60,
   longestSlotWaitMs: 2_000,
   longestSlotHoldMs: 2_500,
+  prefillQueueMs: 80,
+  longestLateHoldMs: 20,
 };
 
 /** The margins of an objective. */
--- a/packages/routing/src/policy/prefix_memory.ts
+++ b/packages/routing/src/policy/prefix_memory.ts
@@ -38,6 +38,15 @@
     return count;
   }
 
+  /** The most leading pieces that any server probably has. */
+  bestMatch(pieceHashes: readonly string[]): number {
+    let best = 0;
+    for (const name of this.#piecesOf.keys()) {
+      best = Math.max(best, this.match(name, pieceHashes));
+    }
+    return best;
+  }
+
   /** Records that `name` had only the first `count` pieces. */
   correct(name: string, pieceHashes: readonly string[], count: number): void {
     const pieces = this.#piecesOf.get(name);
