--- a/playground/src/caller/model_caller.ts
+++ b/playground/src/caller/model_caller.ts
@@ -4,6 +4,7 @@
 /** What one model request ended with, as its caller saw it. */
 export interface ModelAnswer {
   status: number;
+  requestId: string;
   text: string;
   /** True when the stream said that the answer is whole. */
   finished: boolean;
@@ -24,6 +25,8 @@
   stream: boolean;
   headers?: Record<string, string>;
   signal?: AbortSignal;
+  /** Called with the number of chunks read so far. */
+  onChunk?: (chunks: number) => void;
 }
 
 interface CompletionBody {
@@ -57,8 +60,10 @@
   answer: ModelAnswer,
   body: AsyncIterable<Uint8Array>,
   startMs: number,
+  onChunk: (chunks: number) => void,
 ): Promise<void> {
   let lastMs = startMs;
+  let chunks = 0;
   for await (const data of readEvents(body)) {
     if (data === "[DONE]") {
       answer.finished = answer.outcome === undefined;
@@ -71,6 +76,7 @@
     if (answer.ttftMs === undefined) answer.ttftMs = nowMs - startMs;
     else answer.gapsMs.push(nowMs - lastMs);
     lastMs = nowMs;
+    onChunk(++chunks);
   }
 }
 
@@ -90,12 +96,14 @@
   });
   const answer: ModelAnswer = {
     status: res.statusCode,
+    requestId: String(res.headers["x-request-id"] ?? ""),
     text: "",
     finished: false,
     gapsMs: [],
   };
   if (req.stream && res.statusCode === 200) {
-    await readStream(answer, res.body, startMs);
+    const onChunk = req.onChunk ?? (() => {});
+    await readStream(answer, res.body, startMs, onChunk);
     return answer;
   }
   addEvent(answer, await res.body.json() as CompletionBody);
--- a/playground/src/rig/rig.ts
+++ b/playground/src/rig/rig.ts
@@ -9,7 +9,11 @@
   ObjectKind,
   ProposeKind,
 } from "@sassafrascleat/config";
-import { BackendRole, HostState } from "@sassafrascleat/protocol";
+import {
+  BackendRole,
+  HostState,
+  SYSTEM_SECRET_HEADER,
+} from "@sassafrascleat/protocol";
 import { invariant, Secret, sleep } from "@sassafrascleat/runtime";
 import { createStoreServer, type StoreServer } from "@sassafrascleat/testing";
 import { randomUUID } from "node:crypto";
@@ -59,23 +63,45 @@
   policy?: Record<string, unknown>;
 }
 
+/** What a rig is made of. */
+export interface RigParts {
+  store: StoreServer;
+  entries: [RigEntry, RigEntry];
+  backends: readonly RigBackend[];
+  operatorSecret: Secret;
+  systemSecret: Secret;
+}
+
 /** A running rig. */
 export class Rig {
   readonly store: StoreServer;
   readonly entries: [RigEntry, RigEntry];
   readonly backends: readonly RigBackend[];
   readonly operatorSecret: Secret;
+  readonly #systemSecret: Secret;
+
+  constructor(parts: RigParts) {
+    this.store = parts.store;
+    this.entries = parts.entries;
+    this.backends = parts.backends;
+    this.operatorSecret = parts.operatorSecret;
+    this.#systemSecret = parts.systemSecret;
+  }
 
-  constructor(
-    store: StoreServer,
-    entries: [RigEntry, RigEntry],
-    backends: readonly RigBackend[],
-    operatorSecret: Secret,
-  ) {
-    this.store = store;
-    this.entries = entries;
-    this.backends = backends;
-    this.operatorSecret = operatorSecret;
+  /** Headers of a control call to a sidecar. */
+  systemHeaders(): Record<string, string> {
+    return {
+      "content-type": "application/json",
+      [SYSTEM_SECRET_HEADER]: this.#systemSecret.reveal(),
+    };
+  }
+
+  /** Waits until every entry has the rig's configuration in force. */
+  async ready(): Promise<void> {
+    for (const entry of this.entries) {
+      const ready = await until(() => isReady(entry));
+      invariant(ready, `${entry.id} did not get the rig's configuration`);
+    }
   }
 
   /** The backend server with this name. */
@@ -176,18 +202,16 @@
       `the rig's configuration was refused: ${JSON.stringify(reply)}`,
     );
   }
-  for (const entry of rig.entries) {
-    const ready = await until(() => isReady(entry));
-    invariant(ready, `${entry.id} did not get the rig's configuration`);
-  }
+  await rig.ready();
 }
 
 /** Starts all processes with their configuration in force. */
 export async function startRig(options: RigOptions = {}): Promise<Rig> {
   const store = await createStoreServer({});
   const operatorSecret = new Secret("rig-operator", randomUUID());
+  const systemSecret = new Secret("rig", randomUUID());
   const env = {
-    SYSTEM_SECRET: randomUUID(),
+    SYSTEM_SECRET: systemSecret.reveal(),
     OPERATOR_SECRET: operatorSecret.reveal(),
   };
   const ctx = {
@@ -209,7 +233,8 @@
     }, env)
   ) as [Promise<RigEntry>, Promise<RigEntry>];
   const entries: [RigEntry, RigEntry] = [await first, await second];
-  const rig = new Rig(store, entries, backends, operatorSecret);
+  const parts = { store, entries, backends, operatorSecret, systemSecret };
+  const rig = new Rig(parts);
   await configure(rig, options.policy ?? {});
   return rig;
 }
