test(config): stateful fuzz of the change log against a replaying oracle

Racing proposers, lost and late answers, outages, partitions, restarts from stale peers, relays, pauses and compaction had only single tests. The fuzz runs them in random order on four daemons in two offices over one store and compares every replica, every outcome and the audit trail with an oracle. Three deliberately broken stores show that it can fail: writes without a condition, lost answers told as refusals, and a hidden archive head.

--- /dev/null
+++ b/packages/config/src/__tests__/fuzz/cluster.ts
@@ -0,0 +1,184 @@
+/** Four daemons in two offices over one store, checked against the oracle. */
+import { expect } from "@jest/globals";
+import { createRandom, type Random } from "@sassafrascleat/runtime";
+import { createMemoryStore, type ObjectStore } from "@sassafrascleat/store";
+import { createSizedChangeLog } from "../../change_log.ts";
+import {
+  type ChangeLog,
+  LogReadStatus,
+  ProposeKind,
+  type ProposeOutcome,
+  type ProposeRequest,
+} from "../../change_log_contract.ts";
+import { createConfigReplica, type MemoryReplica } from "../../replica.ts";
+import { forever } from "../fixtures.ts";
+import {
+  type Break,
+  FaultyStore,
+  Network,
+  WriteFault,
+} from "./faulty_store.ts";
+import { LogOracle, objectsOf } from "./log_oracle.ts";
+
+const OFFICES = ["co-op", "co-op", "turret", "turret"];
+
+const SIZES = {
+  snapshotEvery: 2,
+  pieceBytes: 900,
+  segmentChanges: 3,
+  keptTail: 2,
+};
+
+/** One daemon; a restart gives it a new replica and log. */
+export interface Daemon {
+  office: string;
+  store: FaultyStore;
+  replica: MemoryReplica;
+  log: ChangeLog;
+  /** The highest sequence that was ever in force here since its start. */
+  seen: number;
+}
+
+/** Outcomes after which a patch must not be in the log. */
+const REJECTIONS = new Set([
+  ProposeKind.Outdated,
+  ProposeKind.Invalid,
+  ProposeKind.NotRun,
+]);
+
+/** The system under test with its oracle. */
+export class Cluster {
+  readonly network = new Network();
+  readonly oracle = new LogOracle();
+  readonly daemons: Daemon[];
+  /** Proposals that may be asked again. */
+  readonly unknown: ProposeRequest[] = [];
+  readonly accepted: ProposeRequest[] = [];
+  readonly #rejected = new Set<string>();
+  readonly #random: Random;
+  readonly #shared: ObjectStore;
+  readonly #broken: Break;
+  #nextPatch = 1;
+
+  constructor(seed: number, broken: Break) {
+    this.#random = createRandom(seed);
+    this.#broken = broken;
+    this.#shared = this.oracle.observe(createMemoryStore());
+    this.daemons = OFFICES.map((office) => this.#start(office));
+  }
+
+  daemon(index: number): Daemon {
+    return this.daemons[index % this.daemons.length]!;
+  }
+
+  newPatchId(): string {
+    return `patch-${this.#nextPatch++}`;
+  }
+
+  #start(office: string): Daemon {
+    const store = new FaultyStore(
+      this.#shared,
+      this.network,
+      this.#random,
+      this.#broken,
+    );
+    return { office, store, ...this.#boot(office, store), seen: 0 };
+  }
+
+  #boot(office: string, store: FaultyStore) {
+    const replica = createConfigReplica({ keptChanges: 4, keptPatchIds: 4 });
+    const log = createSizedChangeLog({
+      store,
+      replica,
+      office,
+      random: this.#random,
+      compactionPauseMs: 0,
+      resolveBackoffMs: 0,
+    }, SIZES);
+    return { replica, log };
+  }
+
+  /** Replaces a daemon by one that starts from a peer's snapshot, or empty. */
+  restart(index: number, peer: number | undefined): void {
+    const daemon = this.daemon(index);
+    const snapshot = peer === undefined
+      ? undefined
+      : this.daemon(peer).replica.snapshot();
+    Object.assign(daemon, this.#boot(daemon.office, daemon.store));
+    if (snapshot) daemon.replica.install(snapshot);
+    daemon.seen = 0;
+  }
+
+  /** Hands one daemon's configuration to another, as the relay does. */
+  relay(from: number, to: number): void {
+    const source = this.daemon(from).replica;
+    const target = this.daemon(to).replica;
+    const changes = source.changesAfter(target.sequence, 100);
+    if (changes) changes.forEach((change) => target.apply(change));
+    else target.install(source.snapshot());
+  }
+
+  /** Proposes and checks what the outcome promises. */
+  async propose(index: number, req: ProposeRequest): Promise<void> {
+    const outcome = await this.daemon(index).log.propose(req, forever);
+    this.#record(req, outcome);
+  }
+
+  #record(req: ProposeRequest, outcome: ProposeOutcome): void {
+    const sequences = this.oracle.sequencesOf(req.patchId);
+    if (outcome.kind === ProposeKind.Accepted) {
+      expect(sequences).toEqual([outcome.sequence]);
+      const change = this.oracle.log[outcome.sequence - 1];
+      expect(change?.version).toBe(outcome.version);
+      this.accepted.push(req);
+    } else if (REJECTIONS.has(outcome.kind)) {
+      this.#rejected.add(req.patchId);
+    } else {
+      this.unknown.push({ ...req, repeated: true });
+    }
+  }
+
+  /** What has to hold after every step. */
+  check(): void {
+    for (const daemon of this.daemons) {
+      const { sequence } = daemon.replica;
+      expect(sequence).toBeGreaterThanOrEqual(daemon.seen);
+      expect(sequence).toBeLessThanOrEqual(this.oracle.log.length);
+      daemon.seen = sequence;
+      const objects = objectsOf(daemon.replica.snapshot());
+      expect(objects).toEqual(this.oracle.objectsAt(sequence));
+    }
+    for (const patchId of this.#rejected) {
+      expect(this.oracle.sequencesOf(patchId)).toEqual([]);
+    }
+  }
+
+  /** Ends every fault; then all daemons agree and the audit trail is whole. */
+  async finish(): Promise<void> {
+    this.network.outage = false;
+    for (const daemon of this.daemons) {
+      daemon.store.partitioned = false;
+      daemon.store.writeFault = WriteFault.None;
+    }
+    await this.network.deliver();
+    for (const req of [...this.unknown, ...this.accepted]) {
+      await this.propose(this.#random.int(0, 3), req);
+    }
+    for (const daemon of this.daemons) {
+      const caughtUp = await daemon.log.catchUp(forever);
+      expect(caughtUp.status).toBe(LogReadStatus.Ok);
+      expect(daemon.replica.sequence).toBe(this.oracle.log.length);
+    }
+    this.check();
+    await this.#checkAudit();
+  }
+
+  async #checkAudit(): Promise<void> {
+    const { log } = this.daemon(0);
+    const history = await log.history({ limit: 1_000 }, forever);
+    expect(history).toEqual({
+      status: LogReadStatus.Ok,
+      changes: [...this.oracle.log].reverse(),
+    });
+  }
+}
--- /dev/null
+++ b/packages/config/src/__tests__/fuzz/commands.ts
@@ -0,0 +1,233 @@
+/** Steps of the fuzz: proposals, faults, restarts, relays and upkeep. */
+import fc from "fast-check";
+import type { ProposeRequest } from "../../change_log_contract.ts";
+import { ObjectKind } from "../../objects.ts";
+import {
+  createObject,
+  createPolicy,
+  deleteObject,
+  forever,
+  patchObject,
+  patchPolicy,
+} from "../fixtures.ts";
+import type { Cluster, Daemon } from "./cluster.ts";
+import { WriteFault } from "./faulty_store.ts";
+
+type Model = Record<string, never>;
+
+/** One step; the cluster is checked after each. */
+class Step implements fc.AsyncCommand<Model, Cluster> {
+  readonly #name: string;
+  readonly #work: (cluster: Cluster) => Promise<void> | void;
+
+  constructor(
+    name: string,
+    work: (cluster: Cluster) => Promise<void> | void,
+  ) {
+    this.#name = name;
+    this.#work = work;
+  }
+
+  check(): boolean {
+    return true;
+  }
+
+  async run(_model: Model, cluster: Cluster): Promise<void> {
+    await this.#work(cluster);
+    cluster.check();
+  }
+
+  toString(): string {
+    return this.#name;
+  }
+}
+
+/** A proposal that depends on what its daemon has in force. */
+type Draft = (daemon: Daemon, patchId: string) => ProposeRequest;
+
+const POOL = { name: "whistle", role: "plain", office: "co-op" };
+
+function baseOf(daemon: Daemon, kind: ObjectKind, name: string, off: number) {
+  return (daemon.replica.get(kind, name)?.version ?? 0) + off;
+}
+
+const policyName = fc.constantFrom("a", "b");
+const attempts = fc.integer({ min: 0, max: 17 });
+const off = fc.constantFrom(0, 0, 0, 0, -1, 1);
+
+const policyDraft: fc.Arbitrary<Draft> = fc.oneof(
+  fc.tuple(policyName, attempts).map(
+    ([name, maxAttempts]): Draft => (_, patchId) =>
+      createPolicy(patchId, name, { maxAttempts }),
+  ),
+  fc.tuple(policyName, attempts, off).map(
+    ([name, value, by]): Draft => (daemon, patchId) => {
+      const base = baseOf(daemon, ObjectKind.Policy, name, by);
+      return patchPolicy(patchId, name, base, value);
+    },
+  ),
+  fc.tuple(policyName, off).map(([name, by]): Draft => (daemon, patchId) => {
+    const base = baseOf(daemon, ObjectKind.Policy, name, by);
+    return deleteObject(patchId, ObjectKind.Policy, name, base);
+  }),
+);
+
+const serviceDraft: fc.Arbitrary<Draft> = fc.oneof(
+  fc.constant<Draft>((_, patchId) =>
+    createObject(patchId, ObjectKind.Pool, POOL)
+  ),
+  off.map((by): Draft => (daemon, patchId) => {
+    const base = baseOf(daemon, ObjectKind.Pool, POOL.name, by);
+    return deleteObject(patchId, ObjectKind.Pool, POOL.name, base);
+  }),
+  policyName.map((policy): Draft => (_, patchId) => {
+    const pool = POOL.name;
+    const office = POOL.office;
+    const service = { kind: "plain", name: "punch", office, pool, policy };
+    return createObject(patchId, ObjectKind.Service, service);
+  }),
+  policyName.map((policy): Draft => (daemon, patchId) => {
+    const base = baseOf(daemon, ObjectKind.Service, "punch", 0);
+    const operation = {
+      op: "replace",
+      path: "/policy",
+      value: policy,
+    } as const;
+    return patchObject(patchId, ObjectKind.Service, "punch", base, [operation]);
+  }),
+  off.map((by): Draft => (daemon, patchId) => {
+    const base = baseOf(daemon, ObjectKind.Service, "punch", by);
+    return deleteObject(patchId, ObjectKind.Service, "punch", base);
+  }),
+);
+
+const draft = fc.oneof(policyDraft, serviceDraft);
+const index = fc.integer({ min: 0, max: 3 });
+
+function propose(cluster: Cluster, at: number, make: Draft): Promise<void> {
+  const req = make(cluster.daemon(at), cluster.newPatchId());
+  return cluster.propose(at, req);
+}
+
+const proposals = [
+  fc.tuple(index, draft).map(([at, make]) =>
+    new Step(`propose at ${at}`, (cluster) => propose(cluster, at, make))
+  ),
+  fc.array(fc.tuple(index, draft), { minLength: 2, maxLength: 4 }).map((all) =>
+    new Step(`race at ${all.map(([at]) => at)}`, async (cluster) => {
+      await Promise.all(all.map(([at, make]) => propose(cluster, at, make)));
+    })
+  ),
+  fc.tuple(index, fc.nat()).map(([at, pick]) =>
+    new Step(`ask an unknown one again at ${at}`, async (cluster) => {
+      const [req] = cluster.unknown.splice(pick % cluster.unknown.length, 1);
+      if (req) await cluster.propose(at, req);
+    })
+  ),
+  fc.tuple(index, fc.nat()).map(([at, pick]) =>
+    new Step(`ask an accepted one again at ${at}`, async (cluster) => {
+      const req = cluster.accepted[pick % cluster.accepted.length];
+      if (req) await cluster.propose(at, { ...req, repeated: true });
+    })
+  ),
+];
+
+/** Many patches in a row, so that the log is archived behind slow daemons. */
+async function burst(cluster: Cluster, at: number, count: number) {
+  const daemon = cluster.daemon(at);
+  for (let i = 0; i < count; i++) {
+    const policy = daemon.replica.get(ObjectKind.Policy, "a");
+    const id = cluster.newPatchId();
+    const req = policy
+      ? patchPolicy(id, "a", policy.version, (i % 16) + 1)
+      : createPolicy(id, "a");
+    await cluster.propose(at, req);
+    await daemon.log.maintain(forever);
+  }
+}
+
+proposals.push(
+  fc.tuple(index, fc.integer({ min: 4, max: 12 })).map(([at, count]) =>
+    new Step(
+      `burst of ${count} at ${at}`,
+      (cluster) => burst(cluster, at, count),
+    )
+  ),
+);
+
+/** One daemon stands still in the middle of a proposal while others go on. */
+async function pause(cluster: Cluster, at: number, make: Draft, count: number) {
+  const release = cluster.daemon(at).store.pause();
+  const asked = propose(cluster, at, make);
+  await burst(cluster, at + 1, count);
+  release();
+  await asked;
+}
+
+proposals.push(
+  fc.tuple(index, draft, fc.integer({ min: 0, max: 12 })).map((
+    [at, make, count],
+  ) =>
+    new Step(
+      `pause of ${at} for ${count} changes`,
+      (cluster) => pause(cluster, at, make, count),
+    )
+  ),
+);
+
+/** Mostly off, so that most proposals meet a store that works. */
+const seldom = fc.constantFrom(false, false, false, true);
+
+const writeFault = fc.constantFrom(...Object.values(WriteFault));
+
+const faults = [
+  fc.tuple(index, writeFault, fc.integer({ min: 1, max: 14 })).map((
+    [at, fault, count],
+  ) =>
+    new Step(`${count} writes ${fault} at ${at}`, (cluster) => {
+      const { store } = cluster.daemon(at);
+      store.writeFault = fault;
+      store.faultsLeft = count;
+    })
+  ),
+  fc.tuple(index, seldom).map(([at, on]) =>
+    new Step(`partition of ${at} ${on}`, (cluster) => {
+      cluster.daemon(at).store.partitioned = on;
+    })
+  ),
+  seldom.map((on) =>
+    new Step(`outage ${on}`, (cluster) => {
+      cluster.network.outage = on;
+    })
+  ),
+  fc.constant(new Step("late writes", (cluster) => cluster.network.deliver())),
+];
+
+const upkeep = [
+  index.map((at) =>
+    new Step(`catch up ${at}`, async (cluster) => {
+      await cluster.daemon(at).log.catchUp(forever);
+    })
+  ),
+  index.map((at) =>
+    new Step(
+      `maintain ${at}`,
+      (cluster) => cluster.daemon(at).log.maintain(forever),
+    )
+  ),
+  fc.tuple(index, index).map(([from, to]) =>
+    new Step(`relay ${from} to ${to}`, (cluster) => cluster.relay(from, to))
+  ),
+  fc.tuple(index, fc.option(index, { nil: undefined })).map(([at, peer]) =>
+    new Step(
+      `restart ${at} from ${peer ?? "the store"}`,
+      (cluster) => cluster.restart(at, peer),
+    )
+  ),
+];
+
+/** Runs of steps. */
+export const steps = fc.commands(
+  [...proposals, ...proposals, ...faults, ...upkeep],
+  { maxCommands: 60, size: "max" },
+);
--- /dev/null
+++ b/packages/config/src/__tests__/fuzz/faulty_store.ts
@@ -0,0 +1,139 @@
+/** One daemon's link to the shared store, with faults and deliberate breaks. */
+import type { Random } from "@sassafrascleat/runtime";
+import {
+  ABSENT,
+  type ObjectStore,
+  type PutResult,
+  type StoreFailure,
+  StoreStatus,
+} from "@sassafrascleat/store";
+import { ARCHIVE_HEAD_KEY, CHANGES_PREFIX } from "../../log_keys.ts";
+
+/** A wrong store, to show that the fuzz can fail. */
+export enum Break {
+  None = "none",
+  /** Writes ignore the version that they expect. */
+  Unconditional = "unconditional",
+  /** A lost answer is reported as a refusal. */
+  LostAsRefused = "lost_as_refused",
+  /** The archive's head is hidden from who has just used a change key. */
+  HiddenHead = "hidden_head",
+}
+
+/** What happens to the next writes of a link. */
+export enum WriteFault {
+  None = "none",
+  /** The write takes effect and the answer is lost. */
+  LoseAnswer = "lose_answer",
+  /** The write is lost. */
+  Drop = "drop",
+  /** The write gets no answer and takes effect later. */
+  Late = "late",
+}
+
+/** Outages that all links share, and writes that are still on their way. */
+export class Network {
+  outage = false;
+  readonly late: (() => Promise<unknown>)[] = [];
+
+  /** Delivers every write that is on its way. */
+  async deliver(): Promise<void> {
+    for (const write of this.late.splice(0)) await write();
+  }
+}
+
+const REFUSED: StoreFailure = {
+  status: StoreStatus.Unavailable,
+  message: "refused",
+};
+const LOST: StoreFailure = { status: StoreStatus.Unknown, message: "lost" };
+
+/** A store behind a link that may fail. */
+export class FaultyStore implements ObjectStore {
+  partitioned = false;
+  writeFault = WriteFault.None;
+  faultsLeft = 0;
+  readonly #inner: ObjectStore;
+  readonly #network: Network;
+  readonly #random: Random;
+  readonly #broken: Break;
+  /** The last list or write was one of change keys. */
+  #usedChangeKey = false;
+  #resumed = Promise.resolve();
+
+  constructor(
+    inner: ObjectStore,
+    network: Network,
+    random: Random,
+    broken: Break,
+  ) {
+    this.#inner = inner;
+    this.#network = network;
+    this.#random = random;
+    this.#broken = broken;
+  }
+
+  async get(key: string) {
+    if (await this.#isDown()) return REFUSED;
+    const result = await this.#inner.get(key);
+    const hidden = key === ARCHIVE_HEAD_KEY && this.#usedChangeKey &&
+      this.#broken === Break.HiddenHead;
+    if (!hidden || result.status !== StoreStatus.Ok) return result;
+    return { ...result, object: undefined };
+  }
+
+  async list(options: Parameters<ObjectStore["list"]>[0]) {
+    this.#usedChangeKey = options.prefix === CHANGES_PREFIX;
+    return await this.#isDown() ? REFUSED : this.#inner.list(options);
+  }
+
+  async watch(options: Parameters<ObjectStore["watch"]>[0]) {
+    return await this.#isDown() ? REFUSED : this.#inner.watch(options);
+  }
+
+  async delete(key: string, version: number): Promise<PutResult> {
+    if (await this.#isDown()) return REFUSED;
+    return this.#write(() => this.#inner.delete(key, version));
+  }
+
+  async put(key: string, value: unknown, version: number): Promise<PutResult> {
+    this.#usedChangeKey = key.startsWith(CHANGES_PREFIX);
+    if (await this.#isDown()) return REFUSED;
+    if (this.#usedChangeKey) await this.#resumed;
+    return this.#write(async () => {
+      const expected = this.#broken === Break.Unconditional
+        ? await this.#currentVersion(key)
+        : version;
+      return this.#inner.put(key, value, expected);
+    });
+  }
+
+  /** Holds writes of change keys back until the returned function is called. */
+  pause(): () => void {
+    let release = () => {};
+    this.#resumed = new Promise((resolve) => release = resolve);
+    return release;
+  }
+
+  async #currentVersion(key: string): Promise<number> {
+    const read = await this.#inner.get(key);
+    if (read.status !== StoreStatus.Ok) return ABSENT;
+    return read.object?.version ?? ABSENT;
+  }
+
+  /** Lets other calls come in between, then tells whether the link is down. */
+  async #isDown(): Promise<boolean> {
+    const turns = this.#random.int(0, 4);
+    for (let i = 0; i < turns; i++) await Promise.resolve();
+    return this.partitioned || this.#network.outage;
+  }
+
+  async #write(effect: () => Promise<PutResult>): Promise<PutResult> {
+    const fault = this.faultsLeft > 0 ? this.writeFault : WriteFault.None;
+    if (fault === WriteFault.None) return effect();
+    this.faultsLeft -= 1;
+    if (fault === WriteFault.LoseAnswer) await effect();
+    if (fault === WriteFault.Late) this.#network.late.push(effect);
+    return this.#broken === Break.LostAsRefused ? REFUSED : LOST;
+  }
+}
--- a/packages/config/src/change_log.ts
+++ b/packages/config/src/change_log.ts
@@ -52,14 +52,19 @@
   watchMs?: number;
   /** Wait after a failed call, in milliseconds; it doubles. @default 1000 */
   fallbackMs?: number;
+  /** First wait before a lost answer is looked into, in milliseconds. @default 50 */
+  resolveBackoffMs?: number;
   /** Pause between two writes of a compaction, in milliseconds. @default 10 */
   compactionPauseMs?: number;
 }
 
+/** Options whose defaults belong to the part that takes them. */
+type PassedOn = "compactionPauseMs" | "resolveBackoffMs";
+
 /** Options with every default in place. */
 export type ResolvedChangeLogOptions =
-  & Required<Omit<ChangeLogOptions, "compactionPauseMs">>
-  & Pick<ChangeLogOptions, "compactionPauseMs">;
+  & Required<Omit<ChangeLogOptions, PassedOn>>
+  & Pick<ChangeLogOptions, PassedOn>;
 
 const MAX_SEED = 2 ** 31;
 
--- a/packages/config/src/proposer.ts
+++ b/packages/config/src/proposer.ts
@@ -54,6 +54,8 @@
   segments: SegmentStore;
   office: string;
   random: Random;
+  /** First wait before a lost answer is looked into, in milliseconds. */
+  resolveBackoffMs?: number;
   /** Milliseconds since 1970, for the audit trail. */
   wallClock: () => number;
 }
@@ -181,8 +183,8 @@
     const isMine = (object: StoredObject) =>
       isDeepStrictEqual(object.value, change);
     const key = changeKey(change.sequence);
-    const options = { isMine, signal };
-    const { store } = this.#options;
+    const { store, resolveBackoffMs } = this.#options;
+    const options = { isMine, signal, backoffMs: resolveBackoffMs };
     const result = await putResolved(store, key, change, ABSENT, options);
     return this.#settle(change, req, result, signal);
   }
