fix(store,config): follow the log over connections that go silent

A watch of 20 s over a connection that went silent was noticed only after 21 s, over the 4 s in which a change has to be in force. Watches now wait 2 s, and a follower whose watch is lost reads on at once over new connections. A read without an answer is sent once more on a new connection, so that one dead connection does not refuse an operator's proposal.

--- /dev/null
+++ b/packages/config/src/__tests__/silent_connection_test.ts
@@ -0,0 +1,88 @@
+/** Connections to the store that go silent for good while new ones work. */
+import { afterEach, beforeEach, expect, test } from "@jest/globals";
+import {
+  ABSENT,
+  createHttpStore,
+  type HttpStore,
+  StoreStatus,
+} from "@sassafrascleat/store";
+import {
+  createFaultProxy,
+  createStoreServer,
+  type FaultProxy,
+  type StoreServer,
+} from "@sassafrascleat/testing";
+import { createChangeLog } from "../change_log.ts";
+import { ProposeKind } from "../change_log_contract.ts";
+import { createConfigReplica } from "../replica.ts";
+import { createPolicy, forever } from "./fixtures.ts";
+
+let server: StoreServer;
+let proxy: FaultProxy;
+let store: HttpStore;
+
+beforeEach(async () => {
+  server = await createStoreServer();
+  proxy = await createFaultProxy({ targetPort: server.port });
+  const baseUrl = `http://127.0.0.1:${proxy.port}`;
+  store = createHttpStore({ baseUrl, timeoutMs: 300, writeTimeoutMs: 300 });
+});
+
+afterEach(async () => {
+  await proxy.close();
+  await server.close();
+  await store.close();
+});
+
+test("one timeout replaces every pooled connection", async () => {
+  const readAll = () =>
+    Promise.all(Array.from({ length: 4 }, () => store.get("k")));
+  await readAll();
+  proxy.silence();
+  expect((await store.put("k", 1, ABSENT)).status).toBe(StoreStatus.Unknown);
+  const again = await readAll();
+  expect(again.map(({ status }) => status))
+    .toEqual(Array(4).fill(StoreStatus.Ok));
+});
+
+test("a proposal over silent connections is accepted on new ones", async () => {
+  const replica = createConfigReplica();
+  const log = createChangeLog({ store, replica, office: "co-op" });
+  await log.catchUp(forever);
+  proxy.silence();
+  expect(await log.propose(createPolicy("p1", "std"), forever))
+    .toEqual({ kind: ProposeKind.Accepted, sequence: 1, version: 1 });
+});
+
+test("a follower whose watch goes silent dials anew", async () => {
+  const replica = createConfigReplica();
+  const follower = createChangeLog({
+    store,
+    replica,
+    office: "co-op",
+    watchMs: 100,
+    fallbackMs: 10,
+  });
+  const controller = new AbortController();
+  const inForce = (sequence: number) =>
+    new Promise<void>((resolve) => {
+      replica.onChange((now) => {
+        if (now >= sequence) resolve();
+      }, controller.signal);
+    });
+  const direct = createChangeLog({
+    store: server.store,
+    replica: createConfigReplica(),
+    office: "turret",
+  });
+  const task = follower.follow(controller.signal);
+  const first = inForce(1);
+  await direct.propose(createPolicy("p1", "a"), forever);
+  await first;
+  proxy.silence();
+  const second = inForce(2);
+  await direct.propose(createPolicy("p2", "b"), forever);
+  await second;
+  controller.abort();
+  await task;
+});
--- a/packages/config/src/change_log.ts
+++ b/packages/config/src/change_log.ts
@@ -48,7 +48,7 @@
   random?: Random;
   /** Milliseconds since 1970. @default Date.now */
   wallClock?: () => number;
-  /** Longest wait of one watch, in milliseconds. @default 20000 */
+  /** Longest wait of one watch, in milliseconds. @default 2000 */
   watchMs?: number;
   /** Wait after a failed call, in milliseconds; it doubles. @default 1000 */
   fallbackMs?: number;
@@ -132,14 +132,10 @@
     const { fallbackMs, random } = this.#options;
     let waitMs = fallbackMs;
     while (!signal.aborted) {
-      const result = await this.#reader.catchUp(signal);
-      if (result.status === LogReadStatus.Ok) {
+      if (await this.#readOn(signal)) {
         waitMs = fallbackMs;
-        await this.#watch(result.revision, signal);
-      } else {
-        log("store_unavailable", { message: result.message });
+        continue;
       }
-      if (signal.aborted) break;
       await sleep(jitter(waitMs, random), signal);
       waitMs = Math.min(2 * waitMs, FALLBACK_MAX_MS);
     }
@@ -160,22 +156,38 @@
     await this.#archiver.run(snapshot.sequence, signal);
   }
 
+  /**
+   * Catches up and watches until that ends. True when a watch was answered: a
+   * connection that went silent later is then followed by a new one at once.
+   */
+  async #readOn(signal: AbortSignal): Promise<boolean> {
+    const result = await this.#reader.catchUp(signal);
+    if (result.status === LogReadStatus.Ok) {
+      return await this.#watch(result.revision, signal);
+    }
+    log("store_unavailable", { message: result.message });
+    return false;
+  }
+
   /** Watches from `revision` until a call fails or something has to be read. */
-  async #watch(revision: number, signal: AbortSignal): Promise<void> {
+  async #watch(revision: number, signal: AbortSignal): Promise<boolean> {
     const { store, watchMs } = this.#options;
     let afterRevision = revision;
+    let answered = false;
     while (!signal.aborted) {
       this.#startUpkeep(signal);
       const result = await store.watch(
         { prefix: CHANGES_PREFIX, afterRevision, waitMs: watchMs },
         signal,
       );
-      if (result.status !== StoreStatus.Ok) return;
+      if (result.status !== StoreStatus.Ok) return answered;
       const applied = await this.#reader.applyEvents(result.events, signal);
-      if (!applied) return;
+      if (!applied) return answered;
+      answered = true;
       afterRevision = result.revision;
       await sleep(WATCH_SPACING_MS, signal);
     }
+    return answered;
   }
 
   #startUpkeep(signal: AbortSignal): void {
--- a/packages/config/src/config_state.ts
+++ b/packages/config/src/config_state.ts
@@ -28,6 +28,7 @@
 /** Objects and the versions of deleted ones, by kind and name. */
 export class ConfigState implements ObjectReader {
   readonly #objects: Record<ObjectKind, ObjectMap>;
+  readonly #sorted = new Map<ObjectKind, Versioned<AnyObject>[]>();
   readonly #deleted: Record<ObjectKind, Map<string, number>>;
   readonly #customersByKey = new Map<string, Customer>();
 
@@ -49,9 +50,13 @@
   }
 
   list<K extends ObjectKind>(kind: K): Versioned<ObjectByKind[K]>[] {
-    const all = [...this.#objects[kind].values()];
-    all.sort((a, b) => byName(a.object, b.object));
-    return all as Versioned<ObjectByKind[K]>[];
+    let sorted = this.#sorted.get(kind);
+    if (!sorted) {
+      sorted = [...this.#objects[kind].values()];
+      sorted.sort((a, b) => byName(a.object, b.object));
+      this.#sorted.set(kind, sorted);
+    }
+    return sorted.slice() as Versioned<ObjectByKind[K]>[];
   }
 
   customerByKeySha256(sha256: string): Customer | undefined {
@@ -68,6 +73,7 @@
   set(kind: ObjectKind, version: number, object: AnyObject): void {
     this.#forgetKeys(kind, object.name);
     this.#objects[kind].set(object.name, { version, object });
+    this.#sorted.delete(kind);
     this.#deleted[kind].delete(object.name);
     if (kind !== ObjectKind.Customer) return;
     const customer = object as Customer;
@@ -80,6 +86,7 @@
   remove(kind: ObjectKind, name: string, version: number): void {
     this.#forgetKeys(kind, name);
     this.#objects[kind].delete(name);
+    this.#sorted.delete(kind);
     this.#deleted[kind].set(name, version);
   }
 
--- a/packages/config/src/constants.ts
+++ b/packages/config/src/constants.ts
@@ -22,7 +22,7 @@
 export const CONFLICT_BACKOFF_MAX_MS = 200;
 
 /** Longest wait of one watch, in milliseconds. */
-export const WATCH_MS = 20_000;
+export const WATCH_MS = 2_000;
 
 /** Wait after a failed call before the store is asked again, in milliseconds. */
 export const FALLBACK_MS = 1_000;
--- a/packages/store/src/http_store.ts
+++ b/packages/store/src/http_store.ts
@@ -174,7 +174,12 @@
   ): Promise<WatchResult> {
     const waitMs = Math.min(options.waitMs, MAX_WATCH_MS);
     const params = { ...options, waitMs };
-    const answer = await this.#read(`/watch?${query(params)}`, signal, waitMs);
+    const answer = await this.#call({
+      method: "GET",
+      path: `/watch?${query(params)}`,
+      timeoutMs: this.#options.timeoutMs + waitMs,
+      signal,
+    });
     if ("message" in answer) return answer;
     return this.#parse(answer, watchAnswerSchema, (body) => ({
       status: StoreStatus.Ok,
@@ -187,13 +192,16 @@
     return this.#pool.close();
   }
 
-  #read(
+  /** Reads; one that got no answer is sent again on a new connection. */
+  async #read(
     path: string,
     signal: AbortSignal | undefined,
-    waitMs = 0,
   ): Promise<Answer | StoreFailure> {
-    const timeoutMs = this.#options.timeoutMs + waitMs;
-    return this.#call({ method: "GET", path, timeoutMs, signal });
+    const { timeoutMs } = this.#options;
+    const call: Call = { method: "GET", path, timeoutMs, signal };
+    const answer = await this.#call(call);
+    const lost = "message" in answer && answer.status === StoreStatus.Unknown;
+    return lost && !signal?.aborted ? this.#call(call) : answer;
   }
 
   async #write(
