--- a/packages/membership/src/__tests__/relay_test.ts
+++ b/packages/membership/src/__tests__/relay_test.ts
@@ -1,6 +1,7 @@
 /** The configuration relay under the failures that it is meant for. */
 import { afterEach, describe, expect, test } from "@jest/globals";
-import { Staleness } from "../index.ts";
+import { createMemoryStore } from "@sassafrascleat/store";
+import { createStorePresence, type RelayStatus, Staleness } from "../index.ts";
 import {
   createTestDaemon,
   eventually,
@@ -179,8 +180,89 @@
     peers.list = [stale.peer];
     late.start();
     await eventually(() => late.replica.sequence >= 1);
+    await eventually(() => stale.pulls >= 15);
     expect(late.relay.staleness()).toBe(Staleness.PossiblyStale);
     log.available = true;
     await eventually(() => late.replica.sequence === 5);
   });
 });
+
+describe("a head that was paused", () => {
+  test("answers with its old state and moves nobody back", async () => {
+    const fleet = await startFleet(3);
+    fleet.log.append();
+    await eventually(allAt(fleet.daemons, 1));
+    const zone = zoneOf(fleet, "north", "a");
+    const paused = zone.find((daemon) => daemon.relay.isHead())!;
+    const control = paused.relay.control;
+    const before = await control.pull({
+      ...paused.peer,
+      afterSequence: 0,
+      waitMs: 0,
+      reports: [],
+    });
+    for (let index = 0; index < 5; index++) fleet.log.append();
+    await eventually(allAt(fleet.daemons, 6));
+    Object.assign(control, { pull: () => Promise.resolve(before) });
+    fleet.log.append();
+    await eventually(allAt(fleet.daemons, 7));
+    for (const { replica } of fleet.daemons) {
+      expect(replica.applied).toEqual([...new Set(replica.applied)].sort());
+    }
+  });
+});
+
+describe("presence in the store", () => {
+  test("lets daemons without settings find each other and sums up all zones", async () => {
+    const store = createMemoryStore();
+    const log = new FakeLog();
+    const daemons: Started[] = [];
+    for (const zone of ["a", "a", "a", "b", "b"]) {
+      const daemonId = `north-${zone}-${daemons.length}`;
+      const presence = createStorePresence({
+        store,
+        daemonId,
+        office: "north",
+        availabilityZone: zone,
+        writeMs: 20,
+        readMs: 50,
+      });
+      daemons.push(
+        await createTestDaemon({
+          daemonId,
+          availabilityZone: zone,
+          log,
+          peers: presence,
+          relay: { presence, headsPerZone: 1 },
+        }),
+      );
+    }
+    running.push(...daemons);
+    for (const daemon of daemons) daemon.start();
+    log.append();
+    await eventually(allAt(daemons, 1));
+    const heads = () => daemons.filter((daemon) => daemon.relay.isHead());
+    await eventually(() => heads().length === 2);
+    const zones = await eventualStatus(
+      daemons[0]!,
+      (status) =>
+        status.byOffice[0]?.zones.every((zone) => zone.lagging === 0) &&
+        status.byOffice[0]?.zones.map((zone) => zone.daemons).join() === "3,2",
+    );
+    expect(zones.complete).toBe(true);
+    expect(zones.sequence).toBe(1);
+  });
+});
+
+async function eventualStatus(
+  daemon: Started,
+  holds: (status: RelayStatus) => boolean | undefined,
+): Promise<RelayStatus> {
+  const signal = AbortSignal.timeout(15_000);
+  while (!signal.aborted) {
+    const status = await daemon.relay.relayStatus(signal);
+    if (holds(status)) return status;
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  throw new Error("the status was not reached");
+}
--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -66,8 +66,8 @@
 /** Time for which a peer that is behind is passed over, in milliseconds. */
 export const BEHIND_MS = 2_000;
 
-/** Mean delay of the first store call of a daemon without peers, in milliseconds. */
-export const FIRST_FALLBACK_MS = 400;
+/** Mean delay of the first store call of a daemon that is no head, in milliseconds. */
+export const FIRST_FALLBACK_MS = 2_000;
 
 /** Interval at which the peer source is read, in milliseconds. */
 export const PEER_REFRESH_MS = 2_000;
@@ -111,6 +111,9 @@
 /** Daemons that one relay keeps reports of. */
 export const MEMBER_LIMIT = 2_000;
 
+/** Reports of other daemons in one pull. */
+export const FORWARDED_REPORT_LIMIT = 16;
+
 /** Shortest interval between two presence writes of a head, in milliseconds. */
 export const PRESENCE_WRITE_MS = 1_000;
 
--- a/packages/membership/src/hosts/http_host_source.ts
+++ b/packages/membership/src/hosts/http_host_source.ts
@@ -3,7 +3,11 @@
   type BackendServer,
   backendServerSchema,
 } from "@sassafrascleat/protocol";
-import { createLogger, errorMessage } from "@sassafrascleat/runtime";
+import {
+  childController,
+  createLogger,
+  errorMessage,
+} from "@sassafrascleat/runtime";
 import { Agent, fetch } from "undici";
 import { HOST_LIST_TIMEOUT_MS } from "../constants.ts";
 import type { HostSource } from "./host_view.ts";
@@ -36,11 +40,12 @@
   }
 
   async list(signal: AbortSignal): Promise<BackendServer[] | undefined> {
-    const timeout = AbortSignal.timeout(this.#timeoutMs);
+    const limit = childController(signal);
+    const timer = setTimeout(() => limit.abort(), this.#timeoutMs);
     try {
       const res = await fetch(this.#url, {
         dispatcher: this.#agent,
-        signal: AbortSignal.any([signal, timeout]),
+        signal: limit.signal,
       });
       if (res.ok) return parseHosts(await res.json());
       await res.body?.cancel();
@@ -48,6 +53,9 @@
     } catch (err) {
       if (!signal.aborted) log("list_failed", { error: errorMessage(err) });
       this.#reconnect();
+    } finally {
+      clearTimeout(timer);
+      limit.abort();
     }
     return undefined;
   }
--- a/packages/membership/src/relay/create_relay.ts
+++ b/packages/membership/src/relay/create_relay.ts
@@ -6,6 +6,7 @@
 import type { ConfigReplica } from "@sassafrascleat/config";
 import type { RelayControl, SequenceReport } from "@sassafrascleat/protocol";
 import {
+  childController,
   type Clock,
   createRandom,
   type Random,
@@ -13,6 +14,7 @@
   type Secret,
   systemClock,
 } from "@sassafrascleat/runtime";
+import { setMaxListeners } from "node:events";
 import {
   HEADS_PER_ZONE,
   PULL_GRACE_MS,
@@ -98,6 +100,9 @@
   run(signal: AbortSignal): Promise<void>;
 }
 
+/** Listeners that the tasks of one relay put on its abort signal at once. */
+const TASK_LISTENERS = 64;
+
 /** Creates a relay; it does nothing before `run`. */
 export function createRelay(options: RelayOptions): Relay {
   return new ConfigRelay(resolveRelayOptions(options));
@@ -143,7 +148,11 @@
       clock,
       random,
     });
-    this.#survey = new Survey({ ...parts, puller: this.#puller });
+    this.#survey = new Survey({
+      ...parts,
+      puller: this.#puller,
+      isStoreSilent: () => this.#reader.isSilent,
+    });
     this.control = new PullServer({ replica, freshness, members });
   }
 
@@ -170,7 +179,9 @@
     };
   }
 
-  async run(signal: AbortSignal): Promise<void> {
+  async run(parent: AbortSignal): Promise<void> {
+    const { signal } = childController(parent);
+    setMaxListeners(TASK_LISTENERS, signal);
     this.control.start(signal);
     await this.#peers.refresh(signal);
     await Promise.all([
--- a/packages/membership/src/relay/peer_client.ts
+++ b/packages/membership/src/relay/peer_client.ts
@@ -11,6 +11,7 @@
   SYSTEM_SECRET_HEADER,
 } from "@sassafrascleat/protocol";
 import {
+  childController,
   createLogger,
   errorMessage,
   type Secret,
@@ -78,11 +79,11 @@
     signal: AbortSignal,
   ): Promise<PullReply | undefined> {
     const connection = this.#connect(peer.address);
-    const limit = new AbortController();
+    const limit = childController(signal);
     const timer = setTimeout(() => limit.abort(), timeoutMs);
     try {
       return await connection.client.pull.mutate(req, {
-        signal: AbortSignal.any([signal, limit.signal]),
+        signal: limit.signal,
       }) as PullReply;
     } catch (err) {
       this.#drop(peer.address, connection);
@@ -92,6 +93,7 @@
       return undefined;
     } finally {
       clearTimeout(timer);
+      limit.abort();
     }
   }
 
--- a/packages/membership/src/relay/puller.ts
+++ b/packages/membership/src/relay/puller.ts
@@ -84,12 +84,8 @@
     const sentAtMs = clock.now();
     const req = this.#request(waitMs);
     const reply = await client.pull(peer, req, timeoutMs, signal);
-    if (signal.aborted) return undefined;
-    if (!reply) {
-      health.lost(peer.daemonId);
-      return undefined;
-    }
-    health.answered(peer.daemonId);
+    if (reply) health.answered(peer.daemonId);
+    if (!reply || signal.aborted) return undefined;
     this.#heardAtMs = clock.now();
     const caughtUp = applyReply(replica, reply);
     if (caughtUp && reply.confirmedAgeMs !== undefined) {
@@ -113,23 +109,27 @@
   }
 
   async #pullFrom(peer: RelayPeer, signal: AbortSignal): Promise<void> {
-    const { pullWaitMs, pullGraceMs, random, replica } = this.#parts;
+    const { health, pullWaitMs, pullGraceMs, random, replica } = this.#parts;
     this.#setTarget(peer);
     const before = replica.sequence;
     const timeoutMs = pullWaitMs + pullGraceMs;
     const reply = await this.ask(peer, pullWaitMs, timeoutMs, signal);
+    if (!reply && !signal.aborted) health.lost(peer.daemonId);
     if (!reply) return;
-    if (this.#isBehind(reply)) this.#passOver(peer);
+    if (this.#isBehind(reply, before)) this.#passOver(peer);
     else this.#behindUntil.delete(peer.daemonId);
     if (reply.sequence > before) {
       await sleep(jitter(PULL_PAUSE_MS, random), signal);
     }
   }
 
-  #isBehind(reply: PullReply): boolean {
+  /** A peer behind this daemon, cut off, or whose changes don't fit here. */
+  #isBehind(reply: PullReply, before: number): boolean {
     const { replica, staleAfterMs } = this.#parts;
     const age = reply.confirmedAgeMs ?? Infinity;
-    return age > staleAfterMs || reply.sequence !== replica.sequence;
+    const delivered = Math.max(before, reply.changes.at(-1)?.sequence ?? 0);
+    return age > staleAfterMs || reply.sequence < before ||
+      replica.sequence < delivered;
   }
 
   #passOver(peer: RelayPeer): void {
@@ -161,7 +161,7 @@
       address: self.address || undefined,
       afterSequence: replica.sequence,
       waitMs,
-      reports: peers.isHead() ? [] : members.recent(),
+      reports: peers.isHead() ? [] : members.callers(),
     };
   }
 }
--- a/packages/membership/src/relay/store_reader.ts
+++ b/packages/membership/src/relay/store_reader.ts
@@ -3,6 +3,7 @@
  * and at a bounded, jittered rate in a daemon whose peers are silent or behind.
  */
 import {
+  childController,
   type Clock,
   createLogger,
   jitter,
@@ -54,6 +55,11 @@
       STORE_FALLBACK_STALE_MS * this.#fallbackFactor;
   }
 
+  /** Whether a call has failed since the last one that was answered. */
+  get isSilent(): boolean {
+    return this.#failures > 0;
+  }
+
   /** Reads until `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -100,9 +106,11 @@
   async #poll(waitMs: number, signal: AbortSignal): Promise<boolean> {
     const { clock, follower, freshness } = this.#parts;
     const startedAtMs = clock.now();
-    const limit = AbortSignal.timeout(waitMs + STORE_GRACE_MS);
-    const either = AbortSignal.any([signal, limit]);
-    const answered = await follower.poll(waitMs, either);
+    const limit = childController(signal);
+    const timer = setTimeout(() => limit.abort(), waitMs + STORE_GRACE_MS);
+    const answered = await follower.poll(waitMs, limit.signal);
+    clearTimeout(timer);
+    limit.abort();
     if (answered) {
       this.#failures = 0;
       freshness.confirm(startedAtMs);
--- a/packages/membership/src/relay/survey.ts
+++ b/packages/membership/src/relay/survey.ts
@@ -1,5 +1,6 @@
 /**
- * Asks the zone's daemons after a start that found no store. The replica takes
+ * Asks the zone's daemons after a start that found no store; with a store that
+ * answers, a whole fleet may start without a single survey. The replica takes
  * the highest sequence that they show; a majority of the zone's daemons, this
  * one counted among them but without a vote, makes up the quorum.
  */
@@ -21,6 +22,8 @@
 
 /** What a survey works on. */
 export interface SurveyParts {
+  /** Whether a store call has failed since the start. */
+  isStoreSilent(): boolean;
   freshness: Freshness;
   peers: PeerTable;
   puller: Puller;
@@ -45,11 +48,13 @@
 
   /** Ends with the first confirmation, or when `signal` aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { freshness, random } = this.#parts;
+    const { freshness, isStoreSilent, random } = this.#parts;
     while (!signal.aborted) {
       await sleep(jitter(SURVEY_INTERVAL_MS / 3, random), signal);
       if (freshness.staleness !== Staleness.PossiblyStale) return;
+      if (!isStoreSilent()) continue;
       await this.#askAll(signal);
+      log("survey", { answered: this.#answered.size });
       if (this.#hasQuorum()) return freshness.confirmByQuorum();
       await sleep(jitter(SURVEY_INTERVAL_MS, random), signal);
     }
@@ -58,12 +63,12 @@
   async #askAll(signal: AbortSignal): Promise<void> {
     const { peers } = this.#parts;
     const elsewhere = peers.pullOrder().slice(0, SURVEY_CONCURRENCY);
-    const unasked = new Set([...peers.ofOwnZone(), ...elsewhere]);
-    const queue = [...unasked]
+    const wanted = new Set([...elsewhere, ...peers.ofOwnZone()]);
+    const queue = [...wanted]
       .filter((peer) => !this.#answered.has(peer.daemonId));
     const askNext = async () => {
       for (let peer = queue.shift(); peer; peer = queue.shift()) {
-        if (signal.aborted) return;
+        if (signal.aborted || this.#hasQuorum()) return;
         await this.#ask(peer, signal);
       }
     };
@@ -81,8 +86,6 @@
   #hasQuorum(): boolean {
     const zone = this.#parts.peers.ofOwnZone();
     const votes = zone.filter((peer) => this.#answered.has(peer.daemonId));
-    const needed = quorumOf(zone.length);
-    log("survey", { votes: votes.length, needed });
-    return votes.length >= needed;
+    return votes.length >= quorumOf(zone.length);
   }
 }
