--- /dev/null
+++ b/packages/daemon/src/entry_process.ts
@@ -0,0 +1,282 @@
+/**
+ * One entry process: configuration replica and relay, host view, and the
+ * callers' listener. Requests wait for none of the control tasks.
+ */
+import {
+  type ChangeLog,
+  createChangeLog,
+  createConfigReplica,
+  type MemoryReplica,
+} from "@sassafrascleat/config";
+import { createEntry, type Entry } from "@sassafrascleat/entry";
+import {
+  createHostView,
+  createOrderIssuer,
+  createRelay,
+  createStaticPeers,
+  createStorePresence,
+  type HostSource,
+  joinPeerSources,
+  type OrderIssuer,
+  type Relay,
+  type RelayPeer,
+  type RunningHostView,
+} from "@sassafrascleat/membership";
+import {
+  createPlacementPolicy,
+  type PolicyName,
+} from "@sassafrascleat/routing";
+import type { Secret } from "@sassafrascleat/runtime";
+import type { ObjectStore } from "@sassafrascleat/store";
+import { createLogFollower } from "./log_follower.ts";
+import {
+  createOperatorListener,
+  type OperatorListener,
+} from "./operator_listener.ts";
+import { collectStatus } from "./operator_status.ts";
+import type { RunningDaemon } from "./running.ts";
+import {
+  createSidecarControlClient,
+  type SidecarControlClient,
+} from "./sidecar_control_client.ts";
+import {
+  createSystemListener,
+  type SystemListener,
+} from "./system_listener.ts";
+
+/** An address to bind. */
+export interface ListenAddress {
+  host: string;
+  port: number;
+}
+
+/** Everything that an entry process is made of. */
+export interface EntryProcessOptions {
+  id: string;
+  office: string;
+  availabilityZone: string;
+  callers: ListenAddress;
+  operators: ListenAddress;
+  system: ListenAddress;
+  operatorSecrets: readonly Secret[];
+  /** The first is sent, all are accepted. */
+  systemSecrets: readonly [Secret, ...Secret[]];
+  store: ObjectStore;
+  hostSource: HostSource;
+  peers: readonly RelayPeer[];
+  hostRefreshMs: number;
+  subsetSize: number;
+  placement: PolicyName;
+  drainTimeoutMs: number;
+}
+
+/** A started entry process and the parts that operators' calls use. */
+export interface EntryProcess extends RunningDaemon {
+  readonly availabilityZone: string;
+  readonly entry: Entry;
+  readonly relay: Relay;
+  readonly changeLog: ChangeLog;
+  readonly replica: MemoryReplica;
+  readonly hosts: RunningHostView;
+}
+
+/** The parts that don't depend on a bound address. */
+interface ControlParts {
+  replica: MemoryReplica;
+  changeLog: ChangeLog;
+  hosts: RunningHostView;
+}
+
+function createControlParts(options: EntryProcessOptions): ControlParts {
+  const replica = createConfigReplica();
+  const { store, office, availabilityZone } = options;
+  const changeLog = createChangeLog({
+    store,
+    replica,
+    office,
+    writer: options.id,
+  });
+  const hosts = createHostView({
+    source: options.hostSource,
+    office,
+    availabilityZone,
+    entryId: options.id,
+    subsetSize: options.subsetSize,
+    refreshMs: options.hostRefreshMs,
+  });
+  return { replica, changeLog, hosts };
+}
+
+function createProcessRelay(
+  options: EntryProcessOptions,
+  parts: ControlParts,
+  address: string,
+): Relay {
+  const { id: daemonId, office, availabilityZone, store } = options;
+  const presence = createStorePresence({
+    store,
+    daemonId,
+    office,
+    availabilityZone,
+  });
+  return createRelay({
+    daemonId,
+    office,
+    availabilityZone,
+    address,
+    replica: parts.replica,
+    changeLogFollower: createLogFollower({ store, ...parts }),
+    peers: joinPeerSources(presence, createStaticPeers(options.peers)),
+    secret: options.systemSecrets[0],
+    presence,
+  });
+}
+
+function createCallersEntry(
+  options: EntryProcessOptions,
+  parts: ControlParts,
+): Promise<Entry> {
+  return createEntry({
+    entryId: options.id,
+    office: options.office,
+    availabilityZone: options.availabilityZone,
+    host: options.callers.host,
+    port: options.callers.port,
+    secret: options.systemSecrets[0],
+    config: parts.replica,
+    hosts: parts.hosts,
+    store: options.store,
+    placement: (policy) =>
+      createPlacementPolicy(options.placement, { objective: policy.objective }),
+  });
+}
+
+function createIssuer(
+  options: EntryProcessOptions,
+  parts: ControlParts,
+  relay: Relay,
+  control: SidecarControlClient,
+): OrderIssuer {
+  return createOrderIssuer({
+    config: parts.replica,
+    hosts: parts.hosts,
+    office: options.office,
+    send: (server, req, signal) => control.order(server, req, signal),
+    isActive: () => relay.isHead(),
+  });
+}
+
+/** Opens the operators' listener over the parts that serve its calls. */
+function openOperators(
+  options: EntryProcessOptions,
+  parts: ControlParts & { relay: Relay; issuer: OrderIssuer },
+  control: SidecarControlClient,
+  signal: AbortSignal,
+): Promise<OperatorListener> {
+  const { id, office, availabilityZone } = options;
+  const { changeLog, replica, hosts, relay, issuer } = parts;
+  const sources = {
+    id,
+    office,
+    availabilityZone,
+    relay,
+    hosts,
+    issuer,
+    control,
+  };
+  return createOperatorListener(options.operators, {
+    changeLog,
+    replica,
+    secrets: options.operatorSecrets,
+    status: () => collectStatus(sources),
+    drain: async (name, leaving) => {
+      const server = hosts.find(name);
+      return server && await control.drain(server, leaving);
+    },
+    signal,
+  });
+}
+
+/** The listeners of an entry process besides the callers'. */
+interface ControlListeners {
+  system: SystemListener;
+  operators: OperatorListener;
+}
+
+class StartedEntry implements EntryProcess {
+  readonly availabilityZone: string;
+  readonly addresses: Record<string, string>;
+  readonly entry: Entry;
+  readonly relay: Relay;
+  readonly changeLog: ChangeLog;
+  readonly replica: MemoryReplica;
+  readonly hosts: RunningHostView;
+  readonly #listeners: ControlListeners;
+  readonly #controller: AbortController;
+  readonly #drainTimeoutMs: number;
+
+  constructor(
+    parts: ControlParts & { entry: Entry; relay: Relay },
+    listeners: ControlListeners,
+    controller: AbortController,
+    options: EntryProcessOptions,
+  ) {
+    this.availabilityZone = options.availabilityZone;
+    this.entry = parts.entry;
+    this.relay = parts.relay;
+    this.changeLog = parts.changeLog;
+    this.replica = parts.replica;
+    this.hosts = parts.hosts;
+    this.#listeners = listeners;
+    this.#controller = controller;
+    this.#drainTimeoutMs = options.drainTimeoutMs;
+    this.addresses = {
+      callers: parts.entry.callersAddress,
+      operators: listeners.operators.address,
+      system: listeners.system.address,
+    };
+  }
+
+  async drain(): Promise<void> {
+    await this.entry.drain(AbortSignal.timeout(this.#drainTimeoutMs));
+    await this.close();
+  }
+
+  async close(): Promise<void> {
+    await this.entry.close();
+    this.#controller.abort();
+    const { system, operators } = this.#listeners;
+    await Promise.all([system.close(), operators.close()]);
+  }
+}
+
+/** Starts an entry process; throws when a listener can't be opened. */
+export async function startEntryProcess(
+  options: EntryProcessOptions,
+): Promise<EntryProcess> {
+  const controller = new AbortController();
+  const { signal } = controller;
+  const parts = createControlParts(options);
+  const system = await createSystemListener({
+    ...options.system,
+    secrets: options.systemSecrets,
+  });
+  const relay = createProcessRelay(options, parts, system.address);
+  system.serve(relay.control);
+  const control = createSidecarControlClient(options.systemSecrets[0]);
+  const issuer = createIssuer(options, parts, relay, control);
+  await parts.hosts.refresh(signal);
+  void parts.hosts.run(signal);
+  void relay.run(signal);
+  void issuer.run(signal);
+  const operatorParts = { ...parts, relay, issuer };
+  const operators = await openOperators(
+    options,
+    operatorParts,
+    control,
+    signal,
+  );
+  const entry = await createCallersEntry(options, parts);
+  const all = { ...parts, entry, relay };
+  return new StartedEntry(all, { system, operators }, controller, options);
+}
