--- a/packages/engine/src/engine.ts
+++ b/packages/engine/src/engine.ts
@@ -56,6 +56,7 @@
   model: string;
   prompt: string;
   generated: string[];
+  /** Length of the prompt, `generated` left out. */
   promptTokens: number;
   pieceHashes: string[];
   priority: number;
@@ -77,7 +78,9 @@
   model: string;
   prompt: string;
   generated: string[];
+  /** Length of the prompt, `generated` left out. */
   promptTokens: number;
+  /** Tokens still wanted, not counting `generated`. */
   maxOutputTokens: number;
   priority: number;
   /** The prefill result to import. */
--- a/packages/sidecar/src/__tests__/decode_test.ts
+++ b/packages/sidecar/src/__tests__/decode_test.ts
@@ -123,6 +123,30 @@
     expect(textOf(await running)).toBe(expectedText("a #len=20", 200));
   });
 
+  test("a later attempt continues after the tokens that were sent", async () => {
+    const { server, sidecar } = await bench.node(BackendRole.Decode);
+    const prompt = "a #len=30";
+    const whole = expectedText(prompt, 200);
+    const generated = whole.split(" ").slice(0, 12).map((word) => `${word} `);
+    const attempt = 2;
+    await sidecar.control.reserve(reserveRequest("r1", { attempt }));
+    const { kv } = await prefilled(prefill, "r1", prompt, {
+      attempt,
+      generated,
+    });
+    const frames = await stream(
+      sidecar.address,
+      startRequest(sidecar, "r1", prompt, kv, {
+        attempt,
+        generated,
+        maxOutputTokens: 188,
+      }),
+    );
+    expect(generated.join("") + textOf(frames)).toBe(whole);
+    expect(kv.tokens).toBe(112);
+    expect(server.books().tokensByRequest).toEqual({ r1: 18 });
+  });
+
   test("a new attempt ends the one before it", async () => {
     const { server, sidecar } = await bench.node(BackendRole.Decode);
     const req = await placed(sidecar, "r1", "a #len=200");
--- a/packages/sidecar/src/backend_state.ts
+++ b/packages/sidecar/src/backend_state.ts
@@ -136,7 +136,11 @@
       clock,
       windowTokens: prefillWindowTokens,
       costOf: (req) =>
-        Math.max(1, req.promptTokens - cache.cachedTokens(req.pieceHashes)),
+        Math.max(
+          1,
+          req.promptTokens + req.generated.length -
+            cache.cachedTokens(req.pieceHashes),
+        ),
       assumedRate: () => watch.prefillRate,
     });
     return { engine, canceller, watch, prefills };
@@ -155,8 +159,9 @@
   #remainingMs(place: Place): number {
     if (!this.parts) return this.callMs;
     if (place.state === PlaceState.Releasing) return 0;
-    const expected = place.expectedTokens - place.producedTokens;
-    const overdue = place.producedTokens * OVERDUE_SHARE;
+    const answer = place.generatedTokens + place.producedTokens;
+    const expected = place.expectedTokens - answer;
+    const overdue = answer * OVERDUE_SHARE;
     const tokens = Math.max(1, expected > 0 ? expected : overdue);
     return tokens * this.parts.watch.stepMs(this.capacity.running);
   }
--- a/packages/sidecar/src/capacity.ts
+++ b/packages/sidecar/src/capacity.ts
@@ -35,6 +35,8 @@
   readonly number: number;
   state: PlaceState;
   pieces: number;
+  /** Tokens that earlier attempts produced; they are part of the context. */
+  generatedTokens: number;
   producedTokens: number;
   /** When the grant expires unless its attempt was started. */
   readonly expiresAtMs: number;
@@ -132,11 +134,19 @@
    */
   grow(place: Place, produced: number): void {
     place.producedTokens += produced;
-    const ahead = place.producedTokens + GROWTH_LEAD_TOKENS;
+    const answer = place.generatedTokens + place.producedTokens;
+    const ahead = answer + GROWTH_LEAD_TOKENS;
     const tokens = place.promptTokens + Math.min(ahead, place.maxTokens);
     place.pieces = Math.max(place.pieces, piecesOf(tokens));
   }
 
+  /** Takes a held place into use, after `generated` tokens of its answer. */
+  begin(place: Place, generated: number): void {
+    place.state = PlaceState.Running;
+    place.generatedTokens = generated;
+    this.grow(place, 0);
+  }
+
   /** Pieces taken beyond the memory, those on their way back left out. */
   get deficit(): number {
     let pieces = -this.freePieces;
@@ -196,6 +206,7 @@
       number: this.#number++,
       state: PlaceState.Waiting,
       pieces,
+      generatedTokens: 0,
       producedTokens: 0,
       expiresAtMs,
       ready,
--- a/packages/sidecar/src/decode_runner.ts
+++ b/packages/sidecar/src/decode_runner.ts
@@ -93,7 +93,8 @@
         EngineHold.None,
       );
     }
-    place.state = PlaceState.Running;
+    this.#opts.capacity.begin(place, req.generated.length);
+    this.#makeRoom();
     const waitedMs = this.#opts.clock.now() - arrivedAtMs;
     const begun = await this.#begin(record, req, waitedMs);
     if (begun.status !== EngineStatus.Ok) {
@@ -187,8 +188,12 @@
 
   /** Takes memory for new tokens, from the least urgent attempts if need be. */
   #grow(place: Place, added: number): void {
+    this.#opts.capacity.grow(place, added);
+    this.#makeRoom();
+  }
+
+  #makeRoom(): void {
     const { capacity, evict } = this.#opts;
-    capacity.grow(place, added);
     while (capacity.deficit > 0) {
       const victim = capacity.victim();
       if (!victim) return;
--- a/packages/testing/src/engine/decode_batch.ts
+++ b/packages/testing/src/engine/decode_batch.ts
@@ -9,7 +9,7 @@
 import { ENDED_RETENTION_MS } from "./constants.ts";
 import { ExpectedText } from "./expected_text.ts";
 import type { ResolvedEngineServerOptions } from "./options.ts";
-import { piecesOf } from "./prefill_queue.ts";
+import { contextTokens, piecesOf } from "./prefill_queue.ts";
 
 /** Receives the events of one request. */
 export type EventSink = (event: EngineEvent) => void;
@@ -32,7 +32,7 @@
   }
 
   get pieces(): number {
-    return piecesOf(this.req.promptTokens + this.tokens.length + 1);
+    return piecesOf(contextTokens(this.req) + this.tokens.length + 1);
   }
 
   get whole(): boolean {
--- a/packages/testing/src/engine/engine_core.ts
+++ b/packages/testing/src/engine/engine_core.ts
@@ -18,7 +18,7 @@
 import { DecodeBatch, type DecodeJob } from "./decode_batch.ts";
 import { KvClient } from "./kv_client.ts";
 import type { ResolvedEngineServerOptions } from "./options.ts";
-import { piecesOf, PrefillQueue } from "./prefill_queue.ts";
+import { contextTokens, piecesOf, PrefillQueue } from "./prefill_queue.ts";
 import { PrefixCache } from "./prefix_cache.ts";
 import { SharedLink } from "./shared_link.ts";
 
@@ -83,7 +83,7 @@
     if (importing) return importing.outcome;
     if (!this.#hasPlace(req)) return Promise.resolve(EngineStatus.Refused);
     const stop = childController();
-    const pieces = piecesOf(req.promptTokens + 1);
+    const pieces = piecesOf(contextTokens(req) + 1);
     const outcome = this.#import(req, stop.signal);
     this.#imports.set(req.id, { pieces, stop, outcome });
     return outcome;
@@ -173,7 +173,7 @@
   #hasPlace(req: EngineDecodeRequest): boolean {
     if (this.faults.refuse || this.role !== BackendRole.Decode) return false;
     const running = this.batch.running + this.#imports.size;
-    const pieces = this.#usedPieces() + piecesOf(req.promptTokens + 1);
+    const pieces = this.#usedPieces() + piecesOf(contextTokens(req) + 1);
     return running < this.cfg.maxRunning && pieces <= this.cfg.totalPieces;
   }
 
