test(sidecar): fuzz plain calls against an oracle; prune at a longer interval

Random orders of reserve, call, attach, cancel, expiry and backend failures for three requests check that a request is executed at most once, that an attempt said not to have run never runs, and that answers don't cross (400 sequences, seed 4711).

Looking for lapsed attempts went over every tombstone ten times a second; the open attempts are now a set of their own and tombstones are pruned every 5 s.

--- /dev/null
+++ b/packages/sidecar/src/__tests__/plain_fuzz_test.ts
@@ -0,0 +1,197 @@
+/**
+ * Random orders of messages to `PlainCalls` against a simple oracle: a request
+ * is executed at most once, and an attempt that was said not to have run has
+ * not run and never does.
+ */
+import { expect, test } from "@jest/globals";
+import { type EnginePlainResult, EngineStatus } from "@sassafrascleat/engine";
+import {
+  type PlainCallReply,
+  PlainCallState,
+  RefusalReason,
+  RequestClass,
+} from "@sassafrascleat/protocol";
+import { ManualClock } from "@sassafrascleat/runtime";
+import fc from "fast-check";
+import { attemptId, AttemptLedger, isOpen } from "../attempt_ledger.ts";
+import { CapacityLedger } from "../capacity.ts";
+import { PlainCalls } from "../plain_calls.ts";
+
+enum Act {
+  Reserve = "reserve",
+  Call = "call",
+  Settle = "settle",
+  Look = "look",
+  Cancel = "cancel",
+  Expire = "expire",
+  Answer = "answer",
+  Break = "break",
+  Unsent = "unsent",
+}
+
+interface Step {
+  act: Act;
+  requestId: string;
+  attempt: number;
+}
+
+type Finish = (result: EnginePlainResult) => void;
+
+/** The calls under test, with a backend that ends when a step says so. */
+class World {
+  readonly executed: string[] = [];
+  readonly denied = new Set<string>();
+  /** Attempts that got another request's answer. */
+  readonly crossed: string[] = [];
+  readonly #clock = new ManualClock();
+  readonly #pending: { id: string; finish: Finish }[] = [];
+  readonly #capacity = new CapacityLedger({
+    totalPieces: () => Infinity,
+    slots: () => 2,
+    grantTtlMs: 50,
+    remainingMs: () => 10,
+  });
+  readonly #attempts = new AttemptLedger({
+    retentionMs: 1e9,
+    capacity: 1e6,
+    onEnd: (record) => {
+      this.#capacity.release(attemptId(record));
+    },
+  });
+  readonly #plain = new PlainCalls({
+    incarnation: "i",
+    attempts: this.#attempts,
+    capacity: this.#capacity,
+    clock: this.#clock,
+    answerBytes: 1e6,
+    onDuration: () => {},
+    backend: {
+      call: (req) =>
+        new Promise((finish) => {
+          const id = Buffer.from(req.bodyBase64, "base64").toString();
+          this.#pending.push({ id, finish });
+        }),
+    },
+  });
+
+  async apply(step: Step): Promise<void> {
+    this.#clock.advance(1);
+    if (step.act === Act.Reserve) this.#reserve(step);
+    if (step.act === Act.Call) this.#call(step);
+    if (step.act === Act.Settle) this.#attach(step, true);
+    if (step.act === Act.Look) this.#attach(step, false);
+    if (step.act === Act.Cancel) this.#attempts.cancel(step, this.#now);
+    if (step.act === Act.Expire) this.#expire();
+    if (step.act === Act.Answer) this.#finish(Act.Answer);
+    if (step.act === Act.Break) this.#finish(Act.Break);
+    if (step.act === Act.Unsent) this.#finish(Act.Unsent);
+    await new Promise(setImmediate);
+  }
+
+  /** Ends everything, so that no promise stays open. */
+  async close(): Promise<void> {
+    for (let left = 20; left > 0; left--) {
+      this.#finish(Act.Answer);
+      await new Promise(setImmediate);
+    }
+    this.#attempts.stopAll();
+  }
+
+  get #now(): number {
+    return this.#clock.now();
+  }
+
+  #reserve(step: Step): void {
+    if (this.#attempts.refusal(step) || this.#attempts.find(step)) return;
+    this.#attempts.supersede(step, this.#now);
+    this.#capacity.reserve(
+      {
+        id: attemptId(step),
+        requestClass: RequestClass.Standard,
+        promptTokens: 0,
+        expectedTokens: 0,
+        maxTokens: 0,
+      },
+      1_000,
+      this.#now,
+    );
+    this.#attempts.admit(step, "e", this.#now);
+  }
+
+  #call(step: Step): void {
+    const bodyBase64 = Buffer.from(attemptId(step)).toString("base64");
+    const call = { method: "POST", path: "/", headers: {}, bodyBase64 };
+    const ref = { requestId: step.requestId, attempt: step.attempt };
+    const common = { entryId: "e", incarnation: "i", timeoutMs: 60_000 };
+    const reply = this.#plain.call({ ...ref, ...call, ...common });
+    void reply.then((value) => this.#note(step, value));
+  }
+
+  #attach(step: Step, settle: boolean): void {
+    const ref = { requestId: step.requestId, attempt: step.attempt };
+    const req = { ...ref, incarnation: "i", waitMs: 0, settle };
+    void this.#plain.attach(req).then((value) => this.#note(step, value));
+  }
+
+  #expire(): void {
+    this.#clock.advance(1_000);
+    for (const record of this.#attempts.open()) {
+      const place = this.#capacity.find(attemptId(record));
+      const running = this.#plain.started(record.requestId);
+      if (!place || running || !isOpen(record)) continue;
+      this.#attempts.end(record, RefusalReason.GrantExpired, this.#now);
+    }
+  }
+
+  #finish(act: Act): void {
+    const call = this.#pending.shift();
+    if (!call) return;
+    if (act !== Act.Unsent) this.executed.push(call.id);
+    const answer = { status: 200, headers: {}, bodyBase64: call.id };
+    call.finish(
+      act === Act.Answer ? { status: EngineStatus.Ok, answer } : {
+        status: EngineStatus.Unreachable,
+        sent: act === Act.Break,
+        message: "broken",
+      },
+    );
+  }
+
+  #note(step: Step, reply: PlainCallReply): void {
+    if (reply.state === PlainCallState.NotRun) this.denied.add(attemptId(step));
+    if (reply.state !== PlainCallState.Answered) return;
+    const ran = reply.answer.bodyBase64.split("/")[0];
+    if (ran !== step.requestId) this.crossed.push(attemptId(step));
+  }
+}
+
+const common = [Act.Reserve, Act.Reserve, Act.Reserve, Act.Call, Act.Call];
+const steps = fc.array(
+  fc.record({
+    act: fc.constantFrom(...common, ...Object.values(Act)),
+    requestId: fc.constantFrom("a", "b", "c"),
+    attempt: fc.constantFrom(1, 1, 2),
+  }),
+  { minLength: 20, maxLength: 60, size: "max" },
+);
+
+test("plain calls run at most once and NotRun stays true", async () => {
+  let executions = 0;
+  let denials = 0;
+  await fc.assert(
+    fc.asyncProperty(steps, async (sequence) => {
+      const world = new World();
+      for (const step of sequence) await world.apply(step);
+      await world.close();
+      const requests = world.executed.map((id) => id.split("/")[0]);
+      expect(requests.length).toBe(new Set(requests).size);
+      expect(world.executed.filter((id) => world.denied.has(id))).toEqual([]);
+      expect(world.crossed).toEqual([]);
+      executions += world.executed.length;
+      denials += world.denied.size;
+    }),
+    { seed: 4711, numRuns: 400 },
+  );
+  expect(executions).toBeGreaterThan(100);
+  expect(denials).toBeGreaterThan(100);
+});
--- a/packages/sidecar/src/attempt_ledger.ts
+++ b/packages/sidecar/src/attempt_ledger.ts
@@ -65,6 +65,8 @@
 export class AttemptLedger {
   readonly #cfg: AttemptLedgerOptions;
   readonly #records = new Map<string, AttemptRecord>();
+  /** The open ones among the records, which are few. */
+  readonly #open = new Set<AttemptRecord>();
 
   constructor(cfg: AttemptLedgerOptions) {
     this.#cfg = cfg;
@@ -132,6 +134,7 @@
   end(record: AttemptRecord, reason: RefusalReason, nowMs: number): void {
     if (!isOpen(record)) return;
     const before = record.state;
+    this.#open.delete(record);
     record.state = AttemptState.Cancelled;
     record.refusal = reason;
     record.endedAtMs = nowMs;
@@ -146,6 +149,7 @@
 
   finish(record: AttemptRecord, nowMs: number): void {
     if (!isOpen(record)) return;
+    this.#open.delete(record);
     record.state = AttemptState.Finished;
     record.endedAtMs = nowMs;
   }
@@ -166,7 +170,7 @@
 
   /** Attempts that may still run or are running. */
   open(): AttemptRecord[] {
-    return [...this.#records.values()].filter(isOpen);
+    return [...this.#open];
   }
 
   /**
@@ -184,6 +188,7 @@
 
   #put(record: AttemptRecord): void {
     this.#records.set(record.requestId, record);
+    this.#open.add(record);
   }
 }
 
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -36,6 +36,9 @@
 /** Interval between looks for attempts that were not renewed, in milliseconds. */
 export const REAP_INTERVAL_MS = 100;
 
+/** Interval between looks for attempts to forget, in milliseconds. */
+export const PRUNE_INTERVAL_MS = 5_000;
+
 /** Interval between comparisons with what the engine holds, in milliseconds. */
 export const RECONCILE_INTERVAL_MS = 2_000;
 
--- a/packages/sidecar/src/plain_calls.ts
+++ b/packages/sidecar/src/plain_calls.ts
@@ -90,7 +90,10 @@
     return await this.#wait(run, req.timeoutMs);
   }
 
-  /** Tells what became of a call that may have been sent. */
+  /**
+   * Tells what became of a call that may have been sent. A call that has not
+   * started is settled by a tombstone, or counts as running if `settle` is off.
+   */
   async attach(req: PlainAttachRequest): Promise<PlainCallReply> {
     if (req.incarnation !== this.#opts.incarnation) {
       return this.#unknown(UnknownReason.SidecarRestarted);
--- a/packages/sidecar/src/reaper.ts
+++ b/packages/sidecar/src/reaper.ts
@@ -16,7 +16,7 @@
 const log = createLogger("sidecar:reaper");
 
 /** Ends what has lapsed; called at a short interval. */
-export function reap(state: BackendState, plain: PlainCalls | undefined): void {
+export function reap(state: BackendState): void {
   const now = state.cfg.clock.now();
   for (const record of state.attempts.lapsed(now - state.cfg.renewGraceMs)) {
     if (isRunningCall(state, record)) continue;
@@ -29,6 +29,14 @@
     }
   }
   state.capacity.promote();
+}
+
+/** Forgets what was kept for its retention; called at a long interval. */
+export function prune(
+  state: BackendState,
+  plain: PlainCalls | undefined,
+): void {
+  const now = state.cfg.clock.now();
   const running = (id: string) => plain?.running(id) ?? false;
   const forgotten = state.attempts.prune(now, running);
   plain?.forget(forgotten);
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -7,13 +7,14 @@
 import {
   ANSWER_BYTES_CAPACITY,
   DRAIN_POLL_MS,
+  PRUNE_INTERVAL_MS,
   REAP_INTERVAL_MS,
 } from "./constants.ts";
 import { ControlCalls } from "./control.ts";
 import { createListener } from "./listener.ts";
 import { resolveSidecarOptions, type SidecarOptions } from "./options.ts";
 import { PlainCalls } from "./plain_calls.ts";
-import { reap } from "./reaper.ts";
+import { prune, reap } from "./reaper.ts";
 import { Streams } from "./streams.ts";
 
 const log = createLogger("sidecar");
@@ -47,7 +48,8 @@
   await state.parts?.watch.start(stop.signal);
   const app = createListener({ state, control, streams, plain });
   await app.listen({ host: cfg.host, port: cfg.port });
-  void every(REAP_INTERVAL_MS, stop.signal, () => reap(state, plain));
+  void every(REAP_INTERVAL_MS, stop.signal, () => reap(state));
+  void every(PRUNE_INTERVAL_MS, stop.signal, () => prune(state, plain));
   const address = addressOf(app, cfg.host);
   log("started", { name: cfg.backendServer.name, address });
   return {
