feat(entry): idempotency claims and the failures they are meant for

Cause: a second request with the same idempotency key could run a call again, and no failure of streams, callers or sidecars was brought about by a test. Change: claims in the store, group-committed by key partition, written after the grant and before the dispatch; a follower that asks the claim's sidecar; drain; fakes and tables of bad input, vanished callers, broken streams, lost answers, store outage, dead and paused claim holders. Repeatable calls avoid the sidecar that lost their answer.

--- /dev/null
+++ b/packages/entry/src/__tests__/caller_gone_test.ts
@@ -0,0 +1,136 @@
+import { afterEach, beforeEach, describe, expect, test } from "@jest/globals";
+import { RefusalReason } from "@sassafrascleat/protocol";
+import { sleep } from "@sassafrascleat/runtime";
+import type { FrameWriter } from "./fake_sidecar.ts";
+import { Harness, until } from "./harness.ts";
+
+const NEVER = new Promise<never>(() => {});
+
+describe("a caller that goes away", () => {
+  let harness: Harness;
+  let caller: AbortController;
+
+  beforeEach(async () => {
+    harness = await Harness.start();
+    caller = new AbortController();
+  });
+
+  afterEach(() => harness.close());
+
+  /** Sends a request that ends with the caller's abort. */
+  function send(): Promise<unknown> {
+    return harness.complete({ stream: true }, { signal: caller.signal })
+      .then((res) => res.text()).catch((err) => err);
+  }
+
+  async function expectNothingHeld(): Promise<void> {
+    await until(() => harness.entry.inFlight === 0);
+    const sidecars = [...harness.decodes, harness.prefill];
+    await until(() => sidecars.every((it) => it.held.size === 0));
+  }
+
+  test("while it is queued leaves the queue", async () => {
+    for (const decode of harness.decodes) {
+      decode.onReserve = async () => decode.refused(RefusalReason.Full);
+    }
+    const sent = send();
+    await until(() => harness.decodes[1].reserves.length > 0);
+    caller.abort();
+    await sent;
+    await expectNothingHeld();
+    const asked = harness.decodes[0].reserves.length;
+    expect(
+      await harness.complete({}, {
+        signal: AbortSignal.timeout(100),
+      }).catch(() => undefined),
+    ).toBeUndefined();
+    expect(harness.decodes[0].reserves.length).toBeGreaterThan(asked);
+  });
+
+  test("while its place is being reserved holds none", async () => {
+    let grant = () => {};
+    const [decode] = harness.decodes;
+    decode.onReserve = async () => {
+      await new Promise<void>((resolve) => grant = resolve);
+      return decode.granted();
+    };
+    const sent = send();
+    await until(() => decode.reserves.length === 1);
+    caller.abort();
+    await sent;
+    grant();
+    await until(() => decode.cancels.length > 0);
+    await expectNothingHeld();
+    expect(harness.prefill.prefills).toHaveLength(0);
+  });
+
+  test("during its prefill is cancelled at both engines", async () => {
+    harness.prefill.onPrefill = () => NEVER;
+    const sent = send();
+    await until(() => harness.prefill.prefills.length === 1);
+    caller.abort();
+    await sent;
+    await until(() => harness.prefill.cancels.length > 0);
+    await until(() => harness.decodes[0].cancels.length > 0);
+    await expectNothingHeld();
+    const wasted = /prefill_tokens_total.*wasted.* 6$/;
+    while (!await harness.metric(wasted)) await sleep(5);
+  });
+
+  test("in the middle of its stream is cancelled at the engine", async () => {
+    let out: FrameWriter | undefined;
+    harness.decodes[0].onStart = (_req, writer) => {
+      writer.tokens(0, "a ");
+      out = writer;
+    };
+    const res = await harness.complete(
+      { stream: true },
+      { signal: caller.signal },
+    );
+    await res.body!.getReader().read();
+    caller.abort();
+    await out!.closed();
+    await until(() => harness.decodes[0].cancels.length > 0);
+    await expectNothingHeld();
+  });
+
+  test("is cancelled again until the sidecar acknowledges", async () => {
+    const [decode] = harness.decodes;
+    harness.prefill.onPrefill = () => NEVER;
+    const cancel = decode.cancel.bind(decode);
+    let lost = 0;
+    decode.cancel = async (req) => {
+      lost += 1;
+      if (lost < 4) throw new Error("lost");
+      return cancel(req);
+    };
+    const sent = send();
+    await until(() => harness.prefill.prefills.length === 1);
+    caller.abort();
+    await sent;
+    await expectNothingHeld();
+    expect(lost).toBe(4);
+  });
+});
+
+describe("a caller that reads too slowly", () => {
+  test("is disconnected and its engine memory freed", async () => {
+    const harness = await Harness.start({ entry: { callerStallMs: 50 } });
+    const token = "x".repeat(65_536);
+    let sent = 0;
+    harness.decodes[0].onStart = (_req, writer) => {
+      const more = setInterval(() => {
+        writer.tokens(sent, token);
+        sent += 1;
+      }, 1);
+      void writer.closed().then(() => clearInterval(more));
+    };
+    const body = { stream: true, max_tokens: 4_000 };
+    const res = await harness.complete(body);
+    expect(res.status).toBe(200);
+    await until(() => harness.decodes[0].cancels.length > 0);
+    await until(() => harness.entry.inFlight === 0);
+    await expect(res.text()).rejects.toThrow();
+    await harness.close();
+  });
+});
--- a/packages/entry/src/__tests__/fake_sidecar.ts
+++ b/packages/entry/src/__tests__/fake_sidecar.ts
@@ -164,6 +164,10 @@
     };
   }
 
+  running(): PlainCallReply {
+    return { state: PlainCallState.Running, incarnation: this.incarnation };
+  }
+
   notRun(reason = RefusalReason.Tombstoned): PlainCallReply {
     const { incarnation } = this;
     return { state: PlainCallState.NotRun, incarnation, reason };
@@ -179,7 +183,9 @@
   async prefill(req: PrefillRequest): Promise<PrefillReply> {
     this.prefills.push(req);
     this.held.add(req.requestId);
-    return this.onPrefill(req);
+    const reply = await this.onPrefill(req);
+    this.held.delete(req.requestId);
+    return reply;
   }
 
   async renew(req: RenewRequest): Promise<RenewReply> {
--- a/packages/entry/src/__tests__/fakes.ts
+++ b/packages/entry/src/__tests__/fakes.ts
@@ -3,12 +3,13 @@
   type ConfigView,
   type Customer,
   type CustomerLimit,
+  modelServiceSchema,
   type ObjectByKind,
   ObjectKind,
+  plainServiceSchema,
   type Policy,
   policySchema,
   type Service,
-  serviceSchema,
   type Versioned,
 } from "@sassafrascleat/config";
 import type { HostView } from "@sassafrascleat/membership";
@@ -32,7 +33,7 @@
   StoreStatus,
 } from "@sassafrascleat/store";
 
-export const MODEL_SERVICE = serviceSchema.parse({
+export const MODEL_SERVICE = modelServiceSchema.parse({
   kind: "model",
   name: "guides",
   office: "hobart",
@@ -43,7 +44,7 @@
   maxPromptTokens: 5_000,
 });
 
-export const PLAIN_SERVICE = serviceSchema.parse({
+export const PLAIN_SERVICE = plainServiceSchema.parse({
   kind: "plain",
   name: "orders",
   office: "hobart",
--- /dev/null
+++ b/packages/entry/src/__tests__/stream_failures_test.ts
@@ -0,0 +1,202 @@
+import { afterEach, beforeEach, describe, expect, test } from "@jest/globals";
+import {
+  FrameKind,
+  RefusalReason,
+  StreamFailure,
+} from "@sassafrascleat/protocol";
+import { eventsOf, Harness, textOf } from "./harness.ts";
+
+const WHOLE = "a whole answer";
+
+describe("a token stream", () => {
+  let harness: Harness;
+
+  beforeEach(async () => {
+    harness = await Harness.start();
+  });
+
+  afterEach(() => harness.close());
+
+  async function answer(): Promise<string> {
+    const res = await harness.complete({ stream: true });
+    const events = eventsOf(await res.text());
+    expect(events.at(-1)).toBe("[DONE]");
+    return textOf(events);
+  }
+
+  test("that goes silent is resumed on a new connection", async () => {
+    const [decode] = harness.decodes;
+    decode.onStart = (_req, out) => out.tokens(0, "a ");
+    decode.onResume = (req, out) => {
+      out.tokens(req.offset, "whole ", "answer");
+      out.end(3);
+    };
+    expect(await answer()).toBe(WHOLE);
+    expect(decode.starts).toHaveLength(1);
+    expect(decode.resumes.map((it) => it.offset)).toEqual([1]);
+    expect(harness.prefill.prefills).toHaveLength(1);
+  });
+
+  test("that was never heard of is started again, as the same attempt", async () => {
+    const [decode] = harness.decodes;
+    const reply = decode.onStart;
+    decode.onStart = (req, out) => {
+      if (decode.starts.length > 1) reply(req, out);
+    };
+    expect(await answer()).toBe(WHOLE);
+    expect(decode.starts.map((it) => it.attempt)).toEqual([1, 1]);
+  });
+
+  test("drops frames of other requests, attempts and offsets", async () => {
+    const [decode] = harness.decodes;
+    decode.onStart = (_req, out) => {
+      out.tokens(0, "a ");
+      const foreign = { offset: 1, tokens: ["WRONG "] };
+      out.frame({ kind: FrameKind.Tokens, ...foreign, requestId: "another" });
+      out.frame({ kind: FrameKind.Tokens, ...foreign, attempt: 7 });
+      out.tokens(0, "a ");
+      out.frame({ kind: FrameKind.End, offset: 0 });
+      out.frame({ kind: FrameKind.Failed, offset: 0, attempt: 7 });
+      out.tokens(1, "whole ", "answer");
+      out.end(3);
+    };
+    expect(await answer()).toBe(WHOLE);
+    const dropped = await harness.metric(/^sassafrascleat_frames_dropped/);
+    expect(dropped).toMatch(/ 5$/);
+  });
+
+  test("with a gap is resumed at the gap", async () => {
+    const [decode] = harness.decodes;
+    decode.onStart = (_req, out) => {
+      out.tokens(0, "a ");
+      out.tokens(2, "answer");
+      out.end(3);
+    };
+    decode.onResume = (req, out) => {
+      out.tokens(req.offset, "whole ", "answer");
+      out.end(3);
+    };
+    expect(await answer()).toBe(WHOLE);
+    expect(decode.resumes.map((it) => it.offset)).toEqual([1]);
+  });
+
+  test("whose engine is lost goes on elsewhere and stays whole", async () => {
+    harness.decodes[0].onStart = (_req, out) => {
+      out.tokens(0, "a ");
+      out.fail({ kind: FrameKind.Failed, failure: StreamFailure.EngineLost });
+    };
+    expect(await answer()).toBe(WHOLE);
+    const [start] = harness.decodes[1].starts;
+    expect(start!.attempt).toBe(2);
+    expect(start!.generated).toEqual(["a "]);
+    expect(harness.prefill.prefills[1]!.generated).toEqual(["a "]);
+  });
+
+  test("whose sidecar dies goes on elsewhere", async () => {
+    harness.decodes[0].onStart = (_req, out) => {
+      out.tokens(0, "a ");
+      void harness.decodes[0].close();
+    };
+    expect(await answer()).toBe(WHOLE);
+    expect(harness.hosts.failures).toContain("decode-1");
+  });
+
+  test("hands a prefill result over when a transfer fails", async () => {
+    harness.decodes[0].onStart = (_req, out) => {
+      const failure = StreamFailure.TransferFailed;
+      out.fail({ kind: FrameKind.Failed, failure });
+    };
+    expect(await answer()).toBe(WHOLE);
+    expect(harness.prefill.prefills).toHaveLength(1);
+    const [first] = harness.decodes[0].starts;
+    const [second] = harness.decodes[1].starts;
+    expect(second!.kv.handle).toBe(first!.kv.handle);
+    expect(await harness.metric(/prefill_tokens.*wasted/)).toBeUndefined();
+  });
+
+  test("prefills again when the result has expired", async () => {
+    harness.decodes[0].onStart = (_req, out) => {
+      out.fail({ kind: FrameKind.Failed, failure: StreamFailure.KvExpired });
+    };
+    expect(await answer()).toBe(WHOLE);
+    expect(harness.prefill.prefills).toHaveLength(2);
+    expect(await harness.metric(/prefill_tokens.*wasted/)).toMatch(/ 6$/);
+    expect(await harness.metric(/prefill_tokens.*used/)).toMatch(/ 6$/);
+  });
+
+  test("is moved when the place is refused at the start", async () => {
+    harness.decodes[0].onStart = (_req, out) => {
+      out.fail({
+        kind: FrameKind.Failed,
+        failure: StreamFailure.Refused,
+        refusal: RefusalReason.GrantExpired,
+      });
+    };
+    expect(await answer()).toBe(WHOLE);
+    expect(harness.prefill.prefills).toHaveLength(1);
+  });
+
+  test("that nothing can save ends with an error event", async () => {
+    for (const decode of harness.decodes) {
+      decode.onStart = (_req, out) => {
+        out.tokens(0, "a ");
+        out.fail({ kind: FrameKind.Failed, failure: StreamFailure.EngineLost });
+      };
+    }
+    const res = await harness.complete({ stream: true });
+    const events = eventsOf(await res.text());
+    expect(events).not.toContain("[DONE]");
+    expect(JSON.parse(events.at(-1)!)).toMatchObject({
+      error: { outcome: "unknown", code: "backend_failed" },
+    });
+    const starts = harness.decodes.flatMap((it) => it.starts);
+    expect(starts.map((it) => it.attempt).sort()).toEqual([1, 2, 3, 4]);
+  });
+});
+
+describe("a request that finds no place", () => {
+  test("is refused as not run, with a time to come back", async () => {
+    const harness = await Harness.start({ policy: { maxQueueMs: 60 } });
+    for (const decode of harness.decodes) {
+      decode.onReserve = async () => decode.refused(RefusalReason.Full);
+    }
+    const res = await harness.complete({ stream: true });
+    expect(res.status).toBe(503);
+    expect(res.headers.get("retry-after")).toBe("1");
+    expect(await res.json()).toMatchObject({
+      error: { outcome: "not_run", code: "no_capacity" },
+    });
+    expect(harness.prefill.prefills).toHaveLength(0);
+    await harness.close();
+  });
+
+  test("asks the next one when a sidecar leaves", async () => {
+    const harness = await Harness.start();
+    const [leaving] = harness.decodes;
+    leaving.onReserve = async () => leaving.refused(RefusalReason.Leaving);
+    expect((await harness.complete()).status).toBe(200);
+    expect(harness.decodes[1].starts).toHaveLength(1);
+    await harness.close();
+  });
+
+  test("asks the next one when a sidecar is silent, and cancels there", async () => {
+    const harness = await Harness.start();
+    const [silent, other] = harness.decodes;
+    silent.onReserve = () => new Promise(() => {});
+    expect((await harness.complete()).status).toBe(200);
+    expect(silent.cancels[0]!.attempt).toBe(1);
+    expect(other.starts[0]!.attempt).toBe(2);
+    await harness.close();
+  });
+
+  test("is not called not run after an engine has worked for it", async () => {
+    const harness = await Harness.start({ policy: { maxAttempts: 1 } });
+    harness.decodes[0].onStart = (_req, out) => {
+      out.fail({ kind: FrameKind.Failed, failure: StreamFailure.EngineLost });
+    };
+    const res = await harness.complete();
+    expect(res.status).toBe(502);
+    expect(await res.json()).toMatchObject({ error: { outcome: "unknown" } });
+    await harness.close();
+  });
+});
--- a/packages/entry/src/callers/listener.ts
+++ b/packages/entry/src/callers/listener.ts
@@ -14,13 +14,14 @@
   type FastifyReply,
   type FastifyRequest,
 } from "fastify";
-import { randomUUID } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import type { Socket } from "node:net";
 import {
   CALLER_HEADERS_TIMEOUT_MS,
   CALLER_KEEP_ALIVE_MS,
   CALLER_REQUEST_TIMEOUT_MS,
   MAX_HEADER_BYTES,
+  REQUEST_ID_BYTES,
 } from "../constants.ts";
 import type { Admitter } from "../lifecycle/admitter.ts";
 import type { EntryContext } from "../lifecycle/context.ts";
@@ -90,7 +91,7 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       headersTimeout: CALLER_HEADERS_TIMEOUT_MS,
     },
-    genReqId: () => `${options.entryId}-${randomUUID()}`,
+    genReqId: createRequestId,
     clientErrorHandler: refuseUnparsed,
   });
   registerHealth(app, listener);
@@ -186,7 +187,7 @@
     return;
   }
   const refused = unparsed(err.code);
-  const requestId = randomUUID();
+  const requestId = createRequestId();
   const body = JSON.stringify(errorBody(refused, requestId));
   socket.end(
     `HTTP/1.1 ${refused.status} Bad Request\r\n` +
@@ -206,3 +207,8 @@
   }
   return refusal(400, "malformed_request", "this is not an HTTP request");
 }
+
+/** A request id that no other process will ever choose. */
+function createRequestId(): string {
+  return randomBytes(REQUEST_ID_BYTES).toString("base64url");
+}
--- a/packages/entry/src/callers/model_routes.ts
+++ b/packages/entry/src/callers/model_routes.ts
@@ -48,6 +48,7 @@
   app: FastifyInstance,
   listener: Listener,
 ): void {
+  app.removeContentTypeParser("text/plain");
   const routes = new ModelRoutes(listener);
   app.get("/v1/models", () => routes.models());
   app.post(
--- a/packages/entry/src/callers/plain_routes.ts
+++ b/packages/entry/src/callers/plain_routes.ts
@@ -11,6 +11,14 @@
   REQUEST_ID_HEADER,
 } from "@sassafrascleat/protocol";
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
+import {
+  hashCall,
+  hashKey,
+  IDEMPOTENCY_KEY_HEADER,
+  isValidKey,
+} from "../claims/idempotency_key.ts";
+import { KeyedCall } from "../claims/keyed_call.ts";
+import type { Admission } from "../lifecycle/admitter.ts";
 import { PlainCall, type PlainInput } from "../plain/plain_call.ts";
 import { forwardedHeaders, returnedHeaders } from "../plain/headers.ts";
 import { isRepeatable } from "../plain/repeatable.ts";
@@ -61,6 +69,11 @@
     const { config } = this.#listener.ctx.options;
     const caller = identifyCaller(req.headers, config, lane.policy);
     if (!caller.ok) return sendError(req, reply, caller.err);
+    const key = keyOf(req);
+    if (key !== undefined && !isValidKey(key)) {
+      const message = "Idempotency-Key is 1 to 255 printable ASCII characters";
+      return sendError(req, reply, refusal(400, "invalid_key", message));
+    }
     const outcome = await this.#call(req, reply, service, caller.caller);
     this.#listener.countOutcome(service.name, outcome);
     if (outcome.kind !== OutcomeKind.Answered) {
@@ -75,7 +88,7 @@
     service: PlainServiceConfig,
     caller: Caller,
   ): Promise<Outcome<PlainAnswer>> {
-    const { ctx, lanes, admitter } = this.#listener;
+    const { lanes, admitter } = this.#listener;
     const result = admitter.admit({
       requestId: req.id,
       service,
@@ -89,22 +102,33 @@
       signal: callerSignal(reply),
     });
     if (!result.admitted) return result.refused;
-    const { call, ticket, lane, close } = result.admission;
-    const input = inputOf(req, service.name);
-    const repeatable = isRepeatable(service, input.method, input.path);
-    const plain = new PlainCall(call, {
-      ctx,
-      lane,
-      service,
-      input,
-      ticket,
-      repeatable,
-    });
+    const { admission } = result;
     try {
-      return await plain.run();
+      return await this.#run(req, service, admission);
     } finally {
-      close();
+      admission.close();
+    }
+  }
+
+  #run(
+    req: FastifyRequest,
+    service: PlainServiceConfig,
+    admission: Admission,
+  ): Promise<Outcome<PlainAnswer>> {
+    const { ctx } = this.#listener;
+    const { call, ticket, lane } = admission;
+    const input = inputOf(req, service.name);
+    const repeatable = isRepeatable(service, input.method, input.path);
+    const parts = { ctx, lane, service, input, ticket, repeatable };
+    const key = keyOf(req);
+    if (key === undefined || repeatable) {
+      return new PlainCall(call, parts).run();
     }
+    const { method, path, bodyBase64 } = input;
+    return new KeyedCall(call, parts, ctx.claims, {
+      keyHash: hashKey(service.name, call.req.customer, key),
+      bodyHash: hashCall(method, path, bodyBase64),
+    }).run();
   }
 
   #send(
@@ -135,3 +159,8 @@
     bodyBase64: body ? body.toString("base64") : "",
   };
 }
+
+function keyOf(req: FastifyRequest): string | undefined {
+  const key = req.headers[IDEMPOTENCY_KEY_HEADER];
+  return Array.isArray(key) ? key.join(",") : key;
+}
--- /dev/null
+++ b/packages/entry/src/claims/claims.ts
@@ -0,0 +1,67 @@
+/** The idempotency claims of an entry, spread over the partitions by key. */
+import { type Clock, every } from "@sassafrascleat/runtime";
+import {
+  type ClaimIntent,
+  type ClaimResult,
+  type SettledClaim,
+} from "./claim_record.ts";
+import { ClaimWriter, type ClaimWriterParts } from "./claim_writer.ts";
+import {
+  CLAIM_KEY_PREFIX,
+  CLAIM_PARTITIONS,
+  CLAIM_WRITE_INTERVAL_MS,
+  SETTLED_DELAY_MS,
+  SETTLED_SWEEP_MS,
+} from "./constants.ts";
+import { partitionOf } from "./idempotency_key.ts";
+import { WritePacer } from "./write_pacer.ts";
+
+/** Parts that the entry provides. */
+export type ClaimsParts = Omit<ClaimWriterParts, "pacer">;
+
+/** Makes claims durable before calls are dispatched. */
+export class Claims {
+  readonly #parts: ClaimWriterParts;
+  readonly #writers = new Map<number, ClaimWriter>();
+
+  constructor(parts: ClaimsParts) {
+    const pacer = new WritePacer(parts.clock, CLAIM_WRITE_INTERVAL_MS);
+    this.#parts = { ...parts, pacer };
+  }
+
+  /** Wall-clock time, which the age of claims is told by. */
+  get wallClock(): Clock {
+    return this.#parts.wallClock;
+  }
+
+  claim(intent: ClaimIntent): Promise<ClaimResult> {
+    return this.#writer(intent.keyHash).submit(intent);
+  }
+
+  /** Records the answer of a claimed call with a later batch. */
+  settle(settled: SettledClaim): void {
+    this.#writer(settled.keyHash).settle(settled);
+  }
+
+  /** Writes answers that waited too long, until `signal` aborts. */
+  run(signal: AbortSignal): Promise<void> {
+    return every(SETTLED_SWEEP_MS, signal, () => this.flush(SETTLED_DELAY_MS));
+  }
+
+  /** Writes answers that have waited for `delayMs`. */
+  async flush(delayMs: number): Promise<void> {
+    const writers = [...this.#writers.values()];
+    await Promise.all(writers.map((writer) => writer.flush(delayMs)));
+  }
+
+  #writer(keyHash: string): ClaimWriter {
+    const partition = partitionOf(keyHash, CLAIM_PARTITIONS);
+    let writer = this.#writers.get(partition);
+    if (!writer) {
+      const key = CLAIM_KEY_PREFIX + String(partition).padStart(3, "0");
+      writer = new ClaimWriter(key, this.#parts);
+      this.#writers.set(partition, writer);
+    }
+    return writer;
+  }
+}
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -95,3 +95,6 @@
 
 /** Time that a closing entry gives to its cancels, in milliseconds. */
 export const CLOSE_GRACE_MS = 1_000;
+
+/** Random bytes in a request id. */
+export const REQUEST_ID_BYTES = 16;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -13,6 +13,7 @@
   type Listener,
   ListenerState,
 } from "./callers/listener.ts";
+import { Claims } from "./claims/claims.ts";
 import { CLOSE_GRACE_MS } from "./constants.ts";
 import { Admitter } from "./lifecycle/admitter.ts";
 import type { EntryContext } from "./lifecycle/context.ts";
@@ -64,6 +65,7 @@
   }
   void ctx.renewer.run(controller.signal);
   void ctx.clients.sweep(controller.signal);
+  void ctx.claims.run(controller.signal);
   return new RunningEntry(app, listener, controller);
 }
 
@@ -74,6 +76,7 @@
   const { clock, hosts } = options;
   const hints = createHintBook(clock);
   const clients = new SidecarClients(options.secret, clock);
+  const metrics = createEntryMetrics();
   return {
     options,
     signal,
@@ -83,8 +86,9 @@
     clients,
     renewer: new Renewer(options.entryId, () => {}),
     canceller: new Canceller(clock, signal),
-    metrics: createEntryMetrics(),
+    metrics,
     outputs: new OutputEstimator(),
+    claims: new Claims({ ...options, metrics, signal }),
     observe(name, incarnation, hint) {
       hints.observe(name, hint);
       hosts.observe(name, incarnation, hint);
@@ -127,6 +131,7 @@
       signal.addEventListener("abort", () => resolve(), { once: true });
     });
     await Promise.race([admitter.idle(), stopped]);
+    await Promise.race([ctx.claims.flush(0), stopped]);
     log("drained", { inFlight: admitter.inFlight });
   }
 
--- a/packages/entry/src/lifecycle/context.ts
+++ b/packages/entry/src/lifecycle/context.ts
@@ -3,6 +3,7 @@
 import type { LoadHint } from "@sassafrascleat/protocol";
 import type { HintBook } from "@sassafrascleat/routing";
 import type { Clock } from "@sassafrascleat/runtime";
+import type { Claims } from "../claims/claims.ts";
 import type { EntryMetrics } from "../metrics.ts";
 import type { ResolvedEntryOptions } from "../options.ts";
 import type { Canceller } from "../sidecar_client/canceller.ts";
@@ -23,6 +24,7 @@
   canceller: Canceller;
   metrics: EntryMetrics;
   outputs: OutputEstimator;
+  claims: Claims;
   /** Records what a sidecar said about itself. */
   observe(name: string, incarnation: string, hint: LoadHint): void;
 }
--- a/packages/entry/src/options.ts
+++ b/packages/entry/src/options.ts
@@ -40,6 +40,8 @@
   placement?: PlacementPolicy | PlacementFactory;
   /** @default the process clock */
   clock?: Clock;
+  /** Milliseconds since the epoch, for the age of claims. @default the system's */
+  wallClock?: Clock;
   /** Source of jitter. @default seeded from the system */
   random?: Random;
   /** Largest body of a caller's request, in bytes. @default 2097152 */
@@ -63,6 +65,7 @@
     host: raw.host ?? "127.0.0.1",
     port: raw.port ?? 0,
     clock: raw.clock ?? systemClock,
+    wallClock: raw.wallClock ?? { now: Date.now },
     random: raw.random ?? createRandom(randomInt(2 ** 31)),
     maxBodyBytes: raw.maxBodyBytes ?? MAX_BODY_BYTES,
     callerStallMs: raw.callerStallMs ?? CALLER_STALL_MS,
--- a/packages/entry/src/plain/plain_call.ts
+++ b/packages/entry/src/plain/plain_call.ts
@@ -123,20 +123,23 @@
       return { outcome: this.#ran ?? placed };
     }
     const place = placed.value;
-    place.lease.release();
     const stopped = await beforeDispatch?.(place);
     if (stopped || this.#call.signal.aborted) {
-      this.#parts.lane.reserver.release(place);
+      lane.reserver.release(place);
       return { outcome: stopped ?? abortOutcome(this.#call.signal) };
     }
-    return this.#dispatch(place);
+    try {
+      return await this.#dispatch(place);
+    } finally {
+      place.lease.release();
+    }
   }
 
   async #dispatch(place: Place): Promise<AttemptEnd> {
     const { service } = this.#parts;
     const nowMs = this.#ctx.clock.now();
     const remainingMs = this.#call.req.deadlineMs - nowMs;
-    const timeoutMs = Math.min(service.timeoutMs, remainingMs);
+    const timeoutMs = Math.max(1, Math.min(service.timeoutMs, remainingMs));
     const reply = await place.client.call(
       this.#message(place, timeoutMs),
       timeoutMs,
@@ -190,7 +193,7 @@
         await sleep(jitter(ATTACH_RETRY_MS, this.#ctx.options.random), signal);
       }
     }
-    return this.#unknown(last);
+    return this.#unknown(place, last);
   }
 
   #attachWaitMs(untilMs: number): number {
@@ -208,18 +211,21 @@
         return { outcome: answered(reply.answer) };
       case PlainCallState.NotRun: {
         const proved = direct || reply.incarnation === place.incarnation;
-        if (!proved) return this.#unknown(UnknownReason.SidecarRestarted);
+        if (!proved) {
+          return this.#unknown(place, UnknownReason.SidecarRestarted);
+        }
         this.#call.avoid.add(place.server.name);
         return { failed: transient(reply.reason), ran: undefined };
       }
       case PlainCallState.Unknown:
-        return this.#unknown(reply.reason);
+        return this.#unknown(place, reply.reason);
       case PlainCallState.Running:
-        return this.#unknown(UnknownReason.StillRunning);
+        return this.#unknown(place, UnknownReason.StillRunning);
     }
   }
 
-  #unknown(reason: UnknownReason): AttemptEnd {
+  #unknown(place: Place, reason: UnknownReason): AttemptEnd {
+    this.#call.avoid.add(place.server.name);
     return { failed: AttemptFailure.Unreachable, ran: describe(reason) };
   }
 
--- a/packages/entry/src/sidecar_client/sidecar_client.ts
+++ b/packages/entry/src/sidecar_client/sidecar_client.ts
@@ -58,6 +58,8 @@
   readonly address: string;
   readonly #secret: Secret;
   #connections: Connections;
+  /** Replaced pools whose last calls are still open. */
+  readonly #retired = new Set<Pool>();
   #inFlight = 0;
 
   constructor(address: string, secret: Secret) {
@@ -163,11 +165,15 @@
   renewConnections(): void {
     const old = this.#connections.pool;
     this.#connections = this.#connect();
-    old.close().catch(() => {});
+    this.#retired.add(old);
+    const forget = () => this.#retired.delete(old);
+    old.close().then(forget, forget);
   }
 
+  /** Ends every connection, with whatever still runs on it. */
   async close(): Promise<void> {
-    await this.#connections.pool.destroy();
+    const pools = [this.#connections.pool, ...this.#retired];
+    await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
   #connect(): Connections {
