feat(entry): run against real sidecars; ask for slow plain answers elsewhere

Cause: a plain call on a connection that had gone silent waited for its whole time limit (about 2.1 s at a limit of 2 s) before its answer was asked for. Change: after 400 ms of silence a second connection asks for the answer, and never ends a call that has not started. Nine tests run the entry before real sidecars and stand-in engines behind fault proxies: silent and reset connections, a dead engine, a stalled transfer, vanished callers, swallowed answers, one key asked for six times, a sidecar lost in mid-call.

--- /dev/null
+++ b/packages/entry/src/__tests__/real_sidecars_test.ts
@@ -0,0 +1,167 @@
+import { afterEach, describe, expect, test } from "@jest/globals";
+import { expectedText, ProxyMode } from "@sassafrascleat/testing";
+import { eventsOf, textOf, until } from "./harness.ts";
+import { RealRig } from "./real_rig.ts";
+
+const MAX_TOKENS = 60;
+
+describe("an entry before real sidecars", () => {
+  let rig: RealRig;
+
+  afterEach(() => rig.close());
+
+  async function complete(prompt: string, signal?: AbortSignal) {
+    const res = await fetch(`${rig.entry.callersAddress}/v1/completions`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify({
+        model: "guide-writer",
+        prompt,
+        stream: true,
+        max_tokens: MAX_TOKENS,
+      }),
+      signal,
+    });
+    const text = await res.text();
+    if (res.status !== 200) return `${res.status} ${text}`;
+    const events = eventsOf(text);
+    return events.at(-1) === "[DONE]" ? textOf(events) : events.at(-1)!;
+  }
+
+  function order(body: string, headers: Record<string, string> = {}) {
+    const url = `${rig.entry.callersAddress}/services/orders/orders`;
+    return fetch(url, { method: "POST", body, headers });
+  }
+
+  function prompts(count: number): string[] {
+    return Array.from({ length: count }, (_, i) => `guide ${i} #len=50`);
+  }
+
+  function held(): string[] {
+    return [...rig.decodes, ...rig.prefills]
+      .flatMap((it) => it.server.books().heldIds);
+  }
+
+  async function expectWhole(asked: string[], answers: Promise<string>[]) {
+    const texts = await Promise.all(answers);
+    const wanted = asked.map((it) => expectedText(it, MAX_TOKENS));
+    expect(texts).toEqual(wanted);
+    await until(() => held().length === 0);
+  }
+
+  test("answers every caller with its own whole answer", async () => {
+    rig = await RealRig.start();
+    const asked = prompts(30);
+    await expectWhole(asked, asked.map((it) => complete(it)));
+    const { prefillsRun, wastedTokens } = rig.prefills[0]!.server.books();
+    expect(prefillsRun).toBe(30);
+    expect(wastedTokens).toBe(0);
+  });
+
+  test("goes on at its offset when open connections go silent", async () => {
+    rig = await RealRig.start();
+    const asked = prompts(8);
+    const answers = asked.map((it) => complete(it));
+    const [first, second] = rig.decodes;
+    await until(() => begun(first!) + begun(second!) === 8);
+    for (const { proxy } of rig.decodes) proxy.silence();
+    await expectWhole(asked, answers);
+    expect(begun(first!) + begun(second!)).toBe(8);
+    const metrics = await rig.entry.metrics.registry.metrics();
+    expect(metrics).toMatch(/stream_redials_total [1-9]/);
+  });
+
+  test("stays whole when a decode engine dies in mid-answer", async () => {
+    rig = await RealRig.start();
+    const asked = prompts(12);
+    const answers = asked.map((it) => complete(it));
+    const [first] = rig.decodes;
+    await until(() => begun(first!) > 2);
+    first!.server.setFaults({ dead: true });
+    const texts = await Promise.all(answers);
+    expect(texts).toEqual(asked.map((it) => expectedText(it, MAX_TOKENS)));
+  });
+
+  test("stays whole when a decode sidecar is cut off for good", async () => {
+    rig = await RealRig.start();
+    const asked = prompts(8);
+    const answers = asked.map((it) => complete(it));
+    const [first] = rig.decodes;
+    await until(() => begun(first!) > 1);
+    first!.proxy.setMode(ProxyMode.Reset);
+    first!.proxy.resetAll();
+    await expectWhole(asked, answers);
+  });
+
+  test("hands one prefill to another engine when a transfer stalls", async () => {
+    rig = await RealRig.start({ transferTimeoutMs: 150 });
+    for (const { server } of rig.decodes) {
+      server.setFaults({ stallTransfers: true });
+    }
+    const answer = complete("guide #len=20");
+    const [first, second] = rig.decodes;
+    await until(() => held().some((id) => id.endsWith("/1")));
+    const stalled = first!.server.books().heldIds.length > 0 ? first : second;
+    const other = stalled === first ? second : first;
+    other!.server.setFaults({ stallTransfers: false });
+    expect(await answer).toBe(expectedText("guide #len=20", MAX_TOKENS));
+    expect(rig.prefills[0]!.server.books().prefillsRun).toBe(1);
+    expect(begun(stalled!)).toBe(0);
+    expect(begun(other!)).toBe(1);
+  });
+
+  test("leaves no engine memory held by callers that are gone", async () => {
+    rig = await RealRig.start();
+    const caller = new AbortController();
+    const sent = prompts(20).map((it) =>
+      complete(it, caller.signal).catch(() => "")
+    );
+    const [first, second] = rig.decodes;
+    await until(() => begun(first!) + begun(second!) > 3);
+    caller.abort();
+    await Promise.all(sent);
+    await until(() => rig.entry.inFlight === 0);
+    await until(() => held().length === 0);
+  });
+
+  test("runs an order once when its answer is swallowed", async () => {
+    rig = await RealRig.start();
+    const [desk] = rig.plains;
+    desk!.server.setDelay(300);
+    const sent = order("ten castles");
+    await until(() => desk!.server.books().total === 1);
+    desk!.proxy.silence();
+    const res = await sent;
+    expect(res.status).toBe(200);
+    expect(await res.json()).toMatchObject({ echo: "ten castles" });
+    expect(desk!.server.books().executionsByBody).toEqual({ "ten castles": 1 });
+  });
+
+  test("runs orders with one key once, however many ask", async () => {
+    rig = await RealRig.start();
+    const [desk] = rig.plains;
+    desk!.server.setDelay(100);
+    const key = { "idempotency-key": "order-7" };
+    const sent = Array.from({ length: 6 }, () => order("a keep", key));
+    for (const res of await Promise.all(sent)) {
+      expect(await res.json()).toMatchObject({ echo: "a keep", count: 1 });
+    }
+    expect(desk!.server.books().total).toBe(1);
+  });
+
+  test("is told truly when the order's sidecar is lost in mid-call", async () => {
+    rig = await RealRig.start();
+    const [desk] = rig.plains;
+    desk!.server.setDelay(200);
+    const sent = order("a moat");
+    await until(() => desk!.server.books().total === 1);
+    await desk!.sidecar.close();
+    const res = await sent;
+    expect(await res.json()).toMatchObject({ error: { outcome: "unknown" } });
+    expect(desk!.server.books().total).toBe(1);
+  });
+});
+
+function begun(node: RealRig["decodes"][number]): number {
+  return node.server.books().decodesStarted;
+}
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -75,6 +75,9 @@
 /** Customer name of calls without a known API key. */
 export const ANONYMOUS_CUSTOMER = "anonymous";
 
+/** Silence after which a plain call's answer is also asked for elsewhere, in milliseconds. */
+export const PLAIN_SILENCE_MS = 400;
+
 /** Longest wait of one request for a lost answer, in milliseconds. */
 export const ATTACH_WAIT_MS = 2_000;
 
--- a/packages/entry/src/plain/plain_call.ts
+++ b/packages/entry/src/plain/plain_call.ts
@@ -26,11 +26,17 @@
   RetryAction,
   retryDecision,
 } from "@sassafrascleat/routing";
-import { createLogger, jitter, sleep } from "@sassafrascleat/runtime";
+import {
+  childController,
+  createLogger,
+  jitter,
+  sleep,
+} from "@sassafrascleat/runtime";
 import {
   ATTACH_RETRY_MS,
   ATTACH_WAIT_MS,
   LOST_ANSWER_MS,
+  PLAIN_SILENCE_MS,
 } from "../constants.ts";
 import { abortOutcome, type Call, type Place } from "../lifecycle/call.ts";
 import type { EntryContext } from "../lifecycle/context.ts";
@@ -68,6 +74,12 @@
   | { outcome: Outcome<PlainAnswer> }
   | { failed: FailureReason; ran: Unknown | undefined };
 
+/** The reply to a call, and whether the call's own connection brought it. */
+interface Sent {
+  reply: PlainCallReply | undefined;
+  direct: boolean;
+}
+
 /** Runs one plain call to its outcome. */
 export class PlainCall {
   readonly #call: Call;
@@ -140,13 +152,9 @@
     const nowMs = this.#ctx.clock.now();
     const remainingMs = this.#call.req.deadlineMs - nowMs;
     const timeoutMs = Math.max(1, Math.min(service.timeoutMs, remainingMs));
-    const reply = await place.client.call(
-      this.#message(place, timeoutMs),
-      timeoutMs,
-      this.#signal(),
-    );
+    const { reply, direct } = await this.#send(place, timeoutMs);
     if (reply && reply.state !== PlainCallState.Running) {
-      return this.#read(place, reply, true);
+      return this.#read(place, reply, direct);
     }
     if (this.#signal().aborted) {
       void this.#ctx.canceller.cancel(place.client, place.ref);
@@ -156,6 +164,42 @@
     return this.#recover(place, nowMs + timeoutMs + LOST_ANSWER_MS);
   }
 
+  /**
+   * Sends the call once. When its connection stays silent, another one asks
+   * for the answer meanwhile, without ending a call that has not started.
+   */
+  async #send(place: Place, timeoutMs: number): Promise<Sent> {
+    const controller = childController(this.#signal());
+    const { signal } = controller;
+    const sent = place.client
+      .call(this.#message(place, timeoutMs), timeoutMs, signal)
+      .then((reply): Sent => ({ reply, direct: true }));
+    try {
+      return await Promise.race([sent, this.#watch(place, signal)]);
+    } finally {
+      controller.abort();
+    }
+  }
+
+  /** Resolves only with an answer; the sent call ends the wait otherwise. */
+  async #watch(place: Place, signal: AbortSignal): Promise<Sent> {
+    await sleep(PLAIN_SILENCE_MS, signal);
+    if (!signal.aborted) place.client.renewConnections();
+    while (!signal.aborted) {
+      const reply = await place.client.attach({
+        ...place.ref,
+        incarnation: place.incarnation,
+        waitMs: ATTACH_WAIT_MS,
+        settle: false,
+      }, signal);
+      if (reply?.state === PlainCallState.Answered) {
+        return { reply, direct: false };
+      }
+      await sleep(ATTACH_RETRY_MS, signal);
+    }
+    return new Promise(() => {});
+  }
+
   /** A call that may not be repeated goes on without its caller. */
   #signal(): AbortSignal {
     return this.#parts.repeatable ? this.#call.signal : this.#ctx.signal;
