--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -75,6 +75,9 @@
 /** Customer name of calls without a known API key. */
 export const ANONYMOUS_CUSTOMER = "anonymous";
 
+/** Silence after which a plain call's answer is also asked for elsewhere, in milliseconds. */
+export const PLAIN_SILENCE_MS = 400;
+
 /** Longest wait of one request for a lost answer, in milliseconds. */
 export const ATTACH_WAIT_MS = 2_000;
 
@@ -95,3 +98,6 @@
 
 /** Time that a closing entry gives to its cancels, in milliseconds. */
 export const CLOSE_GRACE_MS = 1_000;
+
+/** Random bytes in a request id. */
+export const REQUEST_ID_BYTES = 16;
