perf(routing): choose across classes whom to put off; keep prefill queues shorter

Change: one choice over all classes, in which higher classes count as shorter; prefill order by least slack with a head start by class; hold from 40 ms (waste) or 60 ms (goodput) of queue on instead of 80 and 120. The log line of the first token has the prompt's length.

--- a/packages/entry/src/lifecycle/answer_meter.ts
+++ b/packages/entry/src/lifecycle/answer_meter.ts
@@ -11,8 +11,7 @@
   readonly #clock: Clock;
   readonly #metrics: EntryMetrics;
   readonly #service: string;
-  readonly #arrivedAtMs: number;
-  readonly #requestId: string;
+  readonly #req: PlacementRequest;
   #placedAtMs = 0;
   #prefilledAtMs = 0;
   #firstAtMs: number | undefined;
@@ -28,8 +27,7 @@
     this.#clock = clock;
     this.#metrics = metrics;
     this.#service = service;
-    this.#arrivedAtMs = req.arrivedAtMs;
-    this.#requestId = req.requestId;
+    this.#req = req;
   }
 
   /** Records that a decode place was granted just now. */
@@ -54,7 +52,7 @@
   /** Records that the answer is whole. */
   whole(policy: Policy): void {
     if (this.#firstAtMs === undefined) return;
-    const ttftMs = this.#firstAtMs - this.#arrivedAtMs;
+    const ttftMs = this.#firstAtMs - this.#req.arrivedAtMs;
     const gaps = Math.max(1, this.#tokens - 1);
     const meanGapMs = (this.#lastAtMs - this.#firstAtMs) / gaps;
     const met = ttftMs <= policy.ttftTargetMs &&
@@ -65,12 +63,13 @@
   #first(nowMs: number): void {
     this.#firstAtMs = nowMs;
     log("first_token", {
-      request: this.#requestId,
-      queued_ms: Math.round(this.#placedAtMs - this.#arrivedAtMs),
+      request: this.#req.requestId,
+      prompt_tokens: this.#req.promptTokens,
+      queued_ms: Math.round(this.#placedAtMs - this.#req.arrivedAtMs),
       prefill_ms: Math.round(this.#prefilledAtMs - this.#placedAtMs),
       start_ms: Math.round(nowMs - this.#prefilledAtMs),
     });
-    const seconds = (nowMs - this.#arrivedAtMs) / 1_000;
+    const seconds = (nowMs - this.#req.arrivedAtMs) / 1_000;
     this.#metrics.ttftSeconds.observe({ service: this.#service }, seconds);
   }
 
--- a/packages/routing/src/__tests__/selection_test.ts
+++ b/packages/routing/src/__tests__/selection_test.ts
@@ -1,11 +1,13 @@
 /** Choosing whom to serve in time, and learning how much can be served. */
 import { describe, expect, test } from "@jest/globals";
+import { RequestClass } from "@sassafrascleat/protocol";
 import fc from "fast-check";
 import { selectInTime, type TimedWork } from "../selection.ts";
 import { ServiceMeter } from "../service_meter.ts";
 
 function work(expectedServiceMs: number, firstTokenDueMs: number): TimedWork {
-  return { customer: "c", expectedServiceMs, firstTokenDueMs };
+  const requestClass = RequestClass.Standard;
+  return { customer: "c", requestClass, expectedServiceMs, firstTokenDueMs };
 }
 
 /** The most items that one server can do in time, by trying every subset. */
--- a/packages/routing/src/admission_queue.ts
+++ b/packages/routing/src/admission_queue.ts
@@ -166,20 +166,15 @@
 
   /** The tickets of the first non-empty rank. */
   #firstGroup(nowMs: number): AdmissionTicket[] {
-    const ranks = Array.from(
-      { length: LATE_RANK + 1 },
-      (): AdmissionTicket[] => [],
-    );
-    for (const ticket of this.#waiting.values()) {
-      ranks[pickRank(ticket, nowMs)]!.push(ticket);
-    }
-    const first = ranks.findIndex((group) => group.length > 0);
-    const group = ranks[first]!;
-    const inTime = first > MID_ANSWER_RANK && first < LATE_RANK;
-    return inTime ? this.#withoutPutOff(group, nowMs) : group;
+    const waiting = [...this.#waiting.values()];
+    const midAnswer = waiting.filter((it) => it.midAnswer);
+    if (midAnswer.length > 0) return midAnswer;
+    const inTime = waiting.filter((it) => !isLate(it, nowMs));
+    if (inTime.length === 0) return waiting;
+    return firstClass(this.#withoutPutOff(inTime, nowMs));
   }
 
-  /** The tickets of one class that can all be in time; at least one is left. */
+  /** The tickets that can all be in time; at least one is left. */
   #withoutPutOff(tickets: AdmissionTicket[], nowMs: number): AdmissionTicket[] {
     tickets.sort((a, b) => a.firstTokenDueMs - b.firstTokenDueMs);
     const kept = selectInTime(tickets, this.#meter.servers, nowMs);
@@ -216,14 +211,10 @@
   }
 }
 
-const MID_ANSWER_RANK = 0;
-const LATE_RANK = 4;
-
-/** Mid-answer first, then by class while the target can be met, late ones last. */
-function pickRank(ticket: AdmissionTicket, nowMs: number): number {
-  if (ticket.midAnswer) return MID_ANSWER_RANK;
-  if (isLate(ticket, nowMs)) return LATE_RANK;
-  return MID_ANSWER_RANK + 1 + classRank(ticket.requestClass);
+/** The tickets of the most urgent class among `tickets`. */
+function firstClass(tickets: AdmissionTicket[]): AdmissionTicket[] {
+  const first = Math.min(...tickets.map((it) => classRank(it.requestClass)));
+  return tickets.filter((it) => classRank(it.requestClass) === first);
 }
 
 function compareKeys(a: readonly number[], b: readonly number[]): number {
--- a/packages/routing/src/policy/just_in_time.ts
+++ b/packages/routing/src/policy/just_in_time.ts
@@ -248,9 +248,12 @@
   return nowMs + workMs + restMs <= req.firstTokenDueMs;
 }
 
-const CLASS_PRIORITY_STEP = 1_000_000;
+const HIGHEST_PRIORITY = 1_000_000;
 
-/** By class, then least slack first; those that are late anyway go last. */
+/** Slack by which a class goes before the next lower one, in milliseconds. */
+const CLASS_HEAD_START_MS = 100;
+
+/** Least slack first, with a head start by class; those that are late go last. */
 function priorityOf(
   req: PlacementRequest,
   soonestMs: number,
@@ -259,6 +262,6 @@
   const slackMs = Math.round(req.firstTokenDueMs - nowMs - soonestMs);
   const rank = classRank(req.requestClass);
   if (slackMs < 0) return LATE_PRIORITY - rank;
-  const urgency = CLASS_PRIORITY_STEP - Math.min(slackMs, CLASS_PRIORITY_STEP);
-  return (2 - rank) * CLASS_PRIORITY_STEP + urgency;
+  const later = slackMs + rank * CLASS_HEAD_START_MS;
+  return Math.max(LATE_PRIORITY + 1, HIGHEST_PRIORITY - later);
 }
--- a/packages/routing/src/policy/margins.ts
+++ b/packages/routing/src/policy/margins.ts
@@ -32,7 +32,7 @@
   freeSlotWaitMs: 60,
   longestSlotWaitMs: 2_000,
   longestSlotHoldMs: 1_500,
-  prefillQueueMs: 120,
+  prefillQueueMs: 60,
   longestLateHoldMs: 20,
 };
 
@@ -42,7 +42,7 @@
   freeSlotWaitMs: 60,
   longestSlotWaitMs: 2_000,
   longestSlotHoldMs: 2_500,
-  prefillQueueMs: 80,
+  prefillQueueMs: 40,
   longestLateHoldMs: 20,
 };
 
--- a/packages/routing/src/selection.ts
+++ b/packages/routing/src/selection.ts
@@ -2,9 +2,11 @@
  * Chooses which waiting requests to serve when not all can be in time, after
  * Moore and Hodgson: requests are taken in the order of their due times, and
  * when one would be late the longest one taken so far is put off. On one
- * machine this keeps the number of late requests smallest. For fairness only
- * customers who were given at least an equal share of the work put one off.
+ * machine this keeps the number of late requests smallest. Work of a higher
+ * class counts as shorter, and for fairness only customers who were given at
+ * least an equal share of the work put one off.
  */
+import { RequestClass } from "@sassafrascleat/protocol";
 import { invariant } from "@sassafrascleat/runtime";
 
 /** What the rule needs to know of a request. */
@@ -15,13 +17,25 @@
   expectedServiceMs: number;
   /** The part of it during which a server is taken. @default expectedServiceMs */
   workMs?: number;
+  requestClass: RequestClass;
 }
 
+/** How much shorter the work of a class counts when some has to be put off. */
+const CLASS_WEIGHT: Record<RequestClass, number> = {
+  [RequestClass.Interactive]: 4,
+  [RequestClass.Standard]: 2,
+  [RequestClass.Batch]: 1,
+};
+
 /** The part of a request during which a server is taken, in milliseconds. */
 export function workOf(item: TimedWork): number {
   return item.workMs ?? item.expectedServiceMs;
 }
 
+function weighted(item: TimedWork): number {
+  return workOf(item) / CLASS_WEIGHT[item.requestClass];
+}
+
 /**
  * Those of `waiting`, which is in the order of service, that can be in time
  * when `servers` pieces of work are done at a time.
@@ -61,7 +75,7 @@
     for (const item of this.items) {
       const given = this.#workOfCustomer.get(item.customer) ?? 0;
       if (given < shareMs - 1e-6) continue;
-      if (!longest || workOf(item) >= workOf(longest)) longest = item;
+      if (!longest || weighted(item) >= weighted(longest)) longest = item;
     }
     invariant(longest !== undefined, "a customer has an equal share or more");
     this.items.delete(longest);
