fix(sidecar): order prefills by due time over all arrivals

Cause: prompts of 900 tokens, placed 15 ms after their arrival, left the prefill stage after 560 ms. Their priority was the slack at dispatch, which does not compare with that of later arrivals, and the queue that the hint showed shrank by the whole time that a long late prompt had been running. Change: PrefillRequest.dueInMs (optional) from the plan; the sidecar orders work in time by it on its own clock, lets queued work yield that can no longer be in time, and estimates the engine's progress job by job. Tests: an urgent prompt passes a long late one; order by due time.

--- a/packages/entry/src/lifecycle/prefiller.ts
+++ b/packages/entry/src/lifecycle/prefiller.ts
@@ -198,6 +198,7 @@
       startInMs: plan.startInMs,
       startWithinMs: plan.startWithinMs,
       priority: plan.priority,
+      dueInMs: plan.dueInMs,
     };
   }
 
--- a/packages/protocol/src/prefill.ts
+++ b/packages/protocol/src/prefill.ts
@@ -21,7 +21,13 @@
   startInMs: z.number().min(0),
   /** The work is dropped when it cannot begin within this time, in milliseconds. */
   startWithinMs: z.number().min(0),
+  /** Larger is sooner; at most `LATE_PRIORITY` when the target can't be met. */
   priority: z.number().int(),
+  /**
+   * Time until the work should be done, in milliseconds. Work that is in time
+   * is ordered by it, since priorities of different moments don't compare.
+   */
+  dueInMs: z.number().optional(),
 });
 export type PrefillRequest = z.infer<typeof prefillRequestSchema>;
 
--- /dev/null
+++ b/packages/sidecar/src/__tests__/prefill_order_test.ts
@@ -0,0 +1,61 @@
+/** The order of prompts before a prefill engine. */
+import { afterEach, beforeEach, describe, expect, test } from "@jest/globals";
+import { BackendRole, LATE_PRIORITY } from "@sassafrascleat/protocol";
+import { Bench, prefillRequest, until } from "./harness.ts";
+
+let bench: Bench;
+beforeEach(() => {
+  bench = new Bench();
+});
+afterEach(() => bench.close());
+
+/** Prompt tokens that take a second on the slow engine of these tests. */
+const LONG_TOKENS = 10_000;
+const SHORT_TOKENS = 100;
+
+describe("prefill order", () => {
+  async function slowNode() {
+    const options = { prefillRate: 10_000, prefillChunkTokens: 500 };
+    const node = await bench.node(BackendRole.Prefill, options);
+    const ended: string[] = [];
+    const run = async (id: string, fields: object) => {
+      const req = prefillRequest(id, id, fields);
+      const reply = await node.sidecar.control.prefill(req);
+      ended.push(id);
+      return reply;
+    };
+    return { node, ended, run };
+  }
+
+  test("urgent prompts pass a long late one and count as the only queue", async () => {
+    const { node, ended, run } = await slowNode();
+    const long = run("long", {
+      promptTokens: LONG_TOKENS,
+      priority: LATE_PRIORITY,
+    });
+    await until("work", () => node.server.books().heldIds.length === 1);
+    const { hint } = await node.sidecar.control.status();
+    expect(hint.queuedTokens).toBeGreaterThan(SHORT_TOKENS);
+    expect(hint.urgentTokens).toBe(0);
+    const urgent = { promptTokens: SHORT_TOKENS, priority: 1 };
+    await Promise.all([run("a", urgent), run("b", urgent), long]);
+    expect(ended.at(-1)).toBe("long");
+  });
+
+  test("orders by due time over all arrivals and lets late ones yield", async () => {
+    const { ended, run } = await slowNode();
+    const prompt = (dueInMs: number) => ({
+      promptTokens: 4_000,
+      priority: 1,
+      dueInMs,
+    });
+    await Promise.all([
+      run("first", prompt(10_000)),
+      run("hopeless", prompt(50)),
+      run("later", prompt(9_000)),
+      run("sooner", prompt(8_000)),
+    ]);
+    const queued = ended.filter((id) => id !== "first");
+    expect(queued).toEqual(["sooner", "later", "hopeless"]);
+  });
+});
--- a/packages/sidecar/src/prefill_scheduler.ts
+++ b/packages/sidecar/src/prefill_scheduler.ts
@@ -47,13 +47,28 @@
   | PrefillSuccess
   | { done: false; reason: RefusalReason };
 
+/** Above the priorities of all work that is ordered by its due time. */
+const DUE_PRIORITY_BASE = 2 ** 40;
+
+/** Earlier due work has the higher priority; what is late keeps its own. */
+function priorityAt(req: PrefillRequest, nowMs: number): number {
+  const late = req.priority <= LATE_PRIORITY;
+  if (late || req.dueInMs === undefined) return req.priority;
+  return DUE_PRIORITY_BASE - Math.round(nowMs + req.dueInMs);
+}
+
 interface Job {
   req: PrefillRequest;
+  priority: number;
   record: AttemptRecord;
   cost: number;
+  /** The part of `cost` that the engine has probably not done yet. */
+  left: number;
   arrivedAtMs: number;
   readyAtMs: number;
   dropAtMs: number;
+  /** When the work should be done; infinite without a due time. */
+  dueAtMs: number;
   settle(outcome: PrefillOutcome): void;
 }
 
@@ -64,8 +79,8 @@
   readonly #working = new Set<Job>();
   #timer: NodeJS.Timeout | undefined;
   #measuredRate = 0;
-  /** When the engine began with the work in hand, or last ended some. */
-  #workingSinceMs = 0;
+  /** Time up to which the engine's progress was estimated. */
+  #advancedAtMs = 0;
 
   constructor(opts: PrefillSchedulerOptions) {
     this.#opts = opts;
@@ -98,17 +113,22 @@
   submit(record: AttemptRecord, req: PrefillRequest): Promise<PrefillOutcome> {
     const nowMs = this.#opts.clock.now();
     const patienceMs = req.startInMs + req.startWithinMs;
-    if (this.#waitMs(req.priority) > patienceMs) {
+    const priority = priorityAt(req, nowMs);
+    if (this.#waitMs(priority) > patienceMs) {
       return Promise.resolve({ done: false, reason: RefusalReason.Full });
     }
     return new Promise((resolve) => {
+      const cost = this.#opts.costOf(req);
       const job: Job = {
         req,
+        priority,
         record,
-        cost: this.#opts.costOf(req),
+        cost,
+        left: cost,
         arrivedAtMs: nowMs,
         readyAtMs: nowMs + req.startInMs,
         dropAtMs: nowMs + patienceMs,
+        dueAtMs: nowMs + (req.dueInMs ?? Infinity),
         settle: resolve,
       };
       this.#queue.add(job);
@@ -128,20 +148,36 @@
 
   /** Tokens left of the work of `priority` or higher. */
   #tokensFrom(priority: number): number {
-    const working = sumCost(this.#working, priority);
-    const spentMs = this.#opts.clock.now() - this.#workingSinceMs;
-    const left = Math.max(0, working - spentMs * this.rate / 1000);
-    return sumCost(this.#queue, priority) + left;
+    this.#advance(this.#opts.clock.now());
+    let tokens = 0;
+    for (const job of [...this.#queue, ...this.#working]) {
+      if (job.priority >= priority) tokens += job.left;
+    }
+    return tokens;
+  }
+
+  /** Estimates what the engine did since the last call, highest priority first. */
+  #advance(nowMs: number): void {
+    let done = (nowMs - this.#advancedAtMs) * this.rate / 1000;
+    this.#advancedAtMs = nowMs;
+    const working = [...this.#working];
+    working.sort((a, b) => b.priority - a.priority);
+    for (const job of working) {
+      const part = Math.min(job.left, done);
+      job.left -= part;
+      done -= part;
+    }
   }
 
   /** Starts what may begin now and sets the timer for what comes next. */
   #pump(): void {
     const nowMs = this.#opts.clock.now();
     this.#dropLate(nowMs);
+    this.#demoteLate(nowMs);
     for (let job = this.#next(nowMs); job; job = this.#next(nowMs)) {
       if (!this.#hasWindow(job)) break;
+      this.#advance(nowMs);
       this.#queue.delete(job);
-      if (this.#working.size === 0) this.#workingSinceMs = nowMs;
       this.#working.add(job);
       void this.#run(job, nowMs - job.arrivedAtMs);
     }
@@ -157,18 +193,27 @@
     }
   }
 
+  /** Work that can't end in time any more yields to what still can. */
+  #demoteLate(nowMs: number): void {
+    for (const job of this.#queue) {
+      const endMs = nowMs + job.cost * 1000 / this.rate;
+      if (endMs <= job.dueAtMs) continue;
+      job.priority = Math.min(job.priority, LATE_PRIORITY);
+    }
+  }
+
   #next(nowMs: number): Job | undefined {
     let best: Job | undefined;
     for (const job of this.#queue) {
       if (job.readyAtMs > nowMs) continue;
-      if (!best || job.req.priority > best.req.priority) best = job;
+      if (!best || job.priority > best.priority) best = job;
     }
     return best;
   }
 
   /** Work of lower priority takes no room: the engine interrupts it. */
   #hasWindow(job: Job): boolean {
-    const ahead = sumCost(this.#working, job.req.priority);
+    const ahead = sumCost(this.#working, job.priority);
     return ahead === 0 || ahead + job.cost <= this.#opts.windowTokens;
   }
 
@@ -194,10 +239,10 @@
       generated: req.generated,
       promptTokens: req.promptTokens,
       pieceHashes: req.pieceHashes,
-      priority: req.priority,
+      priority: job.priority,
     }, record.stop.signal);
+    this.#advance(this.#opts.clock.now());
     this.#working.delete(job);
-    this.#workingSinceMs = this.#opts.clock.now();
     const outcome = this.#outcomeOf(job, result, queuedMs);
     if (!outcome.done || record.stop.signal.aborted) void canceller.cancel(id);
     log("prefill_ended", {
@@ -246,7 +291,7 @@
 function sumCost(jobs: ReadonlySet<Job>, priority: number): number {
   let tokens = 0;
   for (const job of jobs) {
-    if (job.req.priority >= priority) tokens += job.cost;
+    if (job.priority >= priority) tokens += job.cost;
   }
   return tokens;
 }
