perf(routing): one order over classes, late work only in what is left over

Change: due time with a delay by class orders the queue; late requests wait until the prefill queue is under 10 ms, others under 100 ms; results may be up to 200 ms (waste) or 300 ms (goodput) early; all but the last decode server are asked with a wait of 30 ms at most. The test of the prefill's start now checks that the result is ready before the slot and outlives it, since the margin it had pinned is a choice of the objective.

--- a/packages/routing/src/admission_queue.ts
+++ b/packages/routing/src/admission_queue.ts
@@ -1,8 +1,8 @@
 /**
  * The admission queue. Tickets that can still meet their target go first, by
- * class, then by fair turns among customers, then by due time. When not all
- * can be in time at the rate that the pool takes work, the longest are put off
- * behind the others. A fixed share of the picks goes to the oldest ticket
+ * fair turns among customers, then by due time with a head start by class. When
+ * not all can be in time at the rate that the pool takes work, the longest are
+ * put off behind the others, lower classes first. A fixed share of the picks goes to the oldest ticket
  * whatever its state, so that a ticket with `n` older ones is served within
  * `(n + 1) * oldestPickInterval` picks.
  */
@@ -13,7 +13,11 @@
   RequestClass,
 } from "@sassafrascleat/protocol";
 import type { AdmissionQueue, AdmissionTicket } from "./admission.ts";
-import { FAIRNESS_SLACK_MS, OLDEST_PICK_INTERVAL } from "./constants.ts";
+import {
+  CLASS_DELAY_MS,
+  FAIRNESS_SLACK_MS,
+  OLDEST_PICK_INTERVAL,
+} from "./constants.ts";
 import { FairTurns } from "./fair_turns.ts";
 import { selectInTime, workOf } from "./selection.ts";
 import { ServiceMeter } from "./service_meter.ts";
@@ -159,7 +163,7 @@
     let best: AdmissionTicket | undefined;
     for (const ticket of group) {
       if (this.#turns.timeOf(ticket) > limit) continue;
-      if (!best || ticket.firstTokenDueMs < best.firstTokenDueMs) best = ticket;
+      if (!best || orderOf(ticket) < orderOf(best)) best = ticket;
     }
     return best!;
   }
@@ -171,12 +175,12 @@
     if (midAnswer.length > 0) return midAnswer;
     const inTime = waiting.filter((it) => !isLate(it, nowMs));
     if (inTime.length === 0) return waiting;
-    return firstClass(this.#withoutPutOff(inTime, nowMs));
+    return this.#withoutPutOff(inTime, nowMs);
   }
 
   /** The tickets that can all be in time; at least one is left. */
   #withoutPutOff(tickets: AdmissionTicket[], nowMs: number): AdmissionTicket[] {
-    tickets.sort((a, b) => a.firstTokenDueMs - b.firstTokenDueMs);
+    tickets.sort((a, b) => orderOf(a) - orderOf(b));
     const kept = selectInTime(tickets, this.#meter.servers, nowMs);
     return kept.size > 0 ? [...kept] : tickets;
   }
@@ -211,10 +215,9 @@
   }
 }
 
-/** The tickets of the most urgent class among `tickets`. */
-function firstClass(tickets: AdmissionTicket[]): AdmissionTicket[] {
-  const first = Math.min(...tickets.map((it) => classRank(it.requestClass)));
-  return tickets.filter((it) => classRank(it.requestClass) === first);
+/** The due time by which tickets are ordered, later for lower classes. */
+function orderOf(ticket: AdmissionTicket): number {
+  return ticket.firstTokenDueMs + CLASS_DELAY_MS[ticket.requestClass];
 }
 
 function compareKeys(a: readonly number[], b: readonly number[]): number {
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -1,5 +1,14 @@
 /** Numbers of the routing decisions. */
 
+import { RequestClass } from "@sassafrascleat/protocol";
+
+/** Time by which a class comes after the most urgent one, in milliseconds. */
+export const CLASS_DELAY_MS: Record<RequestClass, number> = {
+  [RequestClass.Interactive]: 0,
+  [RequestClass.Standard]: 100,
+  [RequestClass.Batch]: 1_000,
+};
+
 /** Every how many picks the queue serves its oldest ticket, whatever its state. */
 export const OLDEST_PICK_INTERVAL = 16;
 
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -54,6 +54,8 @@
   startWithinMs: number;
   /** Larger is sooner; at most `LATE_PRIORITY` when the target can't be met. */
   priority: number;
+  /** Time until the work should be done, in milliseconds. */
+  dueInMs?: number;
   /** Prompt tokens expected to run, those cached left out. @default the prompt */
   expectedTokens?: number;
 }
--- a/packages/routing/src/policy/just_in_time.ts
+++ b/packages/routing/src/policy/just_in_time.ts
@@ -9,6 +9,7 @@
 import { rendezvousRank } from "@sassafrascleat/runtime";
 import { classRank } from "../admission_queue.ts";
 import {
+  CLASS_DELAY_MS,
   DECODE_PROBES,
   DECODE_SAMPLE,
   PREFILL_RESULT_TTL_MS,
@@ -24,7 +25,6 @@
   PrefillPlan,
 } from "../placement.ts";
 import {
-  freeSlots,
   prefillQueueMs,
   prefillWorkMs,
   slotOccupancy,
@@ -68,7 +68,7 @@
     const last = probes.length - 1;
     return probes.map((state, i) => ({
       name: state.server.name,
-      maxWaitMs: this.#slotWaitMs(req, state, i === last, nowMs),
+      maxWaitMs: this.#slotWaitMs(req, i === last, nowMs),
     }));
   }
 
@@ -93,6 +93,7 @@
       startInMs,
       startWithinMs: this.#startWithin(req, grant, leadMs, startInMs, nowMs),
       priority: priorityOf(req, soonestMs, nowMs),
+      dueInMs: dueIn(req, best, this.#margins, nowMs),
       expectedTokens: best.expectedTokens,
     };
   }
@@ -114,7 +115,9 @@
       prefillQueueMs(state, inTime) +
       prefillWorkMs(state, plannedTokens / able.length)
     );
-    const waitMs = Math.min(...queues) - this.#margins.prefillQueueMs;
+    const { prefillQueueMs: mostMs, latePrefillQueueMs } = this.#margins;
+    const waitMs = Math.min(...queues) -
+      (inTime ? mostMs : latePrefillQueueMs);
     const longestMs = inTime ? Infinity : this.#margins.longestLateHoldMs;
     const holdMs = Math.max(0, Math.min(waitMs, longestMs));
     return { holdMs, expectedTokens };
@@ -134,7 +137,6 @@
   /** A slot may be awaited as long as the prefill takes anyway; the last one longer. */
   #slotWaitMs(
     req: PlacementRequest,
-    state: BackendState,
     last: boolean,
     nowMs: number,
   ): number {
@@ -146,8 +148,7 @@
     );
     const waitMs = slackMs > 0 ? slackMs : patientMs;
     if (last) return Math.max(0, waitMs);
-    const shortMs = this.#margins.freeSlotWaitMs;
-    return Math.max(0, Math.min(freeSlots(state) > 0 ? shortMs : 0, waitMs));
+    return Math.max(0, Math.min(this.#margins.firstSlotWaitMs, waitMs));
   }
 
   #bestPrefill(
@@ -248,10 +249,18 @@
   return nowMs + workMs + restMs <= req.firstTokenDueMs;
 }
 
-const HIGHEST_PRIORITY = 1_000_000;
+/** When the prefill has to end for the first token to be in time. */
+function dueIn(
+  req: PlacementRequest,
+  best: Candidate,
+  margins: PolicyMargins,
+  nowMs: number,
+): number {
+  const restMs = best.transferMs + margins.firstStepMs;
+  return req.firstTokenDueMs - nowMs - restMs;
+}
 
-/** Slack by which a class goes before the next lower one, in milliseconds. */
-const CLASS_HEAD_START_MS = 100;
+const HIGHEST_PRIORITY = 1_000_000;
 
 /** Least slack first, with a head start by class; those that are late go last. */
 function priorityOf(
@@ -262,6 +271,6 @@
   const slackMs = Math.round(req.firstTokenDueMs - nowMs - soonestMs);
   const rank = classRank(req.requestClass);
   if (slackMs < 0) return LATE_PRIORITY - rank;
-  const later = slackMs + rank * CLASS_HEAD_START_MS;
+  const later = slackMs + CLASS_DELAY_MS[req.requestClass];
   return Math.max(LATE_PRIORITY + 1, HIGHEST_PRIORITY - later);
 }
--- a/packages/routing/src/policy/margins.ts
+++ b/packages/routing/src/policy/margins.ts
@@ -14,35 +14,39 @@
   earlyMs: number;
   /** Time of the first decode step after the transfer. */
   firstStepMs: number;
-  /** Wait that a slot believed free may take. */
-  freeSlotWaitMs: number;
+  /** Longest wait for a slot at all but the last backend server asked. */
+  firstSlotWaitMs: number;
   /** Longest wait for a slot of a request that is late already. */
   longestSlotWaitMs: number;
   /** Longest time that a free slot is held for a prefill. */
   longestSlotHoldMs: number;
   /** Queue before the prefill engines from which on requests are held back. */
   prefillQueueMs: number;
+  /** The same for requests that are late, which only fill what is left over. */
+  latePrefillQueueMs: number;
   /** Longest hold of a request that is late, so that it blocks no other. */
   longestLateHoldMs: number;
 }
 
 const GOODPUT_MARGINS: PolicyMargins = {
-  earlyMs: 60,
+  earlyMs: 300,
   firstStepMs: 45,
-  freeSlotWaitMs: 60,
+  firstSlotWaitMs: 30,
   longestSlotWaitMs: 2_000,
   longestSlotHoldMs: 1_500,
-  prefillQueueMs: 60,
+  prefillQueueMs: 100,
+  latePrefillQueueMs: 10,
   longestLateHoldMs: 20,
 };
 
 const WASTE_MARGINS: PolicyMargins = {
-  earlyMs: 20,
+  earlyMs: 200,
   firstStepMs: 45,
-  freeSlotWaitMs: 60,
+  firstSlotWaitMs: 30,
   longestSlotWaitMs: 2_000,
   longestSlotHoldMs: 2_500,
-  prefillQueueMs: 40,
+  prefillQueueMs: 100,
+  latePrefillQueueMs: 10,
   longestLateHoldMs: 20,
 };
 
