--- a/packages/routing/src/__tests__/placement_test.ts
+++ b/packages/routing/src/__tests__/placement_test.ts
@@ -150,6 +150,38 @@
     expect(policy().prefillPlan(req, grant, pool, 0)).toBeUndefined();
   });
 
+  test("holds a request back while the prefill pool has enough to do", () => {
+    const it = policy();
+    const hold = (tokens: number, planned = 0, nowMs = 0) =>
+      it.outlook!(
+        request(),
+        [
+          state("a", { queuedTokens: tokens }),
+          state("b", { queuedTokens: 20_000 }),
+        ],
+        planned,
+        nowMs,
+      ).holdMs;
+    expect(hold(500)).toBe(0);
+    expect(hold(3_000)).toBeGreaterThan(100);
+    expect(hold(500, 6_000)).toBeGreaterThan(100);
+    expect(hold(500, 0, 550)).toBeGreaterThan(0);
+    expect(hold(0, 0, 550)).toBe(0);
+  });
+
+  test("late work in the queue does not hold back who is in time", () => {
+    const busy = [state("a", { queuedTokens: 20_000, urgentTokens: 100 })];
+    expect(policy().outlook!(request(), busy, 0, 0).holdMs).toBe(0);
+  });
+
+  test("counts only the tokens that are probably not cached", () => {
+    const it = policy();
+    const req = request({ promptTokens: 3_000 });
+    expect(it.outlook!(req, [], 0, 0).expectedTokens).toBe(3_000);
+    it.observePrefill!(req, "a", 0);
+    expect(it.outlook!(req, [], 0, 0).expectedTokens).toBe(1_000);
+  });
+
   test("one hot prefix never queues more on a server than it saves", () => {
     const count = fc.integer({ min: 1, max: 60 });
     fc.assert(
