--- a/packages/membership/src/relay/create_relay.ts
+++ b/packages/membership/src/relay/create_relay.ts
@@ -6,6 +6,7 @@
 import type { ConfigReplica } from "@sassafrascleat/config";
 import type { RelayControl, SequenceReport } from "@sassafrascleat/protocol";
 import {
+  childController,
   type Clock,
   createRandom,
   type Random,
@@ -13,7 +14,9 @@
   type Secret,
   systemClock,
 } from "@sassafrascleat/runtime";
+import { setMaxListeners } from "node:events";
 import {
+  FOLLOWERS_PER_HEAD,
   HEADS_PER_ZONE,
   PULL_GRACE_MS,
   PULL_WAIT_MS,
@@ -55,9 +58,11 @@
   clock?: Clock;
   /** @default seeded by `daemonId` */
   random?: Random;
-  /** Daemons of a zone that watch the store. @default 2 */
+  /** Fewest daemons of a zone that watch the store. @default 2 */
   headsPerZone?: number;
-  /** Wait of a long poll, in milliseconds. @default 1500 */
+  /** Daemons that pull from one head before there is another. @default 8 */
+  followersPerHead?: number;
+  /** Wait of a long poll, in milliseconds. @default 2000 */
   pullWaitMs?: number;
   /** Silence beyond the wait that makes a pull lost. @default 500 */
   pullGraceMs?: number;
@@ -78,6 +83,7 @@
     clock: raw.clock ?? systemClock,
     random: raw.random ?? createRandom(rendezvousRank("relay", raw.daemonId)),
     headsPerZone: raw.headsPerZone ?? HEADS_PER_ZONE,
+    followersPerHead: raw.followersPerHead ?? FOLLOWERS_PER_HEAD,
     pullWaitMs: raw.pullWaitMs ?? PULL_WAIT_MS,
     pullGraceMs: raw.pullGraceMs ?? PULL_GRACE_MS,
     staleAfterMs: raw.staleAfterMs ?? STALE_AFTER_MS,
@@ -98,6 +104,9 @@
   run(signal: AbortSignal): Promise<void>;
 }
 
+/** Listeners that the tasks of one relay put on its abort signal at once. */
+const TASK_LISTENERS = 64;
+
 /** Creates a relay; it does nothing before `run`. */
 export function createRelay(options: RelayOptions): Relay {
   return new ConfigRelay(resolveRelayOptions(options));
@@ -126,7 +135,8 @@
       source: options.peers,
       members,
       health,
-      headsPerZone: options.headsPerZone,
+      clock,
+      headCount: options,
     });
     const parts = { ...options, self, freshness, members, health, peers };
     this.#options = options;
@@ -143,7 +153,11 @@
       clock,
       random,
     });
-    this.#survey = new Survey({ ...parts, puller: this.#puller });
+    this.#survey = new Survey({
+      ...parts,
+      puller: this.#puller,
+      isStoreSilent: () => this.#reader.isSilent,
+    });
     this.control = new PullServer({ replica, freshness, members });
   }
 
@@ -170,7 +184,9 @@
     };
   }
 
-  async run(signal: AbortSignal): Promise<void> {
+  async run(parent: AbortSignal): Promise<void> {
+    const { signal } = childController(parent);
+    setMaxListeners(TASK_LISTENERS, signal);
     this.control.start(signal);
     await this.#peers.refresh(signal);
     await Promise.all([
