fix(store,daemon): compaction ends, and silent connections go when a caller gives up

The daemon's follower awaited the upkeep of the log inside a poll that is ended after 3 s, so a compaction of 500 writes and 500 deletions never came to its end and started over each time. It now uses the follower of the membership package, whose upkeep runs beside the polls; that follower no longer reads the log again for every deletion of a compaction. A caller that gave up just before the store client's own timeout left the other silent connections in the pool; giving up after half of the timeout now replaces them too.

The relay test 'brings a change into force everywhere' failed once while other suites ran beside it and passed alone. Conclusion: upkeep has its own time, and one lost call costs one timeout.

--- a/packages/config/src/__tests__/silent_connection_test.ts
+++ b/packages/config/src/__tests__/silent_connection_test.ts
@@ -45,6 +45,15 @@
     .toEqual(Array(4).fill(StoreStatus.Ok));
 });
 
+test("a caller that gives up late has the connections replaced too", async () => {
+  const readAll = () =>
+    Promise.all(Array.from({ length: 4 }, () => store.get("k")));
+  await readAll();
+  proxy.silence();
+  await store.get("k", AbortSignal.timeout(250));
+  expect((await store.put("k", 1, ABSENT)).status).toBe(StoreStatus.Ok);
+});
+
 test("a proposal over silent connections is accepted on new ones", async () => {
   const replica = createConfigReplica();
   const log = createChangeLog({ store, replica, office: "co-op" });
--- a/packages/daemon/src/entry_process.ts
+++ b/packages/daemon/src/entry_process.ts
@@ -10,6 +10,7 @@
 } from "@sassafrascleat/config";
 import { createEntry, type Entry } from "@sassafrascleat/entry";
 import {
+  createChangeLogFollower,
   createHostView,
   createOrderIssuer,
   createRelay,
@@ -28,7 +29,6 @@
 } from "@sassafrascleat/routing";
 import type { Secret } from "@sassafrascleat/runtime";
 import type { ObjectStore } from "@sassafrascleat/store";
-import { createLogFollower } from "./log_follower.ts";
 import {
   createOperatorListener,
   type OperatorListener,
@@ -125,7 +125,10 @@
     availabilityZone,
     address,
     replica: parts.replica,
-    changeLogFollower: createLogFollower({ store, ...parts }),
+    changeLogFollower: createChangeLogFollower({
+      store,
+      changeLog: parts.changeLog,
+    }),
     peers: joinPeerSources(presence, createStaticPeers(options.peers)),
     secret: options.systemSecrets[0],
     presence,
--- a/packages/membership/src/relay/change_log_follower.ts
+++ b/packages/membership/src/relay/change_log_follower.ts
@@ -53,7 +53,9 @@
       this.#revision = undefined;
       return false;
     }
-    if (result.events.length > 0) return await this.#catchUp(signal);
+    // A compaction deletes change keys by the hundred; there is nothing to read.
+    const news = result.events.some(({ object }) => object !== undefined);
+    if (news) return await this.#catchUp(signal);
     this.#revision = result.revision;
     return true;
   }
--- a/packages/store/src/http_store.ts
+++ b/packages/store/src/http_store.ts
@@ -1,7 +1,8 @@
 /**
  * The object API over HTTP. A call that gets no answer in time makes the client
  * dial anew, since a pooled connection may have gone silent for good; calls in
- * progress on the old connections may still end there.
+ * progress on the old connections may still end there. A caller that gives up
+ * after half of that time counts as well.
  */
 import {
   createLogger,
@@ -82,6 +83,8 @@
   path: string;
   body?: string;
   timeoutMs: number;
+  /** Time that the store may wait before it answers. @default 0 */
+  waitMs?: number;
   signal: AbortSignal | undefined;
 }
 
@@ -177,7 +180,8 @@
     const answer = await this.#call({
       method: "GET",
       path: `/watch?${query(params)}`,
-      timeoutMs: this.#options.timeoutMs + waitMs,
+      timeoutMs: this.#options.timeoutMs,
+      waitMs,
       signal,
     });
     if ("message" in answer) return answer;
@@ -244,7 +248,9 @@
 
   async #call(call: Call): Promise<Answer | StoreFailure> {
     const pool = this.#pool;
-    const timeout = AbortSignal.timeout(call.timeoutMs);
+    const startedAtMs = performance.now();
+    const { timeoutMs, waitMs = 0 } = call;
+    const timeout = AbortSignal.timeout(timeoutMs + waitMs);
     const signal = call.signal
       ? AbortSignal.any([call.signal, timeout])
       : timeout;
@@ -262,7 +268,9 @@
       if (isNotSent(err)) {
         return { status: StoreStatus.Unavailable, message: errorMessage(err) };
       }
-      if (!call.signal?.aborted) this.#replace(pool);
+      const silentMs = performance.now() - startedAtMs - waitMs;
+      const given = call.signal?.aborted && silentMs < timeoutMs / 2;
+      if (!given) this.#replace(pool);
       return { status: StoreStatus.Unknown, message: errorMessage(err) };
     }
   }
