fix(store): refusals of gateways are unknown; calls leave no listeners

A 503 of a gateway may come after the write was passed on, yet it was taken as 'nothing was written'. Only an answer whose body says that the store refused counts now; the stand-in says so. The waiting of proposals left a listener on the caller's signal; it ends too.

Conclusion: not run is said of a write only on the store's own word.

--- a/packages/config/src/__tests__/change_log_test.ts
+++ b/packages/config/src/__tests__/change_log_test.ts
@@ -1,5 +1,6 @@
 /** Proposals, replay and the audit trail over a store in memory. */
 import { describe, expect, test } from "@jest/globals";
+import { getEventListeners } from "node:events";
 import { createMemoryStore, type ObjectStore } from "@sassafrascleat/store";
 import { createChangeLog } from "../change_log.ts";
 import { LogReadStatus, ProposeKind } from "../change_log_contract.ts";
@@ -116,6 +117,15 @@
       .toEqual(Array.from({ length: 30 }, (_, i) => i + 1));
   });
 
+  test("leave no listener on the signal of a long-lived caller", async () => {
+    const { log } = open(createMemoryStore());
+    const { signal } = new AbortController();
+    for (let i = 0; i < 3; i++) {
+      await log.propose(createPolicy(`p${i}`, `n${i}`), signal);
+    }
+    expect(getEventListeners(signal, "abort")).toHaveLength(0);
+  });
+
   test("one that is given up while it waits is not run", async () => {
     const store = createMemoryStore();
     const { log, replica } = open(store);
--- a/packages/config/src/turns.ts
+++ b/packages/config/src/turns.ts
@@ -1,5 +1,5 @@
 /** Lets callers of one object run one after the other. */
-import { aborted } from "@sassafrascleat/runtime";
+import { aborted, childController } from "@sassafrascleat/runtime";
 
 /** A queue of callers; each waits until all before it have ended. */
 export class Turns {
@@ -17,8 +17,10 @@
     let leave = () => {};
     const left = new Promise<void>((resolve) => leave = resolve);
     this.#last = before.then(() => left);
+    const waiting = childController(signal);
+    await Promise.race([before, aborted(waiting.signal)]);
+    waiting.abort();
     try {
-      await Promise.race([before, aborted(signal)]);
       return signal.aborted ? undefined : await work();
     } finally {
       leave();
--- a/packages/store/src/http_messages.ts
+++ b/packages/store/src/http_messages.ts
@@ -24,6 +24,9 @@
   current: storedObjectSchema.optional(),
 });
 
+/** Body of every answer of a store that did nothing about the call. */
+export const refusalSchema = z.object({ refused: z.literal(true) });
+
 /** Answer to a list. */
 export const listAnswerSchema = z.object({
   objects: z.array(storedObjectSchema),
--- a/packages/store/src/http_store.ts
+++ b/packages/store/src/http_store.ts
@@ -1,32 +1,19 @@
-/**
- * The object API over HTTP. A call that gets no answer in time makes the client
- * dial anew, since a pooled connection may have gone silent for good; calls in
- * progress on the old connections may still end there. A caller that gives up
- * after half of that time counts as well.
- */
-import {
-  createLogger,
-  errorMessage,
-  type Secret,
-} from "@sassafrascleat/runtime";
-import { type Dispatcher, Pool } from "undici";
+/** The object API over HTTP. */
 import type { z } from "zod";
-import {
-  CONNECT_TIMEOUT_MS,
-  KEEP_ALIVE_MS,
-  LIST_LIMIT,
-  MAX_CONNECTIONS,
-  MAX_WATCH_MS,
-  READ_TIMEOUT_MS,
-  WRITE_TIMEOUT_MS,
-} from "./constants.ts";
+import { LIST_LIMIT, MAX_WATCH_MS } from "./constants.ts";
 import {
   conflictAnswerSchema,
   getAnswerSchema,
   listAnswerSchema,
   putAnswerSchema,
+  refusalSchema,
   watchAnswerSchema,
 } from "./http_messages.ts";
+import {
+  type HttpStoreOptions,
+  type ResolvedHttpStoreOptions,
+  resolveHttpStoreOptions,
+} from "./http_options.ts";
 import {
   type GetResult,
   type ListOptions,
@@ -38,75 +25,18 @@
   type WatchOptions,
   type WatchResult,
 } from "./object_store.ts";
+import {
+  type Answer,
+  type Call,
+  StoreConnections,
+} from "./store_connections.ts";
 
-const log = createLogger("store");
-
-/** Options of the HTTP client as the settings give them. */
-export interface HttpStoreOptions {
-  /** Base address of the object API, `http://ip:port`. */
-  baseUrl: string;
-  /** Time to the answer of a read, in milliseconds. @default 1000 */
-  timeoutMs?: number;
-  /** Time to the answer of a write, in milliseconds. @default 1500 */
-  writeTimeoutMs?: number;
-  /** Time to open a connection, in milliseconds. @default 1000 */
-  connectTimeoutMs?: number;
-  /** Connections that are opened at most. @default 16 */
-  maxConnections?: number;
-  /** Bearer secret of the platform's API. @default none */
-  secret?: Secret;
-}
-
-/** Options with every default in place. */
-export interface ResolvedHttpStoreOptions
-  extends Required<Omit<HttpStoreOptions, "secret">> {
-  secret: Secret | undefined;
-}
-
-/** Applies the defaults. */
-export function resolveHttpStoreOptions(
-  raw: HttpStoreOptions,
-): ResolvedHttpStoreOptions {
-  return {
-    baseUrl: raw.baseUrl,
-    timeoutMs: raw.timeoutMs ?? READ_TIMEOUT_MS,
-    writeTimeoutMs: raw.writeTimeoutMs ?? WRITE_TIMEOUT_MS,
-    connectTimeoutMs: raw.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
-    maxConnections: raw.maxConnections ?? MAX_CONNECTIONS,
-    secret: raw.secret,
-  };
-}
-
-/** One HTTP call. */
-interface Call {
-  method: Dispatcher.HttpMethod;
-  path: string;
-  body?: string;
-  timeoutMs: number;
-  /** Time that the store may wait before it answers. @default 0 */
-  waitMs?: number;
-  signal: AbortSignal | undefined;
-}
-
-interface Answer {
-  status: number;
-  body: unknown;
-}
-
-/** Errors before the request left this process. */
-const NOT_SENT = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-
-function isNotSent(err: unknown): boolean {
-  return NOT_SENT.has((err as { code?: string }).code ?? "");
-}
-
+/**
+ * The store's own refusal means that nothing was written. A gateway between
+ * may answer with the same statuses after the write was passed on.
+ */
 function failure(answer: Answer): StoreFailure {
-  const refused = answer.status === 503 || answer.status === 429;
+  const refused = refusalSchema.safeParse(answer.body).success;
   return {
     status: refused ? StoreStatus.Unavailable : StoreStatus.Unknown,
     message: `the store answered with status ${answer.status}`,
@@ -122,11 +52,11 @@
 /** An `ObjectStore` over HTTP. */
 export class HttpStore implements ObjectStore {
   readonly #options: ResolvedHttpStoreOptions;
-  #pool: Pool;
+  readonly #connections: StoreConnections;
 
   constructor(raw: HttpStoreOptions) {
     this.#options = resolveHttpStoreOptions(raw);
-    this.#pool = this.#dial();
+    this.#connections = new StoreConnections(this.#options);
   }
 
   async get(key: string, signal?: AbortSignal): Promise<GetResult> {
@@ -177,7 +107,7 @@
   ): Promise<WatchResult> {
     const waitMs = Math.min(options.waitMs, MAX_WATCH_MS);
     const params = { ...options, waitMs };
-    const answer = await this.#call({
+    const answer = await this.#connections.call({
       method: "GET",
       path: `/watch?${query(params)}`,
       timeoutMs: this.#options.timeoutMs,
@@ -193,7 +123,7 @@
 
   /** Closes every connection; calls in progress end first. */
   close(): Promise<void> {
-    return this.#pool.close();
+    return this.#connections.close();
   }
 
   /** Reads; one that got no answer is sent again on a new connection. */
@@ -203,9 +133,9 @@
   ): Promise<Answer | StoreFailure> {
     const { timeoutMs } = this.#options;
     const call: Call = { method: "GET", path, timeoutMs, signal };
-    const answer = await this.#call(call);
+    const answer = await this.#connections.call(call);
     const lost = "message" in answer && answer.status === StoreStatus.Unknown;
-    return lost && !signal?.aborted ? this.#call(call) : answer;
+    return lost && !signal?.aborted ? this.#connections.call(call) : answer;
   }
 
   async #write(
@@ -215,7 +145,13 @@
     body?: string,
   ): Promise<PutResult> {
     const timeoutMs = this.#options.writeTimeoutMs;
-    const answer = await this.#call({ method, path, body, timeoutMs, signal });
+    const answer = await this.#connections.call({
+      method,
+      path,
+      body,
+      timeoutMs,
+      signal,
+    });
     if ("message" in answer) return answer;
     if (answer.status === 413) {
       const message = "the value is over the store's limit; make it smaller";
@@ -245,61 +181,6 @@
     const message = "the store's answer has an unexpected form";
     return { status: StoreStatus.Unknown, message };
   }
-
-  async #call(call: Call): Promise<Answer | StoreFailure> {
-    const pool = this.#pool;
-    const startedAtMs = performance.now();
-    const { timeoutMs, waitMs = 0 } = call;
-    const timeout = AbortSignal.timeout(timeoutMs + waitMs);
-    const signal = call.signal
-      ? AbortSignal.any([call.signal, timeout])
-      : timeout;
-    try {
-      const res = await pool.request({
-        method: call.method,
-        path: call.path,
-        body: call.body,
-        headers: this.#headers(call),
-        signal,
-      });
-      const text = await res.body.text();
-      return { status: res.statusCode, body: text ? JSON.parse(text) : {} };
-    } catch (err) {
-      if (isNotSent(err)) {
-        return { status: StoreStatus.Unavailable, message: errorMessage(err) };
-      }
-      const silentMs = performance.now() - startedAtMs - waitMs;
-      const given = call.signal?.aborted && silentMs < timeoutMs / 2;
-      if (!given) this.#replace(pool);
-      return { status: StoreStatus.Unknown, message: errorMessage(err) };
-    }
-  }
-
-  #headers(call: Call): Record<string, string> {
-    const headers: Record<string, string> = {};
-    if (call.body !== undefined) headers["content-type"] = "application/json";
-    const { secret } = this.#options;
-    if (secret) headers.authorization = `Bearer ${secret.reveal()}`;
-    return headers;
-  }
-
-  /** Leaves connections that gave no answer and opens new ones on demand. */
-  #replace(pool: Pool): void {
-    if (pool !== this.#pool) return;
-    this.#pool = this.#dial();
-    log("connections_replaced", { base: this.#options.baseUrl });
-    pool.close().catch(() => undefined);
-  }
-
-  #dial(): Pool {
-    return new Pool(this.#options.baseUrl, {
-      connections: this.#options.maxConnections,
-      connectTimeout: this.#options.connectTimeoutMs,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
-  }
 }
 
 /** Creates a client of the platform's object API. */
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,11 +1,10 @@
 /** The platform object API behind one narrow interface, over HTTP or in memory. */
 export {
-  createHttpStore,
-  HttpStore,
   type HttpStoreOptions,
   type ResolvedHttpStoreOptions,
   resolveHttpStoreOptions,
-} from "./http_store.ts";
+} from "./http_options.ts";
+export { createHttpStore, HttpStore } from "./http_store.ts";
 export {
   createMemoryStore,
   MemoryStore,
--- a/packages/testing/src/__tests__/store_server_test.ts
+++ b/packages/testing/src/__tests__/store_server_test.ts
@@ -5,6 +5,9 @@
   type BackendServer,
   HostState,
 } from "@sassafrascleat/protocol";
+import { getEventListeners, once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import {
   ABSENT,
   createHttpStore,
@@ -84,6 +87,13 @@
   });
 });
 
+test("a call leaves no listener on its caller's signal", async () => {
+  const { signal } = new AbortController();
+  await store.get("k", signal);
+  await store.put("k", 1, ABSENT, signal);
+  expect(getEventListeners(signal, "abort")).toHaveLength(0);
+});
+
 describe("faults", () => {
   test("an outage that refuses is unavailable", async () => {
     server.setFaults({ mode: StoreMode.Refuse });
@@ -93,6 +103,21 @@
     expect((await store.put("k", 1, ABSENT)).status).toBe(StoreStatus.Ok);
   });
 
+  test("a refusal that is not the store's own may hide a write", async () => {
+    const gateway = createServer((_, res) => {
+      res.writeHead(503, { "content-type": "text/plain" });
+      res.end("upstream reset before headers");
+    });
+    gateway.listen(0, "127.0.0.1");
+    await once(gateway, "listening");
+    const { port } = gateway.address() as AddressInfo;
+    const behind = createHttpStore({ baseUrl: `http://127.0.0.1:${port}` });
+    expect((await behind.put("k", 1, ABSENT)).status).toBe(StoreStatus.Unknown);
+    await behind.close();
+    gateway.closeAllConnections();
+    gateway.close();
+  });
+
   test("a closed port is unavailable, a cut or silent call is unknown", async () => {
     await post("/_faults", { mode: StoreMode.Reset });
     expect((await store.put("k", 1, ABSENT)).status).toBe(StoreStatus.Unknown);
--- a/packages/testing/src/store/store_server.ts
+++ b/packages/testing/src/store/store_server.ts
@@ -85,7 +85,7 @@
       return { message: result.message };
     default:
       res.code(503);
-      return { message: result.message };
+      return { refused: true, message: result.message };
   }
 }
 
@@ -208,7 +208,7 @@
     const { delayMs, answerDelayMs } = this.#faults.current;
     if (action === FaultAction.Refuse) {
       res.code(503);
-      return { message: "the store is out of service" };
+      return { refused: true, message: "the store is out of service" };
     }
     if (action === FaultAction.Reset) return cut(req, res);
     if (action === FaultAction.Hang) return res.hijack();
