test(testing): a gateway's JSON refusal, the case that was wrong before

The gateway now answers JSON: expected unknown, got unavailable on the first version of the client, passing now.

--- a/packages/testing/src/__tests__/store_server_test.ts
+++ b/packages/testing/src/__tests__/store_server_test.ts
@@ -105,8 +105,8 @@
 
   test("a refusal that is not the store's own may hide a write", async () => {
     const gateway = createServer((_, res) => {
-      res.writeHead(503, { "content-type": "text/plain" });
-      res.end("upstream reset before headers");
+      res.writeHead(503, { "content-type": "application/json" });
+      res.end('{"message":"upstream reset before headers"}');
     });
     gateway.listen(0, "127.0.0.1");
     await once(gateway, "listening");
