--- a/playground/src/faults/__tests__/model_faults_test.ts
+++ b/playground/src/faults/__tests__/model_faults_test.ts
@@ -1,7 +1,7 @@
 /** Every fault at every moment of a model request, with real processes. */
 import { afterAll, beforeAll, describe, expect, test } from "@jest/globals";
 import { type Rig, startRig } from "../../rig/index.ts";
-import { Fault } from "../faults.ts";
+import { MODEL_FAULTS } from "../faults.ts";
 import { runModelCase } from "../model_case.ts";
 import { Moment } from "../moments.ts";
 
@@ -15,7 +15,7 @@
 
 afterAll(() => rig.close(), START_LIMIT_MS);
 
-describe.each(Object.values(Fault))("%s", (fault) => {
+describe.each(MODEL_FAULTS)("%s", (fault) => {
   test.each(Object.values(Moment))("%s", async (moment) => {
     const report = await runModelCase(rig, moment, [fault]);
     expect(report.problems).toEqual([]);
--- a/playground/src/faults/faults.ts
+++ b/playground/src/faults/faults.ts
@@ -1,7 +1,12 @@
 /** Faults of the table: how each is brought about and healed. */
 import { BackendRole, SIDECAR_RPC_PATH } from "@sassafrascleat/protocol";
 import { sleep } from "@sassafrascleat/runtime";
-import { ProxyMode, StoreMode } from "@sassafrascleat/testing";
+import {
+  NO_FAULTS,
+  PlainFault,
+  ProxyMode,
+  StoreMode,
+} from "@sassafrascleat/testing";
 import type { Rig, RigBackend } from "../rig/index.ts";
 
 /** What strikes. */
@@ -18,8 +23,46 @@
   CallerCancels = "caller cancels",
   DecodeLeaves = "decode engine leaves",
   StoreOutage = "store outage",
+  KillPlainSidecar = "plain sidecar killed",
+  PausePlainSidecar = "plain sidecar paused",
+  PlainLeaves = "plain backend server leaves",
+  LosePlainAnswer = "plain service's answer lost",
+  LoseStoreAnswer = "store's answer lost",
+  HangStoreAnswer = "store's answer never comes",
 }
 
+/** Faults that strike a model request. */
+export const MODEL_FAULTS = [
+  Fault.KillEntry,
+  Fault.PauseEntry,
+  Fault.KillDecodeSidecar,
+  Fault.PauseDecodeSidecar,
+  Fault.KillPrefillSidecar,
+  Fault.DecodeEngineDies,
+  Fault.SilenceLinks,
+  Fault.ResetLinks,
+  Fault.StallDecodeLink,
+  Fault.CallerCancels,
+  Fault.DecodeLeaves,
+  Fault.StoreOutage,
+];
+
+/** Faults that strike a call to a plain service. */
+export const PLAIN_FAULTS = [
+  Fault.KillEntry,
+  Fault.PauseEntry,
+  Fault.KillPlainSidecar,
+  Fault.PausePlainSidecar,
+  Fault.PlainLeaves,
+  Fault.LosePlainAnswer,
+  Fault.SilenceLinks,
+  Fault.ResetLinks,
+  Fault.CallerCancels,
+  Fault.LoseStoreAnswer,
+  Fault.HangStoreAnswer,
+  Fault.StoreOutage,
+];
+
 /** Pause of an entry, beyond the renewal grace, in milliseconds. */
 const ENTRY_PAUSE_MS = 3_000;
 
@@ -36,21 +79,25 @@
   caller: AbortController;
 }
 
-/** The decode backend servers that hold something, or the first one. */
-function busyDecode(rig: Rig): RigBackend[] {
-  const decode = rig.byRole(BackendRole.Decode);
-  const busy = decode.filter(({ engine }) =>
+/** The first backend server of a role whose engine holds something, or the first. */
+function busyEngine(rig: Rig, role: BackendRole): RigBackend | undefined {
+  const backends = rig.byRole(role);
+  const busy = backends.find(({ engine }) =>
     (engine?.books().heldIds.length ?? 0) > 0
   );
-  return busy.length > 0 ? busy : decode.slice(0, 1);
+  return busy ?? backends[0];
 }
 
-function busyPrefill(rig: Rig): RigBackend[] {
-  const prefill = rig.byRole(BackendRole.Prefill);
-  const busy = prefill.filter(({ engine }) =>
-    (engine?.books().heldIds.length ?? 0) > 0
-  );
-  return busy.length > 0 ? busy : prefill.slice(0, 1);
+/** The plain backend server whose sidecar has a call in progress, or the first. */
+async function busyPlain(rig: Rig): Promise<RigBackend | undefined> {
+  const backends = rig.byRole(BackendRole.Plain);
+  for (const backend of backends) {
+    const status = await rig.sidecarStatus(backend);
+    if (status && status.hint.running + status.hint.reserved > 0) {
+      return backend;
+    }
+  }
+  return backends[0];
 }
 
 async function tellToLeave(rig: Rig, backend: RigBackend, leaving: boolean) {
@@ -74,7 +121,7 @@
 /** Brings the fault about; resolves when it has struck. */
 export async function strike(fault: Fault, ctx: FaultContext): Promise<void> {
   const { rig, caller } = ctx;
-  const decode = busyDecode(rig)[0];
+  const decode = busyEngine(rig, BackendRole.Decode);
   switch (fault) {
     case Fault.KillEntry:
       return await rig.entries[0].process.kill();
@@ -85,7 +132,7 @@
     case Fault.PauseDecodeSidecar:
       return decode && await pauseFor(decode.process, SIDECAR_PAUSE_MS);
     case Fault.KillPrefillSidecar:
-      return await busyPrefill(rig)[0]?.process.kill();
+      return await busyEngine(rig, BackendRole.Prefill)?.process.kill();
     case Fault.DecodeEngineDies:
       return decode?.engine?.setFaults({ dead: true });
     case Fault.SilenceLinks:
@@ -102,15 +149,40 @@
       return decode && await tellToLeave(rig, decode, true);
     case Fault.StoreOutage:
       return rig.store.setFaults({ mode: StoreMode.Refuse });
+    case Fault.LoseStoreAnswer:
+      return rig.store.setFaults({ loseAnswers: 1 });
+    case Fault.HangStoreAnswer:
+      return rig.store.setFaults({ hangAnswers: 1 });
+    default:
+      return await strikePlain(fault, rig);
+  }
+}
+
+/** Strikes the plain backend server that serves the call. */
+async function strikePlain(fault: Fault, rig: Rig): Promise<void> {
+  const backend = await busyPlain(rig);
+  if (!backend) return;
+  switch (fault) {
+    case Fault.KillPlainSidecar:
+      return await backend.process.kill();
+    case Fault.PausePlainSidecar:
+      return await pauseFor(backend.process, SIDECAR_PAUSE_MS);
+    case Fault.PlainLeaves:
+      return await tellToLeave(rig, backend, true);
+    case Fault.LosePlainAnswer:
+      return backend.plain?.setFault(PlainFault.AfterExecuting);
+    default:
+      return;
   }
 }
 
 /** Takes every fault back and restarts what was killed. */
 export async function heal(rig: Rig): Promise<void> {
-  rig.store.setFaults({ mode: StoreMode.Serve });
+  rig.store.setFaults(NO_FAULTS);
   for (const backend of rig.backends) {
     backend.proxy.setMode(ProxyMode.Pass);
     backend.engine?.setFaults({ dead: false, stallTransfers: false });
+    backend.plain?.setFault(PlainFault.None);
     if (!backend.process.running) await backend.restart();
     await tellToLeave(rig, backend, false);
   }
--- a/playground/src/faults/moments.ts
+++ b/playground/src/faults/moments.ts
@@ -2,11 +2,7 @@
  * Moments in the life of a model request at which a fault strikes. Where a
  * moment is too short to hit, the next step is held back until the fault is in.
  */
-import {
-  BackendRole,
-  SIDECAR_RPC_PATH,
-  type SidecarStatus,
-} from "@sassafrascleat/protocol";
+import { BackendRole } from "@sassafrascleat/protocol";
 import { ProxyMode } from "@sassafrascleat/testing";
 import { type Rig, until } from "../rig/index.ts";
 
@@ -39,11 +35,6 @@
   return items.reduce((total, item) => total + value(item), 0);
 }
 
-/** A tRPC reply with a sidecar's status. */
-interface StatusReply {
-  result: { data: SidecarStatus };
-}
-
 /** Counts at the start of a case, since books grow over all cases. */
 export interface Baseline {
   decodesStarted: number;
@@ -87,12 +78,9 @@
 
 /** True when a decode sidecar holds a reservation that was not started. */
 async function isReserved(rig: Rig): Promise<boolean> {
-  for (const { process } of rig.byRole(BackendRole.Decode)) {
-    if (!process.running) continue;
-    const url = `${process.addresses.system}${SIDECAR_RPC_PATH}/status`;
-    const res = await fetch(url, { headers: rig.systemHeaders() });
-    const body = await res.json() as StatusReply;
-    if (body.result.data.hint.reserved > 0) return true;
+  for (const backend of rig.byRole(BackendRole.Decode)) {
+    const status = await rig.sidecarStatus(backend);
+    if (status && status.hint.reserved > 0) return true;
   }
   return false;
 }
--- a/playground/src/rig/rig.ts
+++ b/playground/src/rig/rig.ts
@@ -12,6 +12,8 @@
 import {
   BackendRole,
   HostState,
+  SIDECAR_RPC_PATH,
+  type SidecarStatus,
   SYSTEM_SECRET_HEADER,
 } from "@sassafrascleat/protocol";
 import { invariant, Secret, sleep } from "@sassafrascleat/runtime";
@@ -96,6 +98,15 @@
     };
   }
 
+  /** What a sidecar says about itself; undefined when its process is gone. */
+  async sidecarStatus(backend: RigBackend): Promise<SidecarStatus | undefined> {
+    if (!backend.process.running) return undefined;
+    const url = `${backend.process.addresses.system}${SIDECAR_RPC_PATH}/status`;
+    const res = await fetch(url, { headers: this.systemHeaders() });
+    const body = await res.json() as { result: { data: SidecarStatus } };
+    return body.result.data;
+  }
+
   /** Waits until every entry has the rig's configuration in force. */
   async ready(): Promise<void> {
     for (const entry of this.entries) {
