feat(sidecar): close at once for an unreachable engine, poll it less

The load is polled once a second, the cache only for the role prefill, and the reaper looks each 250 ms. A call that can't reach the engine closes the sidecar for new work until a poll succeeds.

--- a/packages/sidecar/src/backend_state.ts
+++ b/packages/sidecar/src/backend_state.ts
@@ -128,7 +128,14 @@
     const { clock, reconcileMs, prefillWindowTokens } = this.cfg;
     const canceller = new EngineCanceller(engine, signal);
     const knows = (id: string) => this.knows(id);
-    const watch = new EngineWatch({ engine, canceller, reconcileMs, knows });
+    const caches = () => this.role === BackendRole.Prefill;
+    const watch = new EngineWatch({
+      engine,
+      canceller,
+      reconcileMs,
+      caches,
+      knows,
+    });
     const { cache } = watch;
     const prefills = new PrefillScheduler({
       engine,
@@ -142,6 +149,7 @@
             cache.cachedTokens(req.pieceHashes),
         ),
       assumedRate: () => watch.prefillRate,
+      onUnreachable: () => watch.suspect(),
     });
     return { engine, canceller, watch, prefills };
   }
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -22,25 +22,25 @@
 export const INITIAL_PREFILL_RATE = 20_000;
 
 /** Interval between polls of the engine's load, in milliseconds. */
-export const LOAD_POLL_MS = 500;
+export const LOAD_POLL_MS = 1_000;
 
 /** Interval between polls of the engine's cache events, in milliseconds. */
-export const CACHE_POLL_MS = 1_000;
+export const CACHE_POLL_MS = 2_000;
 
 /** Time that a start waits for the engine to be cleaned up, in milliseconds. */
 export const STARTUP_CLEAN_MS = 2_000;
 
 /** Failed polls in a row after which an engine counts as down. */
-export const LOAD_FAILURES_DOWN = 3;
+export const LOAD_FAILURES_DOWN = 2;
 
 /** Interval between looks for attempts that were not renewed, in milliseconds. */
-export const REAP_INTERVAL_MS = 100;
+export const REAP_INTERVAL_MS = 250;
 
 /** Interval between looks for attempts to forget, in milliseconds. */
 export const PRUNE_INTERVAL_MS = 5_000;
 
 /** Interval between comparisons with what the engine holds, in milliseconds. */
-export const RECONCILE_INTERVAL_MS = 2_000;
+export const RECONCILE_INTERVAL_MS = 5_000;
 
 /** First and longest delay between cancels of one request, in milliseconds. */
 export const CANCEL_RETRY_MS = 50;
--- a/packages/sidecar/src/decode_runner.ts
+++ b/packages/sidecar/src/decode_runner.ts
@@ -34,6 +34,8 @@
   transferTimeoutMs: number;
   /** Fails the attempt that has to give up memory. */
   evict(place: Place): void;
+  /** Called when the engine did not answer. */
+  onUnreachable(): void;
 }
 
 /** Whether the engine may still hold the request. */
@@ -98,11 +100,17 @@
     const waitedMs = this.#opts.clock.now() - arrivedAtMs;
     const begun = await this.#begin(record, req, waitedMs);
     if (begun.status !== EngineStatus.Ok) {
+      this.#noteFailure(begun.status, signal);
       return failed(failureOf(begun.status, signal), EngineHold.Possible);
     }
     return await this.#follow(record, place, tokens, begun.events);
   }
 
+  #noteFailure(status: EngineStatus, signal: AbortSignal): void {
+    if (signal.aborted || status !== EngineStatus.Unreachable) return;
+    this.#opts.onUnreachable();
+  }
+
   /** False when the prefill result expires first, or on abort. */
   async #waitForPlace(
     place: Place,
@@ -215,6 +223,7 @@
       const resumed = await engine.resume(id, tokens.length, signal);
       if (resumed.status === EngineStatus.Ok) return resumed.events;
       if (resumed.status === EngineStatus.Refused) return undefined;
+      this.#noteFailure(resumed.status, signal);
       await sleep(ENGINE_RESUME_DELAY_MS, signal);
     }
     return undefined;
--- a/packages/sidecar/src/engine_watch.ts
+++ b/packages/sidecar/src/engine_watch.ts
@@ -24,6 +24,8 @@
   engine: Engine;
   canceller: EngineCanceller;
   reconcileMs: number;
+  /** Whether the engine keeps a prefix cache that is worth following. */
+  caches(): boolean;
   /** Whether the sidecar has a use for the request that the engine holds. */
   knows(id: string): boolean;
 }
@@ -67,11 +69,23 @@
   async start(signal: AbortSignal): Promise<void> {
     await this.#poll();
     await settleWithin(this.#cleanUp(), STARTUP_CLEAN_MS, signal);
-    void every(CACHE_POLL_MS, signal, () => this.cache.poll());
+    void every(CACHE_POLL_MS, signal, () => this.#pollCache());
     void every(LOAD_POLL_MS, signal, () => this.#poll());
     void every(this.#opts.reconcileMs, signal, () => this.#reconcile());
   }
 
+  /** A call found the engine unreachable: closed until a poll succeeds. */
+  suspect(): void {
+    if (this.#failures >= LOAD_FAILURES_DOWN) return;
+    log("engine_suspected");
+    this.#failures = LOAD_FAILURES_DOWN;
+    void this.#poll();
+  }
+
+  async #pollCache(): Promise<void> {
+    if (this.#opts.caches()) await this.cache.poll();
+  }
+
   async #poll(): Promise<void> {
     const load = await this.#opts.engine.load();
     if (!load) {
--- a/packages/sidecar/src/options.ts
+++ b/packages/sidecar/src/options.ts
@@ -93,7 +93,7 @@
   drainLingerMs?: number;
   /**
    * Interval between comparisons with what the engine holds, in milliseconds.
-   * @default 2000
+   * @default 5000
    */
   reconcileMs?: number;
   /** @default systemClock */
--- a/packages/sidecar/src/prefill_scheduler.ts
+++ b/packages/sidecar/src/prefill_scheduler.ts
@@ -26,6 +26,8 @@
   costOf(req: PrefillRequest): number;
   /** Rate that is assumed before one was measured, in tokens a second. */
   assumedRate(): number;
+  /** Called when the engine did not answer. */
+  onUnreachable(): void;
 }
 
 /** A finished prompt; times are of the sidecar's clock. */
@@ -204,10 +206,11 @@
       const times = { expiresAtMs, queuedMs, ranMs };
       return { done: true, handle, tokens, cachedTokens, ...times };
     }
-    const reason = job.record.stop.signal.aborted
-      ? job.record.refusal
-      : refusalOf(result.status);
-    return { done: false, reason };
+    if (job.record.stop.signal.aborted) {
+      return { done: false, reason: job.record.refusal };
+    }
+    if (result.status === EngineStatus.Unreachable) this.#opts.onUnreachable();
+    return { done: false, reason: refusalOf(result.status) };
   }
 
   #measure(tokens: number, ranMs: number): void {
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,5 +1,6 @@
 /** Puts the parts of a sidecar together and owns their lifetime. */
 import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import type { SidecarControl } from "@sassafrascleat/protocol";
 import { createLogger, every, sleep } from "@sassafrascleat/runtime";
 import type { FastifyInstance } from "fastify";
@@ -40,6 +41,7 @@
 export async function createSidecar(raw: SidecarOptions): Promise<Sidecar> {
   const cfg = resolveSidecarOptions(raw);
   const stop = new AbortController();
+  setMaxListeners(0, stop.signal);
   const state = new BackendState(cfg, randomUUID(), stop.signal);
   const plain = cfg.plain && createPlainCalls(state);
   const control = new ControlCalls(state, plain);
--- a/packages/sidecar/src/streams.ts
+++ b/packages/sidecar/src/streams.ts
@@ -37,6 +37,7 @@
       clock: state.cfg.clock,
       transferTimeoutMs: state.cfg.transferTimeoutMs,
       evict: (place) => this.#evict(place),
+      onUnreachable: () => state.parts?.watch.suspect(),
     });
   }
 
--- a/playground/src/bench/main.ts
+++ b/playground/src/bench/main.ts
@@ -7,6 +7,7 @@
 type Bench = (args: string[]) => Promise<number>;
 
 const BENCHES: Record<string, () => Promise<{ main: Bench }>> = {
+  sidecar: () => import("./sidecar/main.ts"),
   streams: () => import("./streams/main.ts"),
 };
 
