--- a/playground/src/bench/main.ts
+++ b/playground/src/bench/main.ts
@@ -8,7 +8,11 @@
 
 const BENCHES: Record<string, () => Promise<{ main: Bench }>> = {
   sidecar: () => import("./sidecar/main.ts"),
+  "config-log": () => import("./config_log/index.ts"),
+  relay: () => import("./relay/main.ts"),
   streams: () => import("./streams/main.ts"),
+  decisions: () => import("./decisions/main.ts"),
+  placement: () => import("./placement/main.ts"),
 };
 
 const [name = "", ...args] = process.argv.slice(2);
