--- /dev/null
+++ b/playground/src/bench/capacity/request_path.ts
@@ -0,0 +1,169 @@
+/**
+ * Processor time of real daemon processes for requests, tokens and prompts:
+ * three loads that differ in these, solved for the cost of each.
+ */
+import { BackendRole } from "@sassafrascleat/protocol";
+import { callModel } from "../../caller/model_caller.ts";
+import { type Rig, RIG_MODEL, startRig } from "../../rig/rig.ts";
+import { solveLinear } from "../measure/linear.ts";
+import { readProcessCost } from "../measure/process_cost.ts";
+import { sleep } from "@sassafrascleat/runtime";
+
+const TIME_SCALE = 0.05;
+const CONCURRENCY = 12;
+const CHARS_PER_KTOKEN = 4_000;
+const IDLE_MS = 5_000;
+
+const NO_LIMIT = { requestsPerSecond: 1e6, burst: 1_000_000 };
+
+interface Load {
+  requests: number;
+  maxTokens: number;
+  promptKtokens: number;
+}
+
+const WARM_UP: Load = { requests: 400, maxTokens: 32, promptKtokens: 0.05 };
+const LOADS: Load[] = [
+  { requests: 400, maxTokens: 4, promptKtokens: 0.05 },
+  { requests: 120, maxTokens: 256, promptKtokens: 0.05 },
+  { requests: 120, maxTokens: 4, promptKtokens: 12 },
+];
+
+/** Costs of one role, added up over its processes. */
+export interface RoleCost {
+  cpuMsPerRequest: number;
+  cpuUsPerToken: number;
+  cpuMsPerPromptKtoken: number;
+  /** Of one process while nothing is asked, in milliseconds a second. */
+  idleCpuMsPerS: number;
+  /** Of one process after the loads. */
+  rssMb: number;
+  /** Of one process before the loads. */
+  idleRssMb: number;
+}
+
+/** Costs of the request path, and how many requests did not end whole. */
+export interface RequestPathCost {
+  entry: RoleCost;
+  prefill: RoleCost;
+  decode: RoleCost;
+  requests: number;
+  unfinished: number;
+}
+
+type Role = "entry" | "prefill" | "decode";
+const ROLES: Role[] = ["entry", "prefill", "decode"];
+
+interface LoadResult {
+  factors: number[];
+  cpuMs: Record<Role, number>;
+  requests: number;
+  unfinished: number;
+}
+
+function pidsOf(rig: Rig, role: Role): number[] {
+  if (role === "entry") return rig.entries.map((entry) => entry.process.pid);
+  const backendRole = role === "prefill"
+    ? BackendRole.Prefill
+    : BackendRole.Decode;
+  return rig.byRole(backendRole).map((backend) => backend.process.pid);
+}
+
+function sumOver(rig: Rig, role: Role, field: "cpuMs" | "rssMb"): number {
+  return pidsOf(rig, role)
+    .reduce((sum, pid) => sum + readProcessCost(pid)[field], 0);
+}
+
+function cpuByRole(rig: Rig): Record<Role, number> {
+  return {
+    entry: sumOver(rig, "entry", "cpuMs"),
+    prefill: sumOver(rig, "prefill", "cpuMs"),
+    decode: sumOver(rig, "decode", "cpuMs"),
+  };
+}
+
+/** Sends one load through both entries and counts what came back. */
+async function runLoad(rig: Rig, load: Load): Promise<LoadResult> {
+  const before = cpuByRole(rig);
+  let next = 0;
+  let tokens = 0;
+  let unfinished = 0;
+  const lane = async () => {
+    while (next < load.requests) {
+      const index = next++;
+      const entry = rig.entries[index % rig.entries.length]!;
+      const filler = "x".repeat(load.promptKtokens * CHARS_PER_KTOKEN);
+      const answer = await callModel({
+        address: entry.process.addresses.callers ?? "",
+        model: RIG_MODEL,
+        prompt: `${load.maxTokens}-${index}-${filler}`,
+        maxTokens: load.maxTokens,
+        stream: true,
+      });
+      if (!answer.finished) unfinished += 1;
+      if (answer.ttftMs !== undefined) tokens += 1 + answer.gapsMs.length;
+    }
+  };
+  await Promise.all(Array.from({ length: CONCURRENCY }, lane));
+  const after = cpuByRole(rig);
+  const cpuMs = Object.fromEntries(
+    ROLES.map((role) => [role, after[role] - before[role]]),
+  ) as Record<Role, number>;
+  const ktokens = load.requests * load.promptKtokens;
+  const factors = [load.requests, tokens, ktokens];
+  return { factors, cpuMs, requests: load.requests, unfinished };
+}
+
+/** Runs the loads against a rig of real processes. */
+export async function measureRequestPath(): Promise<RequestPathCost> {
+  const rig = await startRig({
+    timeScale: TIME_SCALE,
+    policy: { limit: NO_LIMIT },
+  });
+  try {
+    const idleRss = rssByRole(rig);
+    await sleep(IDLE_MS);
+    const idleStart = cpuByRole(rig);
+    await sleep(IDLE_MS);
+    const idleEnd = cpuByRole(rig);
+    await runLoad(rig, WARM_UP);
+    const results: LoadResult[] = [];
+    for (const load of LOADS) results.push(await runLoad(rig, load));
+    const rss = rssByRole(rig);
+    const costOf = (role: Role): RoleCost => {
+      const solved = solveLinear(results.map((result) => ({
+        factors: result.factors,
+        total: result.cpuMs[role],
+      })));
+      const idleMs = idleEnd[role] - idleStart[role];
+      const processes = pidsOf(rig, role).length;
+      return {
+        cpuMsPerRequest: solved?.[0] ?? NaN,
+        cpuUsPerToken: (solved?.[1] ?? NaN) * 1_000,
+        cpuMsPerPromptKtoken: solved?.[2] ?? NaN,
+        idleCpuMsPerS: idleMs / (IDLE_MS / 1_000) / processes,
+        rssMb: rss[role],
+        idleRssMb: idleRss[role],
+      };
+    };
+    return {
+      entry: costOf("entry"),
+      prefill: costOf("prefill"),
+      decode: costOf("decode"),
+      requests: results.reduce((sum, result) => sum + result.requests, 0),
+      unfinished: results.reduce((sum, result) => sum + result.unfinished, 0),
+    };
+  } finally {
+    await rig.close();
+  }
+}
+
+function rssByRole(rig: Rig): Record<Role, number> {
+  const mean = (role: Role) =>
+    sumOver(rig, role, "rssMb") / pidsOf(rig, role).length;
+  return {
+    entry: mean("entry"),
+    prefill: mean("prefill"),
+    decode: mean("decode"),
+  };
+}
--- /dev/null
+++ b/playground/src/bench/capacity/state_probe.ts
@@ -0,0 +1,173 @@
+/**
+ * Builds the control state of one daemon at a given size and reports its heap
+ * and the processor time of working on it. Needs `--expose-gc`.
+ */
+import {
+  ChangeAction,
+  createConfigReplica,
+  createOperations,
+  ObjectKind,
+} from "@sassafrascleat/config";
+import { createHostView } from "@sassafrascleat/membership";
+import {
+  BackendRole,
+  type BackendServer,
+  HostState,
+} from "@sassafrascleat/protocol";
+
+/** What the probe measured. */
+export interface ControlState {
+  customers: number;
+  backendServers: number;
+  /** Heap of the replica with all customers, in megabytes. */
+  replicaHeapMb: number;
+  /** Heap that kept changes add, in megabytes. */
+  keptChangesHeapMb: number;
+  keptChanges: number;
+  snapshotBytes: number;
+  applyMsPerChange: number;
+  /** Heap of the host view, in megabytes. */
+  hostsHeapMb: number;
+  hostListBytes: number;
+  /** Reading one host list: parsing it and taking it over. */
+  hostListMs: number;
+  /** One call of `candidates` on a pool whose subset is known. */
+  candidatesUs: number;
+}
+
+const [customers = 0, backendServers = 0, changes = 0] = process.argv
+  .slice(2).map(Number);
+
+function heapMb(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed / 1e6;
+}
+
+function cpuMs(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / 1_000;
+}
+
+const envelope = {
+  author: "bench",
+  office: "office-0",
+  time: "2026-01-01T00:00:00.000Z",
+  kind: ObjectKind.Customer,
+};
+
+function createChangeAt(index: number) {
+  const name = `customer-${index}`;
+  return {
+    ...envelope,
+    sequence: index + 1,
+    patchId: `create-${index}`,
+    name,
+    action: ChangeAction.Create,
+    baseVersion: 0,
+    operations: createOperations({
+      name,
+      keySha256: [index.toString(16).padStart(64, "0")],
+      limit: { requestsPerSecond: 10 },
+    }),
+  };
+}
+
+function patchChangeAt(index: number) {
+  return {
+    ...envelope,
+    sequence: customers + index + 1,
+    patchId: `patch-${index}-0123456789abcdef`,
+    name: `customer-${index % customers}`,
+    action: ChangeAction.Patch,
+    baseVersion: 1 + Math.floor(index / customers),
+    operations: [{
+      op: "replace" as const,
+      path: "/limit/requestsPerSecond",
+      value: index + 1,
+    }],
+  };
+}
+
+/** The snapshot after all customers were created, as text. */
+function snapshotText(): string {
+  const replica = createConfigReplica();
+  for (let index = 0; index < customers; index++) {
+    replica.apply(createChangeAt(index));
+  }
+  return JSON.stringify(replica.snapshot());
+}
+
+function measureReplica() {
+  const text = snapshotText();
+  const start = heapMb();
+  const replica = createConfigReplica();
+  replica.install(JSON.parse(text));
+  const replicaHeapMb = heapMb() - start;
+  const cpuBefore = cpuMs();
+  for (let index = 0; index < changes; index++) {
+    replica.apply(patchChangeAt(index));
+  }
+  const applyMsPerChange = (cpuMs() - cpuBefore) / changes;
+  const keptChangesHeapMb = heapMb() - start - replicaHeapMb;
+  if (replica.sequence !== customers + changes) {
+    throw new Error("the replica refused a change of the probe");
+  }
+  return {
+    replicaHeapMb,
+    keptChangesHeapMb,
+    keptChanges: replica.recentChanges().length,
+    snapshotBytes: Buffer.byteLength(text),
+    applyMsPerChange,
+  };
+}
+
+function serverAt(index: number): BackendServer {
+  return {
+    name: `engine-${index}`,
+    office: `office-${index % 4}`,
+    availabilityZone: `zone-${index % 14}`,
+    pool: `pool-${index % 20}`,
+    role: index % 3 === 0 ? BackendRole.Prefill : BackendRole.Decode,
+    sidecarAddress: `http://10.0.${index >> 8}.${index & 255}:7000`,
+    engineAddress: `http://10.0.${index >> 8}.${index & 255}:8000`,
+    state: HostState.Live,
+  };
+}
+
+async function measureHosts() {
+  const list = Array.from({ length: backendServers }, (_, at) => serverAt(at));
+  const text = JSON.stringify(list);
+  const { signal } = new AbortController();
+  const before = heapMb();
+  const view = createHostView({
+    source: { list: () => Promise.resolve(JSON.parse(text)) },
+    office: "office-0",
+    availabilityZone: "zone-0",
+    entryId: "entry-0",
+  });
+  await view.refresh(signal);
+  const hostsHeapMb = heapMb() - before;
+  const rounds = 20;
+  const cpuBefore = cpuMs();
+  for (let round = 0; round < rounds; round++) await view.refresh(signal);
+  const hostListMs = (cpuMs() - cpuBefore) / rounds;
+  const calls = 200_000;
+  view.candidates("pool-0");
+  const callsBefore = cpuMs();
+  for (let call = 0; call < calls; call++) view.candidates("pool-0");
+  const candidatesUs = (cpuMs() - callsBefore) * 1_000 / calls;
+  return {
+    hostsHeapMb,
+    hostListBytes: Buffer.byteLength(text),
+    hostListMs,
+    candidatesUs,
+  };
+}
+
+const state: ControlState = {
+  customers,
+  backendServers,
+  ...measureReplica(),
+  ...await measureHosts(),
+};
+process.send?.(state, () => process.exit(0));
--- a/playground/src/bench/main.ts
+++ b/playground/src/bench/main.ts
@@ -7,6 +7,7 @@
 type Bench = (args: string[]) => Promise<number>;
 
 const BENCHES: Record<string, () => Promise<{ main: Bench }>> = {
+  capacity: () => import("./capacity/main.ts"),
   relay: () => import("./relay/main.ts"),
 };
 
--- /dev/null
+++ b/playground/src/bench/measure/linear.ts
@@ -0,0 +1,46 @@
+/** Solves small systems of linear equations, for costs of several causes. */
+
+/** One equation: `factors` times the unknowns gives `total`. */
+export interface Equation {
+  factors: number[];
+  total: number;
+}
+
+/**
+ * Solves as many equations as there are unknowns by elimination; undefined
+ * when they do not determine the unknowns.
+ */
+export function solveLinear(
+  equations: readonly Equation[],
+): number[] | undefined {
+  const rows = equations.map(({ factors, total }) => [...factors, total]);
+  const size = rows.length;
+  for (let column = 0; column < size; column++) {
+    const pivot = pivotRow(rows, column);
+    if (pivot === undefined) return undefined;
+    [rows[column], rows[pivot]] = [rows[pivot]!, rows[column]!];
+    for (let row = 0; row < size; row++) {
+      if (row !== column) eliminate(rows[row]!, rows[column]!, column);
+    }
+  }
+  return rows.map((row, index) => row[size]! / row[index]!);
+}
+
+function pivotRow(rows: number[][], column: number): number | undefined {
+  let best: number | undefined;
+  for (let row = column; row < rows.length; row++) {
+    const value = Math.abs(rows[row]![column]!);
+    if (value < 1e-9) continue;
+    if (best === undefined || value > Math.abs(rows[best]![column]!)) {
+      best = row;
+    }
+  }
+  return best;
+}
+
+function eliminate(row: number[], by: number[], column: number): void {
+  const factor = row[column]! / by[column]!;
+  for (let index = column; index < row.length; index++) {
+    row[index]! -= factor * by[index]!;
+  }
+}
--- /dev/null
+++ b/playground/src/bench/measure/process_cost.ts
@@ -0,0 +1,23 @@
+/** Processor time and memory of another process, as the kernel counts them. */
+import { readFileSync } from "node:fs";
+
+/** Clock ticks a second in `/proc`; fixed by the kernel's interface. */
+const TICKS_PER_S = 100;
+
+/** What a process has used. */
+export interface ProcessCost {
+  /** Processor time of all its threads since its start, in milliseconds. */
+  cpuMs: number;
+  /** Resident memory, in megabytes. */
+  rssMb: number;
+}
+
+/** Reads the cost of a running process; throws when it has ended. */
+export function readProcessCost(pid: number): ProcessCost {
+  const stat = readFileSync(`/proc/${pid}/stat`, "utf8");
+  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+  const ticks = Number(fields[11]) + Number(fields[12]);
+  const status = readFileSync(`/proc/${pid}/status`, "utf8");
+  const rssKb = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1]);
+  return { cpuMs: ticks * 1_000 / TICKS_PER_S, rssMb: rssKb / 1_000 };
+}
--- a/playground/src/rig/daemon_process.ts
+++ b/playground/src/rig/daemon_process.ts
@@ -50,6 +50,11 @@
     return this.#logs;
   }
 
+  /** The process id, for reading its costs. */
+  get pid(): number {
+    return this.#child.pid ?? 0;
+  }
+
   get running(): boolean {
     return this.#child.exitCode === null && this.#child.signalCode === null;
   }
