--- a/packages/entry/src/plain/plain_call.ts
+++ b/packages/entry/src/plain/plain_call.ts
@@ -26,11 +26,17 @@
   RetryAction,
   retryDecision,
 } from "@sassafrascleat/routing";
-import { createLogger, jitter, sleep } from "@sassafrascleat/runtime";
+import {
+  childController,
+  createLogger,
+  jitter,
+  sleep,
+} from "@sassafrascleat/runtime";
 import {
   ATTACH_RETRY_MS,
   ATTACH_WAIT_MS,
   LOST_ANSWER_MS,
+  PLAIN_SILENCE_MS,
 } from "../constants.ts";
 import { abortOutcome, type Call, type Place } from "../lifecycle/call.ts";
 import type { EntryContext } from "../lifecycle/context.ts";
@@ -68,6 +74,12 @@
   | { outcome: Outcome<PlainAnswer> }
   | { failed: FailureReason; ran: Unknown | undefined };
 
+/** The reply to a call, and whether the call's own connection brought it. */
+interface Sent {
+  reply: PlainCallReply | undefined;
+  direct: boolean;
+}
+
 /** Runs one plain call to its outcome. */
 export class PlainCall {
   readonly #call: Call;
@@ -123,27 +135,26 @@
       return { outcome: this.#ran ?? placed };
     }
     const place = placed.value;
-    place.lease.release();
     const stopped = await beforeDispatch?.(place);
     if (stopped || this.#call.signal.aborted) {
-      this.#parts.lane.reserver.release(place);
+      lane.reserver.release(place);
       return { outcome: stopped ?? abortOutcome(this.#call.signal) };
     }
-    return this.#dispatch(place);
+    try {
+      return await this.#dispatch(place);
+    } finally {
+      place.lease.release();
+    }
   }
 
   async #dispatch(place: Place): Promise<AttemptEnd> {
     const { service } = this.#parts;
     const nowMs = this.#ctx.clock.now();
     const remainingMs = this.#call.req.deadlineMs - nowMs;
-    const timeoutMs = Math.min(service.timeoutMs, remainingMs);
-    const reply = await place.client.call(
-      this.#message(place, timeoutMs),
-      timeoutMs,
-      this.#signal(),
-    );
+    const timeoutMs = Math.max(1, Math.min(service.timeoutMs, remainingMs));
+    const { reply, direct } = await this.#send(place, timeoutMs);
     if (reply && reply.state !== PlainCallState.Running) {
-      return this.#read(place, reply, true);
+      return this.#read(place, reply, direct);
     }
     if (this.#signal().aborted) {
       void this.#ctx.canceller.cancel(place.client, place.ref);
@@ -153,6 +164,42 @@
     return this.#recover(place, nowMs + timeoutMs + LOST_ANSWER_MS);
   }
 
+  /**
+   * Sends the call once. When its connection stays silent, another one asks
+   * for the answer meanwhile, without ending a call that has not started.
+   */
+  async #send(place: Place, timeoutMs: number): Promise<Sent> {
+    const controller = childController(this.#signal());
+    const { signal } = controller;
+    const sent = place.client
+      .call(this.#message(place, timeoutMs), timeoutMs, signal)
+      .then((reply): Sent => ({ reply, direct: true }));
+    try {
+      return await Promise.race([sent, this.#watch(place, signal)]);
+    } finally {
+      controller.abort();
+    }
+  }
+
+  /** Resolves only with an answer; the sent call ends the wait otherwise. */
+  async #watch(place: Place, signal: AbortSignal): Promise<Sent> {
+    await sleep(PLAIN_SILENCE_MS, signal);
+    if (!signal.aborted) place.client.renewConnections();
+    while (!signal.aborted) {
+      const reply = await place.client.attach({
+        ...place.ref,
+        incarnation: place.incarnation,
+        waitMs: ATTACH_WAIT_MS,
+        settle: false,
+      }, signal);
+      if (reply?.state === PlainCallState.Answered) {
+        return { reply, direct: false };
+      }
+      await sleep(ATTACH_RETRY_MS, signal);
+    }
+    return new Promise(() => {});
+  }
+
   /** A call that may not be repeated goes on without its caller. */
   #signal(): AbortSignal {
     return this.#parts.repeatable ? this.#call.signal : this.#ctx.signal;
@@ -190,7 +237,7 @@
         await sleep(jitter(ATTACH_RETRY_MS, this.#ctx.options.random), signal);
       }
     }
-    return this.#unknown(last);
+    return this.#unknown(place, last);
   }
 
   #attachWaitMs(untilMs: number): number {
@@ -208,18 +255,21 @@
         return { outcome: answered(reply.answer) };
       case PlainCallState.NotRun: {
         const proved = direct || reply.incarnation === place.incarnation;
-        if (!proved) return this.#unknown(UnknownReason.SidecarRestarted);
+        if (!proved) {
+          return this.#unknown(place, UnknownReason.SidecarRestarted);
+        }
         this.#call.avoid.add(place.server.name);
         return { failed: transient(reply.reason), ran: undefined };
       }
       case PlainCallState.Unknown:
-        return this.#unknown(reply.reason);
+        return this.#unknown(place, reply.reason);
       case PlainCallState.Running:
-        return this.#unknown(UnknownReason.StillRunning);
+        return this.#unknown(place, UnknownReason.StillRunning);
     }
   }
 
-  #unknown(reason: UnknownReason): AttemptEnd {
+  #unknown(place: Place, reason: UnknownReason): AttemptEnd {
+    this.#call.avoid.add(place.server.name);
     return { failed: AttemptFailure.Unreachable, ran: describe(reason) };
   }
 
--- a/playground/src/bench/capacity/state_probe.ts
+++ b/playground/src/bench/capacity/state_probe.ts
@@ -38,11 +38,17 @@
 const [customers = 0, backendServers = 0, changes = 0] = process.argv
   .slice(2).map(Number);
 
-function heapMb(): number {
-  globalThis.gc?.();
+/** The heap after garbage of earlier steps is gone. */
+async function heapMb(): Promise<number> {
+  for (let round = 0; round < GC_ROUNDS; round++) {
+    await new Promise((resolve) => setImmediate(resolve));
+    globalThis.gc?.();
+  }
   return process.memoryUsage().heapUsed / 1e6;
 }
 
+const GC_ROUNDS = 5;
+
 function cpuMs(): number {
   const { user, system } = process.cpuUsage();
   return (user + system) / 1_000;
@@ -97,18 +103,18 @@
   return JSON.stringify(replica.snapshot());
 }
 
-function measureReplica() {
+async function measureReplica() {
   const text = snapshotText();
-  const start = heapMb();
+  const start = await heapMb();
   const replica = createConfigReplica();
   replica.install(JSON.parse(text));
-  const replicaHeapMb = heapMb() - start;
+  const replicaHeapMb = await heapMb() - start;
   const cpuBefore = cpuMs();
   for (let index = 0; index < changes; index++) {
     replica.apply(patchChangeAt(index));
   }
   const applyMsPerChange = (cpuMs() - cpuBefore) / changes;
-  const keptChangesHeapMb = heapMb() - start - replicaHeapMb;
+  const keptChangesHeapMb = await heapMb() - start - replicaHeapMb;
   if (replica.sequence !== customers + changes) {
     throw new Error("the replica refused a change of the probe");
   }
@@ -138,7 +144,7 @@
   const list = Array.from({ length: backendServers }, (_, at) => serverAt(at));
   const text = JSON.stringify(list);
   const { signal } = new AbortController();
-  const before = heapMb();
+  const before = await heapMb();
   const view = createHostView({
     source: { list: () => Promise.resolve(JSON.parse(text)) },
     office: "office-0",
@@ -146,7 +152,7 @@
     entryId: "entry-0",
   });
   await view.refresh(signal);
-  const hostsHeapMb = heapMb() - before;
+  const hostsHeapMb = await heapMb() - before;
   const rounds = 20;
   const cpuBefore = cpuMs();
   for (let round = 0; round < rounds; round++) await view.refresh(signal);
@@ -167,7 +173,7 @@
 const state: ControlState = {
   customers,
   backendServers,
-  ...measureReplica(),
+  ...await measureReplica(),
   ...await measureHosts(),
 };
 process.send?.(state, () => process.exit(0));
