fix(playground): request costs of the capacity bench at a real pace

Cause: at a twentieth of the engines' durations prefill results expired before the next process ran (26 to 173 of 640 requests ended unfinished on a busy machine), and tokens came in bunches, which hid their cost. Change: a quarter of the durations, fewer long prompts at once, idle time taken off, and unfinished requests counted by status.

--- a/playground/src/bench/capacity/request_path.ts
+++ b/playground/src/bench/capacity/request_path.ts
@@ -9,8 +9,11 @@
 import { readProcessCost } from "../measure/process_cost.ts";
 import { sleep } from "@sassafrascleat/runtime";
 
-const TIME_SCALE = 0.05;
-const CONCURRENCY = 12;
+/**
+ * Factor on the stand-ins' durations. Much smaller ones let prefill results
+ * expire before the next process is scheduled.
+ */
+const TIME_SCALE = 0.25;
 const CHARS_PER_KTOKEN = 4_000;
 const IDLE_MS = 5_000;
 
@@ -20,13 +23,20 @@
   requests: number;
   maxTokens: number;
   promptKtokens: number;
+  /** Requests under way at once. */
+  concurrent: number;
 }
 
-const WARM_UP: Load = { requests: 400, maxTokens: 32, promptKtokens: 0.05 };
+const WARM_UP: Load = {
+  requests: 300,
+  maxTokens: 32,
+  promptKtokens: 0.05,
+  concurrent: 24,
+};
 const LOADS: Load[] = [
-  { requests: 400, maxTokens: 4, promptKtokens: 0.05 },
-  { requests: 120, maxTokens: 256, promptKtokens: 0.05 },
-  { requests: 120, maxTokens: 4, promptKtokens: 12 },
+  { requests: 400, maxTokens: 4, promptKtokens: 0.05, concurrent: 24 },
+  { requests: 96, maxTokens: 256, promptKtokens: 0.05, concurrent: 24 },
+  { requests: 96, maxTokens: 4, promptKtokens: 12, concurrent: 6 },
 ];
 
 /** Costs of one role, added up over its processes. */
@@ -49,6 +59,8 @@
   decode: RoleCost;
   requests: number;
   unfinished: number;
+  /** Unfinished requests by status and outcome. */
+  unfinishedBy: Record<string, number>;
 }
 
 type Role = "entry" | "prefill" | "decode";
@@ -57,8 +69,9 @@
 interface LoadResult {
   factors: number[];
   cpuMs: Record<Role, number>;
+  elapsedMs: number;
   requests: number;
-  unfinished: number;
+  unfinished: string[];
 }
 
 function pidsOf(rig: Rig, role: Role): number[] {
@@ -85,9 +98,10 @@
 /** Sends one load through both entries and counts what came back. */
 async function runLoad(rig: Rig, load: Load): Promise<LoadResult> {
   const before = cpuByRole(rig);
+  const startedAtMs = performance.now();
   let next = 0;
   let tokens = 0;
-  let unfinished = 0;
+  const unfinished: string[] = [];
   const lane = async () => {
     while (next < load.requests) {
       const index = next++;
@@ -100,18 +114,21 @@
         maxTokens: load.maxTokens,
         stream: true,
       });
-      if (!answer.finished) unfinished += 1;
+      if (!answer.finished) {
+        unfinished.push(`${answer.status} ${answer.outcome ?? "cut"}`);
+      }
       if (answer.ttftMs !== undefined) tokens += 1 + answer.gapsMs.length;
     }
   };
-  await Promise.all(Array.from({ length: CONCURRENCY }, lane));
+  await Promise.all(Array.from({ length: load.concurrent }, lane));
   const after = cpuByRole(rig);
+  const elapsedMs = performance.now() - startedAtMs;
   const cpuMs = Object.fromEntries(
     ROLES.map((role) => [role, after[role] - before[role]]),
   ) as Record<Role, number>;
   const ktokens = load.requests * load.promptKtokens;
   const factors = [load.requests, tokens, ktokens];
-  return { factors, cpuMs, requests: load.requests, unfinished };
+  return { factors, cpuMs, elapsedMs, requests: load.requests, unfinished };
 }
 
 /** Runs the loads against a rig of real processes. */
@@ -131,11 +148,11 @@
     for (const load of LOADS) results.push(await runLoad(rig, load));
     const rss = rssByRole(rig);
     const costOf = (role: Role): RoleCost => {
+      const idleMs = idleEnd[role] - idleStart[role];
       const solved = solveLinear(results.map((result) => ({
         factors: result.factors,
-        total: result.cpuMs[role],
+        total: result.cpuMs[role] - idleMs * result.elapsedMs / IDLE_MS,
       })));
-      const idleMs = idleEnd[role] - idleStart[role];
       const processes = pidsOf(rig, role).length;
       return {
         cpuMsPerRequest: solved?.[0] ?? NaN,
@@ -151,13 +168,22 @@
       prefill: costOf("prefill"),
       decode: costOf("decode"),
       requests: results.reduce((sum, result) => sum + result.requests, 0),
-      unfinished: results.reduce((sum, result) => sum + result.unfinished, 0),
+      ...countUnfinished(results),
     };
   } finally {
     await rig.close();
   }
 }
 
+function countUnfinished(results: readonly LoadResult[]) {
+  const unfinished = results.flatMap((result) => result.unfinished);
+  const unfinishedBy: Record<string, number> = {};
+  for (const how of unfinished) {
+    unfinishedBy[how] = (unfinishedBy[how] ?? 0) + 1;
+  }
+  return { unfinished: unfinished.length, unfinishedBy };
+}
+
 function rssByRole(rig: Rig): Record<Role, number> {
   const mean = (role: Role) =>
     sumOver(rig, role, "rssMb") / pidsOf(rig, role).length;
