--- a/playground/src/bench/main.ts
+++ b/playground/src/bench/main.ts
@@ -8,6 +8,7 @@
 
 const BENCHES: Record<string, () => Promise<{ main: Bench }>> = {
   sidecar: () => import("./sidecar/main.ts"),
+  capacity: () => import("./capacity/main.ts"),
   "config-log": () => import("./config_log/index.ts"),
   relay: () => import("./relay/main.ts"),
   streams: () => import("./streams/main.ts"),
