--- a/playground/src/bench/config_log/index.ts
+++ b/playground/src/bench/config_log/index.ts
@@ -27,6 +27,12 @@
 /** Changes whose way to another daemon is timed. */
 const LAG_CHANGES = 60;
 
+/** Changes before the upkeep that is measured; one segment is archived. */
+const UPKEEP_CHANGES = 1_700;
+
+/** Changes of one archive segment. */
+const SEGMENT_CHANGES = 500;
+
 /** Customers at the goal size. */
 const CUSTOMERS = 5_600;
 
@@ -137,6 +143,29 @@
   };
 }
 
+/** Store calls of a snapshot and the archiving of one segment. */
+async function benchUpkeep(server: StoreServer, store: ObjectStore) {
+  const replica = createConfigReplica();
+  const log = createChangeLog({
+    store,
+    replica,
+    office: "co-op",
+    compactionPauseMs: 0,
+  });
+  const daemon = { replica, log };
+  await accept(daemon, proposal("u0", ObjectKind.Policy, { name: "std" }));
+  for (let i = 1; i < UPKEEP_CHANGES; i++) {
+    await accept(daemon, patch(`u${i}`, i));
+  }
+  const before = server.counts();
+  await log.maintain(forever);
+  const after = server.counts();
+  return {
+    writesPerArchivedChange: (after.writes - before.writes) / SEGMENT_CHANGES,
+    reads: after.reads - before.reads,
+  };
+}
+
 /** Bytes of live objects in the heap. */
 function liveHeapBytes(): number {
   setFlagsFromString("--expose-gc");
@@ -197,7 +226,9 @@
     const race = await benchRace(server, [...daemons]);
     return { propose, lag, race };
   });
+  const upkeep = await withServer(benchUpkeep);
   const start = await withServer((_, store) => benchStart(store));
-  console.log(JSON.stringify({ bench: "config-log", ...figures, start }));
+  const line = { bench: "config-log", ...figures, upkeep, start };
+  console.log(JSON.stringify(line));
   return 0;
 }
