fix(config): archive pieces are never overwritten

A piece that an interrupted writer of another release had left was overwritten. Had that overwrite arrived late, it could have put a piece of another cut into a segment in use, with changes missing.

Conclusion: what the archive's head names does not change any more.

--- a/packages/config/src/__tests__/archive_test.ts
+++ b/packages/config/src/__tests__/archive_test.ts
@@ -12,7 +12,12 @@
   LogReadStatus,
   ProposeKind,
 } from "../change_log_contract.ts";
-import { changeKey, CHANGES_PREFIX } from "../log_keys.ts";
+import {
+  changeKey,
+  CHANGES_PREFIX,
+  pieceKey,
+  segmentPrefix,
+} from "../log_keys.ts";
 import { ObjectKind } from "../objects.ts";
 import { createConfigReplica } from "../replica.ts";
 import { createPolicy, forever, patchPolicy } from "./fixtures.ts";
@@ -153,6 +158,19 @@
   });
 });
 
+test("a piece that another release left behind harms no segment", async () => {
+  const store: ObjectStore = createMemoryStore();
+  const { log } = open(store);
+  await accept(log, 1, 2);
+  const listed = await store.list({ prefix: CHANGES_PREFIX });
+  const left = listed.status === StoreStatus.Ok ? listed.objects : [];
+  const changes = left.map((object) => object.value).slice(0, 1);
+  await store.put(pieceKey(segmentPrefix(0), 0), { changes }, ABSENT);
+  await accept(log, 3, 20);
+  expect(await auditIds(log)).toEqual(idsDown(20));
+  expect(await tailLength(store)).toBeLessThan(20);
+});
+
 describe("a daemon that was paused", () => {
   test("is not accepted under a sequence that was archived", async () => {
     const store: ObjectStore = createMemoryStore();
--- a/packages/config/src/constants.ts
+++ b/packages/config/src/constants.ts
@@ -42,7 +42,7 @@
 /** Largest piece of a snapshot or an archive segment, in bytes of JSON. */
 export const PIECE_BYTES = 800_000;
 
-/** Changes of one archive segment. */
+/** Changes of one archive segment; a part of the stored format. */
 export const SEGMENT_CHANGES = 500;
 
 /** Newest changes that are never archived. */
--- a/packages/config/src/segments.ts
+++ b/packages/config/src/segments.ts
@@ -3,6 +3,7 @@
  * pieces. A segment is never changed once the archive's head names it.
  */
 import { ABSENT, type ObjectStore, StoreStatus } from "@sassafrascleat/store";
+import { randomUUID } from "node:crypto";
 import { isDeepStrictEqual } from "node:util";
 import { z } from "zod";
 import { type Change, changeSchema } from "./change.ts";
@@ -73,20 +74,22 @@
     return stored !== undefined && isDeepStrictEqual(stored, changes);
   }
 
-  /** Writes one piece; a different one that an interrupted writer left goes. */
+  /**
+   * Writes one piece. What an interrupted writer of another release left under
+   * its key stays: a late overwrite could harm a segment that is in use.
+   */
   async #writePiece(
     key: string,
     value: unknown,
     signal: AbortSignal,
   ): Promise<boolean> {
-    let expected = ABSENT;
-    for (let attempt = 0; attempt < 2; attempt++) {
-      const result = await this.#store.put(key, value, expected, signal);
-      if (result.status === StoreStatus.Ok) return true;
-      if (result.status !== StoreStatus.Conflict) return false;
-      if (isDeepStrictEqual(result.current?.value, value)) return true;
-      expected = result.current?.version ?? ABSENT;
+    const result = await this.#store.put(key, value, ABSENT, signal);
+    if (result.status !== StoreStatus.Conflict) {
+      return result.status === StoreStatus.Ok;
     }
-    return false;
+    if (isDeepStrictEqual(result.current?.value, value)) return true;
+    const other = `${key}-${randomUUID()}`;
+    const again = await this.#store.put(other, value, ABSENT, signal);
+    return again.status === StoreStatus.Ok;
   }
 }
