--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,5 +1,10 @@
 /** Host list, leaving, rendezvous subsets and the configuration relay. */
-export { FOLLOWERS_PER_HEAD, HEADS_PER_ZONE } from "./constants.ts";
+export {
+  FOLLOWERS_PER_HEAD,
+  HEADS_PER_ZONE,
+  PULL_WAIT_MS,
+  SUBSET_SIZE,
+} from "./constants.ts";
 export {
   createHostView,
   type HostViewOptions,
--- a/playground/src/bench/capacity/main.ts
+++ b/playground/src/bench/capacity/main.ts
@@ -3,7 +3,6 @@
  * works out the planned size from them and prints the tables of
  * docs/CAPACITY.md, then one line of JSON with what was measured.
  */
-import { KEPT_CHANGES_SAMPLE } from "./sizes.ts";
 import { significant } from "../measure/fit.ts";
 import { runSizes, slopesOf } from "../relay/main.ts";
 import { measureImports } from "./import_memory.ts";
@@ -11,18 +10,20 @@
 import { runProbe } from "./probe_link.ts";
 import { measureRequestPath } from "./request_path.ts";
 import type { ControlState } from "./state_probe.ts";
-import { importTable, roleTable, storeTable } from "./tables.ts";
+import { importTable, renewTable, roleTable, storeTable } from "./tables.ts";
 import {
   claimsPerS,
   daemonsAtReadLimit,
   type Measured,
   relayOnly,
+  renewLoads,
   roleLoads,
   storeLoads,
 } from "./work_out.ts";
 import {
   CLAIM_PARTITION_BYTES,
   CLAIM_PARTITIONS,
+  KEPT_CHANGES_SAMPLE,
   RELAY_SIZES,
 } from "./sizes.ts";
 
@@ -46,6 +47,8 @@
   const measured = await measure();
   console.log(roleTable([...roleLoads(measured), ...relayOnly(measured)]));
   console.log("");
+  console.log(renewTable(renewLoads(measured)));
+  console.log("");
   console.log(storeTable(storeLoads(measured)));
   console.log("");
   console.log(importTable(measured.imports));
--- a/playground/src/bench/capacity/plan.ts
+++ b/playground/src/bench/capacity/plan.ts
@@ -30,6 +30,10 @@
   promptKtokens: 3,
   /** Share of the requests that carry an idempotency key. */
   keyedShare: 0.01,
+  /** Decode pools that the entries of one office send to. */
+  decodePools: 10,
+  /** Mean time between tokens, in seconds; gives the streams under way. */
+  tokenGapS: 0.043,
   /** Mean bytes of one claim in its stored object. */
   claimBytes: 250,
 } as const;
