--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -18,6 +18,7 @@
 import { Admitter } from "./lifecycle/admitter.ts";
 import type { EntryContext } from "./lifecycle/context.ts";
 import { Lanes } from "./lifecycle/lanes.ts";
+import { PlannedPrefills } from "./lifecycle/planned_prefills.ts";
 import { OutputEstimator } from "./lifecycle/output_estimator.ts";
 import { createEntryMetrics, type EntryMetrics } from "./metrics.ts";
 import {
@@ -88,6 +89,7 @@
     canceller: new Canceller(clock, signal),
     metrics,
     outputs: new OutputEstimator(),
+    planned: new PlannedPrefills(),
     claims: new Claims({ ...options, metrics, signal }),
     observe(name, incarnation, hint) {
       hints.observe(name, hint);
--- a/packages/entry/src/lifecycle/model_call.ts
+++ b/packages/entry/src/lifecycle/model_call.ts
@@ -82,13 +82,8 @@
     this.#ctx = parts.ctx;
     this.#prefiller = new Prefiller(parts.ctx);
     const { clock, metrics } = parts.ctx;
-    const { arrivedAtMs } = call.req;
-    this.#meter = new AnswerMeter(
-      clock,
-      metrics,
-      call.service.name,
-      arrivedAtMs,
-    );
+    const service = call.service.name;
+    this.#meter = new AnswerMeter(clock, metrics, service, call.req);
   }
 
   async run(): Promise<Outcome<ModelAnswer>> {
@@ -138,6 +133,7 @@
       return { outcome: this.#honest(placed) };
     }
     const place = placed.value;
+    this.#meter.placed();
     if (!this.#kv) {
       const failed = await this.#prefill(place);
       if (failed) return failed;
@@ -175,6 +171,7 @@
     });
     if (result.done) {
       this.#mayHaveRun = true;
+      this.#meter.prefilled();
       this.#kv = result.kv;
       return undefined;
     }
--- /dev/null
+++ b/packages/sidecar/src/__tests__/decode_fuzz_test.ts
@@ -0,0 +1,175 @@
+/**
+ * Many attempts under random cancels, lost readers, new attempts and failing
+ * connections. Oracle: a stream that ends is whole and its own; afterwards
+ * neither the engine nor the ledger holds anything.
+ */
+import { afterEach, beforeEach, expect, test } from "@jest/globals";
+import {
+  BackendRole,
+  type Frame,
+  FrameKind,
+  type PrefillReply,
+  type StartRequest,
+  STREAM_RESUME_PATH,
+  STREAM_START_PATH,
+} from "@sassafrascleat/protocol";
+import { createRandom, type Random, sleep } from "@sassafrascleat/runtime";
+import {
+  createFaultProxy,
+  expectedText,
+  type FaultProxy,
+} from "@sassafrascleat/testing";
+import type { Sidecar } from "../index.ts";
+import {
+  Bench,
+  countOf,
+  type EngineNode,
+  prefillRequest,
+  readFrames,
+  reserveRequest,
+  startRequest,
+  textOf,
+  until,
+} from "./harness.ts";
+
+const REQUESTS = 120;
+const WORKERS = 24;
+const MAX_TOKENS = 60;
+
+/** What happens to a request while its answer streams. */
+enum Fate {
+  Whole = "whole",
+  /** The entry reads a part, loses the connection and resumes. */
+  Resumed = "resumed",
+  Cancelled = "cancelled",
+  /** The entry vanishes: nobody renews or cancels. */
+  Abandoned = "abandoned",
+  /** The entry gives this attempt up for a new one. */
+  Superseded = "superseded",
+}
+
+let bench: Bench;
+let proxy: FaultProxy;
+let prefill: EngineNode;
+let sidecar: Sidecar;
+let held: () => string[];
+
+beforeEach(async () => {
+  bench = new Bench();
+  const server = await bench.engineServer({ timeScale: 0.2 });
+  held = () => server.books().heldIds;
+  proxy = await createFaultProxy({ targetPort: server.port });
+  bench.defer(() => proxy.close());
+  prefill = await bench.node(BackendRole.Prefill, { resultLifetimeMs: 5_000 });
+  ({ sidecar } = await bench.sidecar(
+    BackendRole.Decode,
+    proxy.address,
+    server.address,
+    { renewGraceMs: 1_500, reconcileMs: 300 },
+  ));
+});
+afterEach(() => bench.close());
+
+interface Tally {
+  ended: number;
+  failed: number;
+  wrong: string[];
+}
+
+/** Reserves and prefills an attempt; undefined when there was no place. */
+async function place(
+  requestId: string,
+  attempt: number,
+  prompt: string,
+): Promise<StartRequest | undefined> {
+  const grant = await sidecar.control.reserve(reserveRequest(requestId, {
+    attempt,
+    maxOutputTokens: MAX_TOKENS,
+    expectedOutputTokens: MAX_TOKENS,
+    maxWaitMs: 5_000,
+  }));
+  if (!grant.granted) return undefined;
+  const reply: PrefillReply = await prefill.sidecar.control.prefill(
+    prefillRequest(requestId, prompt, { attempt }),
+  );
+  if (!reply.done) return undefined;
+  const maxOutputTokens = MAX_TOKENS;
+  const fields = { attempt, maxOutputTokens };
+  return startRequest(sidecar, requestId, prompt, reply.kv, fields);
+}
+
+async function read(
+  req: StartRequest,
+  stopAt = Infinity,
+  offset?: number,
+): Promise<Frame[]> {
+  const path = offset === undefined ? STREAM_START_PATH : STREAM_RESUME_PATH;
+  const enough = (frames: Frame[]) => countOf(frames) >= stopAt;
+  return await readFrames(sidecar.address, path, { ...req, offset }, enough);
+}
+
+function note(tally: Tally, prompt: string, frames: Frame[]): void {
+  const last = frames.at(-1);
+  if (last?.kind !== FrameKind.End) {
+    tally.failed++;
+    return;
+  }
+  tally.ended++;
+  const whole = textOf(frames) === expectedText(prompt, MAX_TOKENS);
+  if (!whole) tally.wrong.push(prompt);
+}
+
+async function live(
+  requestId: string,
+  fate: Fate,
+  random: Random,
+  tally: Tally,
+): Promise<void> {
+  const prompt = `${requestId} #len=${random.int(5, MAX_TOKENS)}`;
+  const req = await place(requestId, 1, prompt);
+  if (!req) return;
+  const part = random.int(1, 10);
+  if (fate === Fate.Whole) return note(tally, prompt, await read(req));
+  const first = await read(req, part);
+  if (fate === Fate.Resumed) {
+    const rest = await read(req, Infinity, countOf(first));
+    return note(tally, prompt, [...first, ...rest]);
+  }
+  if (fate === Fate.Cancelled) await sidecar.control.cancel(req);
+  if (fate !== Fate.Superseded) return;
+  const next = await place(requestId, 2, prompt);
+  if (next) note(tally, prompt, await read(next));
+}
+
+/** Breaks connections to the engine now and then until `signal` aborts. */
+async function disturb(random: Random, signal: AbortSignal): Promise<void> {
+  while (!signal.aborted) {
+    await sleep(random.int(100, 300), signal);
+    if (random.float() < 0.5) proxy.silence();
+    else proxy.resetAll();
+  }
+}
+
+test("whatever happens, answers are whole and nothing stays held", async () => {
+  const random = createRandom(99);
+  const tally: Tally = { ended: 0, failed: 0, wrong: [] };
+  const calm = new AbortController();
+  const disturbance = disturb(random, calm.signal);
+  const fates = Object.values(Fate);
+  let number = 0;
+  const work = async () => {
+    while (number < REQUESTS) {
+      const fate = fates[number % fates.length] ?? Fate.Whole;
+      await live(`r${number++}`, fate, random, tally);
+    }
+  };
+  await Promise.all(Array.from({ length: WORKERS }, work));
+  calm.abort();
+  await disturbance;
+  expect(tally.wrong).toEqual([]);
+  expect(tally.ended).toBeGreaterThan(20);
+  await until("empty ledger", async () => {
+    return (await sidecar.control.status()).inFlight === 0;
+  });
+  await until("empty engine", () => held().length === 0);
+});
