perf(membership): read the host list without fetch

Cause: an idle entry spent 22 to 29 ms of processor time a second, its readings of the host list through fetch and the old log follower's polls among them. Change: undici's request in place of fetch, which makes far less garbage.

--- a/packages/membership/src/hosts/http_host_source.ts
+++ b/packages/membership/src/hosts/http_host_source.ts
@@ -8,7 +8,7 @@
   createLogger,
   errorMessage,
 } from "@sassafrascleat/runtime";
-import { Agent, fetch } from "undici";
+import { Agent, request } from "undici";
 import { HOST_LIST_TIMEOUT_MS } from "../constants.ts";
 import type { HostSource } from "./host_view.ts";
 
@@ -43,13 +43,13 @@
     const limit = childController(signal);
     const timer = setTimeout(() => limit.abort(), this.#timeoutMs);
     try {
-      const res = await fetch(this.#url, {
+      const res = await request(this.#url, {
         dispatcher: this.#agent,
         signal: limit.signal,
       });
-      if (res.ok) return parseHosts(await res.json());
-      await res.body?.cancel();
-      log("list_refused", { status: res.status });
+      if (res.statusCode === 200) return parseHosts(await res.body.json());
+      await res.body.dump();
+      log("list_refused", { status: res.statusCode });
     } catch (err) {
       if (!signal.aborted) log("list_failed", { error: errorMessage(err) });
       this.#reconnect();
