--- a/packages/entry/src/__tests__/claim_batches_test.ts
+++ b/packages/entry/src/__tests__/claim_batches_test.ts
@@ -3,20 +3,25 @@
 import {
   createRandom,
   ManualClock,
+  sleep,
   systemClock,
 } from "@sassafrascleat/runtime";
-import fc from "fast-check";
 import { applyBatch } from "../claims/apply_batch.ts";
 import {
+  type ClaimGeneration,
   type ClaimIntent,
-  type ClaimPartition,
   ClaimStatus,
 } from "../claims/claim_record.ts";
 import { Claims } from "../claims/claims.ts";
-import { MAX_PARTITION_BYTES } from "../claims/constants.ts";
+import { PRUNE_MARGIN_MS } from "../claims/constants.ts";
+import { KeyIndex } from "../claims/key_index.ts";
 import { createEntryMetrics } from "../metrics.ts";
 import { FakeStore } from "./fakes.ts";
 
+const EMPTY: ClaimGeneration = { sealed: false, claims: {} };
+const ANSWER = { status: 200, headers: {}, bodyBase64: "b2s=" };
+const NO_SEAL = Infinity;
+
 function intent(keyHash: string, requestId: string): ClaimIntent {
   return {
     keyHash,
@@ -27,113 +32,165 @@
   };
 }
 
-const ANSWER = { status: 200, headers: {}, bodyBase64: "b2s=" };
+/** The hash of key `n`; all of them fall into one partition. */
+function keyOf(n: number): string {
+  const hash = Buffer.alloc(16);
+  hash.writeUInt32BE(n, 12);
+  return hash.toString("base64url");
+}
 
-describe("a partition of claims", () => {
-  test("gives each key to one request, however batches fall", () => {
-    const claims = fc.array(
-      fc.record({ key: fc.nat(3), request: fc.nat(9), batch: fc.nat(4) }),
-      { maxLength: 30 },
-    );
-    fc.assert(
-      fc.property(claims, (asked) => {
-        const winners = new Map<string, Set<string>>();
-        let partition: ClaimPartition | undefined;
-        for (let batch = 0; batch <= 4; batch++) {
-          const intents = asked.filter((it) => it.batch === batch)
-            .map((it) => intent(`k${it.key}`, `r${it.request}`));
-          const applied = applyBatch(partition, { intents, settled: [] }, 1);
-          const again = applyBatch(
-            applied.partition,
-            { intents, settled: [] },
-            1,
-          );
-          expect(again.results).toEqual(applied.results);
-          expect(again.changed).toBe(false);
-          partition = applied.partition;
-          for (const [i, result] of applied.results.entries()) {
-            if (result.status !== ClaimStatus.Claimed) continue;
-            const { keyHash, ref } = intents[i]!;
-            const won = winners.get(keyHash) ?? new Set();
-            winners.set(keyHash, won.add(ref.requestId));
-          }
-        }
-        for (const won of winners.values()) expect(won.size).toBe(1);
-      }),
-      { seed: 11, numRuns: 200 },
-    );
+function claim(before: ClaimGeneration, intents: ClaimIntent[], nowMs: number) {
+  return applyBatch(before, { intents, settled: [] }, nowMs, NO_SEAL);
+}
+
+describe("a generation of claims", () => {
+  test("gives the same results when a batch is applied again", () => {
+    const intents = [intent("k", "r1"), intent("k", "r2"), intent("l", "r2")];
+    const first = claim(EMPTY, intents, 1);
+    const again = claim(first.generation, intents, 2);
+    expect(again.results).toEqual(first.results);
+    expect(again.changed).toBe(false);
   });
 
   test("is taken over only from the holder that was named", () => {
-    const first = applyBatch(undefined, {
-      intents: [intent("k", "r1")],
-      settled: [],
-    }, 1);
+    const first = claim(EMPTY, [intent("k", "r1")], 1);
     const replaces = { requestId: "r1", attempt: 1 };
-    const batch = {
-      intents: [
-        { ...intent("k", "r2"), replaces },
-        { ...intent("k", "r3"), replaces },
-      ],
-      settled: [],
-    };
-    const { results } = applyBatch(first.partition, batch, 2);
-    expect(results.map((it) => it.status)).toEqual([
-      ClaimStatus.Claimed,
-      ClaimStatus.Held,
-    ]);
+    const { results } = claim(first.generation, [
+      { ...intent("k", "r2"), replaces },
+      { ...intent("k", "r3"), replaces },
+    ], 2);
+    const statuses = results.map((it) => it?.status);
+    expect(statuses).toEqual([ClaimStatus.Claimed, ClaimStatus.Held]);
   });
 
   test("keeps a small answer and is not taken over after it", () => {
     const ref = { requestId: "r1", attempt: 1 };
-    const { partition } = applyBatch(undefined, {
-      intents: [intent("k", "r1")],
-      settled: [{ keyHash: "k", ref, answer: ANSWER }],
-    }, 1);
-    expect(partition.claims.k!.answer).toEqual(ANSWER);
-    const { results } = applyBatch(partition, {
-      intents: [{ ...intent("k", "r2"), replaces: ref }],
-      settled: [],
-    }, 2);
+    const settled = [{ keyHash: "k", ref, answer: ANSWER }];
+    const batch = { intents: [intent("k", "r1")], settled };
+    const { generation } = applyBatch(EMPTY, batch, 1, NO_SEAL);
+    expect(generation.claims.k!.answer).toEqual(ANSWER);
+    const taker = { ...intent("k", "r2"), replaces: ref };
+    const { results } = claim(generation, [taker], 2);
     expect(results[0]!.status).toBe(ClaimStatus.Held);
   });
 
-  test("forgets claims after their retention and not before", () => {
-    const { partition } = applyBatch(undefined, {
-      intents: [intent("k", "r1")],
-      settled: [],
-    }, 1);
-    const again = { intents: [intent("k", "r2")], settled: [] };
-    const before = applyBatch(partition, again, CLAIM_RETENTION_MS);
+  test("honours claims for their retention and no longer", () => {
+    const { generation } = claim(EMPTY, [intent("k", "r1")], 1);
+    const again = [intent("k", "r2")];
+    const before = claim(generation, again, CLAIM_RETENTION_MS);
     expect(before.results[0]!.status).toBe(ClaimStatus.Held);
-    const after = applyBatch(partition, again, CLAIM_RETENTION_MS + 1);
+    const after = claim(generation, again, CLAIM_RETENTION_MS + 1);
     expect(after.results[0]!.status).toBe(ClaimStatus.Claimed);
   });
 
-  test("drops kept answers for room, then refuses", () => {
-    const intents = Array.from(
-      { length: 8_000 },
-      (_, i) => intent(`key-number-${i}`, `request-number-${i}`),
-    );
-    const settled = intents.slice(0, 4_000).map(({ keyHash, ref }) => ({
-      keyHash,
-      ref,
-      answer: ANSWER,
-    }));
-    const half = applyBatch(
-      undefined,
-      { intents: intents.slice(0, 4_000), settled },
-      1,
-    );
-    const { partition, results } = applyBatch(
-      half.partition,
-      { intents, settled: [] },
-      2,
-    );
-    expect(results.at(-1)!.status).toBe(ClaimStatus.Full);
-    expect(JSON.stringify(partition).length)
-      .toBeLessThan(MAX_PARTITION_BYTES + 100);
-    expect(partition.claims["key-number-0"]!.answer).toBeUndefined();
+  test("takes no key once it is sealed", () => {
+    const batch = { intents: [intent("k", "r1")], settled: [] };
+    const { generation } = applyBatch(EMPTY, batch, 1, 10);
+    expect(generation.sealed).toBe(true);
+    const { results, changed } = claim(generation, [intent("l", "r2")], 2);
+    expect(results).toEqual([undefined]);
+    expect(changed).toBe(false);
+  });
+});
+
+describe("an index of keys", () => {
+  test("finds each key and no other", () => {
+    const keys = Array.from({ length: 500 }, (_, n) => keyOf(n * 2));
+    const index = new KeyIndex(keys);
+    expect(keys.every((it) => index.mayHold(it))).toBe(true);
+    expect(index.mayHold(keyOf(7))).toBe(false);
+    expect(new KeyIndex([]).mayHold(keyOf(7))).toBe(false);
+  });
+});
+
+describe("the claims of several entries", () => {
+  function createClaims(store: FakeStore, wallClock = new ManualClock(1)) {
+    return new Claims({
+      store,
+      clock: systemClock,
+      wallClock,
+      random: createRandom(3),
+      metrics: createEntryMetrics(),
+      sealBytes: 700,
+      signal: new AbortController().signal,
+    });
+  }
+
+  test("give each key to one request, across sealed generations", async () => {
+    const store = new FakeStore();
+    const random = createRandom(5);
+    const put = store.put.bind(store);
+    store.put = async (...args) => {
+      await sleep(random.int(0, 3));
+      const result = await put(...args);
+      await sleep(random.int(0, 3));
+      return result;
+    };
+    const entries = [0, 1, 2].map(() => createClaims(store));
+    const winners = new Map<string, string[]>();
+    for (let round = 0; round < 8; round++) {
+      store.lostAnswers = random.int(0, 2);
+      const sent = Array.from({ length: 30 }, (_, i) => {
+        const keyHash = keyOf(random.int(0, 40));
+        const requestId = `r${round}-${i}`;
+        return entries[i % 3]!.claim(intent(keyHash, requestId))
+          .then((result) => ({ keyHash, requestId, result }));
+      });
+      for (const { keyHash, requestId, result } of await Promise.all(sent)) {
+        expect(result.status).not.toBe(ClaimStatus.Unavailable);
+        if (result.status !== ClaimStatus.Claimed) continue;
+        winners.set(keyHash, [...winners.get(keyHash) ?? [], requestId]);
+      }
+    }
+    const { objects } = await store.memory.list({ prefix: "claims/" }) as never;
+    expect((objects as unknown[]).length).toBeGreaterThan(5);
+    expect(winners.size).toBeGreaterThan(30);
+    for (const won of winners.values()) expect(won).toHaveLength(1);
+  });
+
+  test("are found by an entry that starts later", async () => {
+    const store = new FakeStore();
+    const early = createClaims(store);
+    const keys = Array.from({ length: 30 }, (_, n) => keyOf(n));
+    for (const key of keys) await early.claim(intent(key, `r${key}`));
+    const late = createClaims(store);
+    for (const key of keys) {
+      const result = await late.claim(intent(key, "late"));
+      expect(result.status).toBe(ClaimStatus.Held);
+    }
+  });
+
+  test("are taken over in a sealed generation", async () => {
+    const store = new FakeStore();
+    const claims = createClaims(store);
+    for (let n = 0; n < 20; n++) await claims.claim(intent(keyOf(n), `r${n}`));
+    const replaces = { requestId: "r0", attempt: 1 };
+    const taker = { ...intent(keyOf(0), "taker"), replaces };
+    const result = await createClaims(store).claim(taker);
+    expect(result.status).toBe(ClaimStatus.Claimed);
+    const held = await claims.claim(intent(keyOf(0), "third"));
+    expect(held).toMatchObject({ record: { requestId: "taker" } });
+  });
+
+  test("are deleted long after they expired, and the head stays one", async () => {
+    const store = new FakeStore();
+    const wallClock = new ManualClock(1);
+    const idle = createClaims(store, wallClock);
+    await idle.claim(intent(keyOf(0), "r0"));
+    const busy = createClaims(store, wallClock);
+    const fill = async (from: number) => {
+      for (let n = from; n < from + 20; n++) {
+        await busy.claim(intent(keyOf(n), `r${n}`));
+      }
+    };
+    await fill(1);
+    wallClock.advance(CLAIM_RETENTION_MS + PRUNE_MARGIN_MS + 1);
+    await fill(100);
+    await fill(200);
+    const first = await store.memory.get("claims/0/0000000001");
+    expect(first).toMatchObject({ object: undefined });
+    const late = await idle.claim(intent(keyOf(210), "late"));
+    expect(late.status).toBe(ClaimStatus.Held);
   });
 });
 
@@ -148,16 +205,14 @@
       metrics: createEntryMetrics(),
       signal: new AbortController().signal,
     });
-    const keyHash = Buffer.alloc(16).toString("base64url");
-    const sent = Array.from({ length: 500 }, (_, i) => {
-      const tail = Buffer.alloc(16);
-      tail.writeUInt32BE(i, 12);
-      return claims.claim(intent(tail.toString("base64url"), `r${i}`));
-    });
+    const sent = Array.from(
+      { length: 500 },
+      (_, i) => claims.claim(intent(keyOf(i), `r${i}`)),
+    );
     const results = await Promise.all(sent);
     expect(results.every((it) => it.status === ClaimStatus.Claimed)).toBe(true);
     expect(store.puts).toBeLessThan(5);
-    const held = await claims.claim(intent(keyHash, "late"));
+    const held = await claims.claim(intent(keyOf(0), "late"));
     expect(held.status).toBe(ClaimStatus.Held);
   });
 });
--- a/packages/entry/src/__tests__/fakes.ts
+++ b/packages/entry/src/__tests__/fakes.ts
@@ -25,11 +25,12 @@
   PlacementRequest,
 } from "@sassafrascleat/routing";
 import {
-  ABSENT,
+  createMemoryStore,
   type GetResult,
+  type ListOptions,
+  type ListResult,
   type ObjectStore,
   type PutResult,
-  type StoredObject,
   StoreStatus,
 } from "@sassafrascleat/store";
 
@@ -153,15 +154,14 @@
 
 /** A store in memory whose answers can be lost and which can be out. */
 export class FakeStore implements ObjectStore {
-  readonly objects = new Map<string, StoredObject>();
+  readonly memory = createMemoryStore();
   out = false;
   /** Writes that take effect although their answer is lost. */
   lostAnswers = 0;
   puts = 0;
 
   async get(key: string): Promise<GetResult> {
-    if (this.out) return unavailable();
-    return { status: StoreStatus.Ok, object: this.objects.get(key) };
+    return this.out ? unavailable() : this.memory.get(key);
   }
 
   async put(
@@ -171,26 +171,18 @@
   ): Promise<PutResult> {
     if (this.out) return unavailable();
     this.puts += 1;
-    const current = this.objects.get(key);
-    if ((current?.version ?? ABSENT) !== expectedVersion) {
-      return { status: StoreStatus.Conflict, current };
-    }
-    const version = expectedVersion + 1;
-    const copy = JSON.parse(JSON.stringify(value));
-    this.objects.set(key, { key, version, value: copy });
-    if (this.lostAnswers > 0) {
-      this.lostAnswers -= 1;
-      return { status: StoreStatus.Unknown, message: "lost" };
-    }
-    return { status: StoreStatus.Ok, version };
-  }
-
-  async delete(): Promise<PutResult> {
-    return unavailable();
+    const result = await this.memory.put(key, value, expectedVersion);
+    if (this.lostAnswers === 0) return result;
+    this.lostAnswers -= 1;
+    return { status: StoreStatus.Unknown, message: "lost" };
   }
 
-  async list() {
-    return unavailable();
+  async delete(key: string, expectedVersion: number): Promise<PutResult> {
+    return this.out ? unavailable() : this.memory.delete(key, expectedVersion);
+  }
+
+  async list(options: ListOptions): Promise<ListResult> {
+    return this.out ? unavailable() : this.memory.list(options);
   }
 
   async watch() {
--- a/packages/entry/src/claims/apply_batch.ts
+++ b/packages/entry/src/claims/apply_batch.ts
@@ -1,13 +1,13 @@
 /**
- * Applies a batch of claims and settled answers to a partition. Pure and
- * idempotent: a batch that was written although its answer was lost comes to
- * the same results when it is applied again.
+ * Applies claims and settled answers to one generation. Pure and idempotent: a
+ * batch that was written although its answer was lost comes to the same
+ * results when it is applied again.
  */
 import { CLAIM_RETENTION_MS } from "@sassafrascleat/protocol";
-import { MAX_KEPT_ANSWER_BYTES, MAX_PARTITION_BYTES } from "./constants.ts";
+import { MAX_KEPT_ANSWER_BYTES } from "./constants.ts";
 import {
+  type ClaimGeneration,
   type ClaimIntent,
-  type ClaimPartition,
   type ClaimRecord,
   type ClaimResult,
   ClaimStatus,
@@ -22,97 +22,103 @@
   settled: readonly SettledClaim[];
 }
 
-/** The partition after a batch, and what became of each intent in order. */
+/** The generation after a batch, and what became of each intent in order. */
 export interface AppliedBatch {
-  partition: ClaimPartition;
-  results: ClaimResult[];
+  generation: ClaimGeneration;
+  /** Undefined for a key that a sealed generation does not hold. */
+  results: (ClaimResult | undefined)[];
   /** Whether there is anything to write. */
   changed: boolean;
 }
 
-/** Applies `batch`; `nowMs` is wall-clock time. */
+/**
+ * Applies `batch`; `nowMs` is wall-clock time. A generation that grows to
+ * `sealBytes` of JSON is sealed by the same write.
+ */
 export function applyBatch(
-  before: ClaimPartition | undefined,
+  before: ClaimGeneration,
   batch: ClaimBatch,
   nowMs: number,
+  sealBytes: number,
 ): AppliedBatch {
-  const editor = new PartitionEditor(before, nowMs);
+  const editor = new GenerationEditor(before, nowMs);
   const results = batch.intents.map((intent) => editor.claim(intent));
   for (const settled of batch.settled) editor.settle(settled);
+  const { claims, changed } = editor;
+  const full = changed && bytesOf(claims) >= sealBytes;
   return {
-    partition: { claims: editor.claims },
+    generation: { sealed: before.sealed || full, claims },
     results,
-    changed: editor.changed,
+    changed,
   };
 }
 
-class PartitionEditor {
+class GenerationEditor {
   readonly claims: Record<string, ClaimRecord>;
   changed = false;
+  readonly #sealed: boolean;
   readonly #nowMs: number;
-  #bytes: number;
 
-  constructor(before: ClaimPartition | undefined, nowMs: number) {
+  constructor(before: ClaimGeneration, nowMs: number) {
+    this.claims = { ...before.claims };
+    this.#sealed = before.sealed;
     this.#nowMs = nowMs;
-    const live = Object.entries(before?.claims ?? {})
-      .filter(([, record]) => record.claimedAtMs + CLAIM_RETENTION_MS > nowMs);
-    this.claims = Object.fromEntries(live);
-    this.#bytes = bytesOf(this.claims);
   }
 
-  claim(intent: ClaimIntent): ClaimResult {
-    const held = this.claims[intent.keyHash];
-    if (held && sameAttempt(holderOf(held), intent.ref)) {
+  claim(intent: ClaimIntent): ClaimResult | undefined {
+    const held = this.#live(intent.keyHash);
+    if (!held) return this.#insert(intent);
+    if (sameAttempt(holderOf(held), intent.ref)) {
       return { status: ClaimStatus.Claimed };
     }
-    const replaced = held && intent.replaces &&
-      held.bodyHash === intent.bodyHash && !held.answer &&
-      sameAttempt(holderOf(held), intent.replaces);
-    if (held && !replaced) return { status: ClaimStatus.Held, record: held };
-    const { keyHash, bodyHash, ref, sidecar, incarnation } = intent;
-    const { requestId, attempt } = ref;
-    const claimedAtMs = this.#nowMs;
-    const put = this.#put(keyHash, {
-      bodyHash,
-      requestId,
-      attempt,
-      sidecar,
-      incarnation,
-      claimedAtMs,
-    });
-    return { status: put ? ClaimStatus.Claimed : ClaimStatus.Full };
+    if (!mayReplace(held, intent)) {
+      return { status: ClaimStatus.Held, record: held };
+    }
+    return this.#put(intent);
   }
 
   settle(settled: SettledClaim): void {
-    const held = this.claims[settled.keyHash];
+    const held = this.#live(settled.keyHash);
     if (!held || held.answer) return;
     if (!sameAttempt(holderOf(held), settled.ref)) return;
-    const bytes = bytesOf(settled.answer);
-    if (bytes > MAX_KEPT_ANSWER_BYTES) return;
-    if (this.#bytes + bytes > MAX_PARTITION_BYTES) return;
+    if (bytesOf(settled.answer) > MAX_KEPT_ANSWER_BYTES) return;
     this.claims[settled.keyHash] = { ...held, answer: settled.answer };
-    this.#bytes += bytes;
     this.changed = true;
   }
 
-  #put(keyHash: string, record: ClaimRecord): boolean {
-    const bytes = bytesOf({ [keyHash]: record });
-    if (this.#bytes + bytes > MAX_PARTITION_BYTES) this.#dropAnswers();
-    if (this.#bytes + bytes > MAX_PARTITION_BYTES) return false;
-    this.claims[keyHash] = record;
-    this.#bytes += bytes;
-    this.changed = true;
-    return true;
+  #live(keyHash: string): ClaimRecord | undefined {
+    const record = this.claims[keyHash];
+    if (!record) return undefined;
+    return record.claimedAtMs + CLAIM_RETENTION_MS > this.#nowMs
+      ? record
+      : undefined;
   }
 
-  /** Makes room: claims have to stay, kept answers don't. */
-  #dropAnswers(): void {
-    for (const [keyHash, record] of Object.entries(this.claims)) {
-      const { answer: _dropped, ...rest } = record;
-      this.claims[keyHash] = rest;
-    }
-    this.#bytes = bytesOf(this.claims);
+  #insert(intent: ClaimIntent): ClaimResult | undefined {
+    return this.#sealed ? undefined : this.#put(intent);
   }
+
+  #put(intent: ClaimIntent): ClaimResult {
+    const { keyHash, bodyHash, ref, sidecar, incarnation } = intent;
+    const { requestId, attempt } = ref;
+    this.claims[keyHash] = {
+      bodyHash,
+      requestId,
+      attempt,
+      sidecar,
+      incarnation,
+      claimedAtMs: this.#nowMs,
+    };
+    this.changed = true;
+    return { status: ClaimStatus.Claimed };
+  }
+}
+
+/** Only the claim that was proved not run, and only for the same call. */
+function mayReplace(held: ClaimRecord, intent: ClaimIntent): boolean {
+  return intent.replaces !== undefined && !held.answer &&
+    held.bodyHash === intent.bodyHash &&
+    sameAttempt(holderOf(held), intent.replaces);
 }
 
 function bytesOf(value: unknown): number {
--- a/packages/entry/src/claims/claim_follower.ts
+++ b/packages/entry/src/claims/claim_follower.ts
@@ -83,7 +83,7 @@
     client: SidecarClient,
     signal: AbortSignal,
   ): Promise<void> {
-    if (!reply) client.renewConnections();
+    if (!reply) client.renewConnections(client.connections);
     const pauseMs = reply ? FOLLOW_PAUSE_MS : ATTACH_RETRY_MS;
     await sleep(jitter(pauseMs, this.#parts.ctx.options.random), signal);
   }
--- a/packages/entry/src/claims/claim_record.ts
+++ b/packages/entry/src/claims/claim_record.ts
@@ -1,4 +1,4 @@
-/** Claims as they are stored: one object for each partition of the keys. */
+/** Claims as they are stored: a chain of generations for each partition of the keys. */
 import type { AttemptRef, PlainAnswer } from "@sassafrascleat/protocol";
 import { z } from "zod";
 
@@ -22,11 +22,13 @@
 });
 export type ClaimRecord = z.infer<typeof claimRecordSchema>;
 
-/** The stored value of one partition. */
-export const claimPartitionSchema = z.object({
+/** One generation of a partition: the stored object. */
+export const claimGenerationSchema = z.object({
+  /** A sealed generation takes no further keys; its claims may still change. */
+  sealed: z.boolean(),
   claims: z.record(z.string(), claimRecordSchema),
 });
-export type ClaimPartition = z.infer<typeof claimPartitionSchema>;
+export type ClaimGeneration = z.infer<typeof claimGenerationSchema>;
 
 /** What a request wants to write. */
 export interface ClaimIntent {
@@ -52,8 +54,6 @@
   Claimed = "claimed",
   /** Another request holds the key. */
   Held = "held",
-  /** The partition has no room; nothing was written. */
-  Full = "full",
   /** Not known to be durable: the call must not be dispatched. */
   Unavailable = "unavailable",
 }
--- a/packages/entry/src/claims/claim_writer.ts
+++ b/packages/entry/src/claims/claim_writer.ts
@@ -6,37 +6,30 @@
  */
 import {
   type Clock,
-  createLogger,
   jitter,
   type Random,
   sleep,
 } from "@sassafrascleat/runtime";
-import {
-  ABSENT,
-  type ObjectStore,
-  type StoredObject,
-  StoreStatus,
-} from "@sassafrascleat/store";
+import { type ObjectStore, StoreStatus } from "@sassafrascleat/store";
 import type { EntryMetrics } from "../metrics.ts";
 import { applyBatch, type ClaimBatch } from "./apply_batch.ts";
+import { ClaimChain, type GenerationRead } from "./claim_chain.ts";
 import {
+  type ClaimGeneration,
   type ClaimIntent,
-  type ClaimPartition,
-  claimPartitionSchema,
   type ClaimResult,
   ClaimStatus,
   type SettledClaim,
 } from "./claim_record.ts";
 import {
   CLAIM_CONFLICT_PAUSE_MS,
-  CLAIM_STORE_CALL_MS,
   CLAIM_TIMEOUT_MS,
+  MAX_BATCH_CLAIMS,
   MAX_SETTLED_WAITING,
+  SEALED_WRITE_TRIES,
 } from "./constants.ts";
 import type { WritePacer } from "./write_pacer.ts";
 
-const log = createLogger("entry:claims");
-
 /** What the writers of one entry share. */
 export interface ClaimWriterParts {
   store: ObjectStore;
@@ -46,6 +39,8 @@
   random: Random;
   pacer: WritePacer;
   metrics: EntryMetrics;
+  /** Size at which a generation is sealed, in bytes of JSON. */
+  sealBytes: number;
   /** Aborts when the entry closes. */
   signal: AbortSignal;
 }
@@ -55,20 +50,22 @@
   resolve: (result: ClaimResult) => void;
 }
 
-/** A partition as it was read; undefined when the store gave no answer. */
-type ReadResult = { object: StoredObject | undefined } | undefined;
+/** Results by position; a hole is an intent that is still open. */
+type Results = (ClaimResult | undefined)[];
+
+const UNAVAILABLE: ClaimResult = { status: ClaimStatus.Unavailable };
 
 /** Owns the writes to one partition. */
 export class ClaimWriter {
-  readonly #key: string;
+  readonly #chain: ClaimChain;
   readonly #parts: ClaimWriterParts;
   #waiting: Waiting[] = [];
   #settled: SettledClaim[] = [];
   #settledSinceMs: number | undefined;
   #writing: Promise<void> | undefined;
 
-  constructor(key: string, parts: ClaimWriterParts) {
-    this.#key = key;
+  constructor(prefix: string, parts: ClaimWriterParts) {
+    this.#chain = new ClaimChain(prefix, parts.store, parts.wallClock);
     this.#parts = parts;
   }
 
@@ -96,78 +93,106 @@
   }
 
   #write(): void {
-    this.#writing ??= this.#run().finally(() => this.#writing = undefined);
+    this.#writing ??= this.#run();
   }
 
   async #run(): Promise<void> {
     const { pacer, signal } = this.#parts;
     do {
       await pacer.turn(signal);
-      const waiting = this.#waiting.splice(0);
+      const waiting = this.#waiting.splice(0, MAX_BATCH_CLAIMS);
       const settled = this.#settled.splice(0);
       this.#settledSinceMs = undefined;
       const intents = waiting.map((it) => it.intent);
       const results = await this.#commit({ intents, settled });
       for (const [i, it] of waiting.entries()) {
-        const result = results?.[i] ?? { status: ClaimStatus.Unavailable };
+        const result = results[i] ?? UNAVAILABLE;
         this.#parts.metrics.claims.inc({ result: result.status });
         it.resolve(result);
       }
     } while (this.#waiting.length > 0);
+    // In the same step as the check, or a claim that comes between is lost.
+    this.#writing = undefined;
   }
 
-  /** The results of the batch once they are durable; undefined on giving up. */
-  async #commit(batch: ClaimBatch): Promise<ClaimResult[] | undefined> {
-    const { clock, wallClock, signal } = this.#parts;
+  /** The results once they are durable; holes where that was given up. */
+  async #commit(batch: ClaimBatch): Promise<Results> {
+    const { clock, signal } = this.#parts;
     const giveUpAtMs = clock.now() + CLAIM_TIMEOUT_MS;
-    let read = await this.#read();
-    while (read && clock.now() < giveUpAtMs && !signal.aborted) {
-      const before = this.#parse(read.object);
-      if (before === Unreadable) return undefined;
-      const applied = applyBatch(before, batch, wallClock.now());
-      if (!applied.changed) return applied.results;
-      const version = read.object?.version ?? ABSENT;
-      const written = await this.#put(applied.partition, version);
-      if (written === StoreStatus.Ok) return applied.results;
-      if (written === StoreStatus.Unavailable) return undefined;
-      if (written === StoreStatus.TooLarge) return undefined;
+    const results: Results = batch.intents.map(() => undefined);
+    while (clock.now() < giveUpAtMs && !signal.aborted) {
+      const head = await this.#chain.head();
+      if (!head) return results;
+      for (const i of openIn(results)) {
+        results[i] = await this.#inSealed(batch.intents[i]!);
+      }
+      const open = openIn(results);
+      const intents = open.map((i) => batch.intents[i]!);
+      const done = await this.#inHead(head, {
+        intents,
+        settled: batch.settled,
+      });
+      for (const [k, i] of open.entries()) results[i] = done?.[k];
+      if (done) return results;
       await this.#pause();
-      read = await this.#read();
     }
-    return undefined;
+    return results;
   }
 
-  async #read(): Promise<ReadResult> {
-    const result = await this.#parts.store.get(this.#key, this.#limit());
-    return result.status === StoreStatus.Ok ? result : undefined;
+  /** Claims in the head; undefined when it has to be tried again. */
+  async #inHead(
+    head: GenerationRead,
+    batch: ClaimBatch,
+  ): Promise<Results | undefined> {
+    const { wallClock, sealBytes } = this.#parts;
+    const nowMs = wallClock.now();
+    const applied = applyBatch(head.value, batch, nowMs, sealBytes);
+    if (!applied.changed) return applied.results;
+    const status = await this.#put(head, applied.generation);
+    if (status === StoreStatus.Ok) {
+      if (applied.generation.sealed) void this.#chain.prune();
+      return applied.results;
+    }
+    const again = status === StoreStatus.Conflict ||
+      status === StoreStatus.Unknown;
+    return again ? undefined : batch.intents.map(() => UNAVAILABLE);
   }
 
-  async #put(
-    partition: ClaimPartition,
-    version: number,
-  ): Promise<StoreStatus> {
-    const { store, metrics } = this.#parts;
-    const limit = this.#limit();
-    const result = await store.put(this.#key, partition, version, limit);
-    metrics.claimWrites.inc({ result: result.status });
-    if (result.status !== StoreStatus.Ok) {
-      log("write", { key: this.#key, version, result: result.status });
+  /** What sealed generations say; undefined when none holds the key. */
+  async #inSealed(intent: ClaimIntent): Promise<ClaimResult | undefined> {
+    for (const number of this.#chain.candidates(intent.keyHash)) {
+      const result = await this.#inOneSealed(number, intent);
+      if (result) return result;
     }
-    return result.status;
+    return undefined;
   }
 
-  #parse(
-    object: StoredObject | undefined,
-  ): ClaimPartition | undefined | typeof Unreadable {
-    if (!object) return undefined;
-    const parsed = claimPartitionSchema.safeParse(object.value);
-    if (parsed.success) return parsed.data;
-    log("unreadable_partition", { key: this.#key, version: object.version });
-    return Unreadable;
+  async #inOneSealed(
+    number: number,
+    intent: ClaimIntent,
+  ): Promise<ClaimResult | undefined> {
+    for (let i = 0; i < SEALED_WRITE_TRIES; i++) {
+      const read = await this.#chain.read(number);
+      if (!read) return UNAVAILABLE;
+      if (!read.value.sealed) return undefined;
+      const batch = { intents: [intent], settled: [] };
+      const nowMs = this.#parts.wallClock.now();
+      const applied = applyBatch(read.value, batch, nowMs, Infinity);
+      const [result] = applied.results;
+      if (!result || !applied.changed) return result;
+      const status = await this.#put(read, applied.generation);
+      if (status === StoreStatus.Ok) return result;
+    }
+    return UNAVAILABLE;
   }
 
-  #limit(): AbortSignal {
-    return AbortSignal.timeout(CLAIM_STORE_CALL_MS);
+  async #put(
+    read: GenerationRead,
+    value: ClaimGeneration,
+  ): Promise<StoreStatus> {
+    const status = await this.#chain.write(read, value);
+    this.#parts.metrics.claimWrites.inc({ result: status });
+    return status;
   }
 
   #pause(): Promise<void> {
@@ -176,5 +201,6 @@
   }
 }
 
-/** A stored value that this version can't read, and must not overwrite. */
-const Unreadable = Symbol("unreadable");
+function openIn(results: Results): number[] {
+  return [...results.keys()].filter((i) => results[i] === undefined);
+}
--- a/packages/entry/src/claims/claims.ts
+++ b/packages/entry/src/claims/claims.ts
@@ -10,6 +10,7 @@
   CLAIM_KEY_PREFIX,
   CLAIM_PARTITIONS,
   CLAIM_WRITE_INTERVAL_MS,
+  SEAL_BYTES,
   SETTLED_DELAY_MS,
   SETTLED_SWEEP_MS,
 } from "./constants.ts";
@@ -17,7 +18,9 @@
 import { WritePacer } from "./write_pacer.ts";
 
 /** Parts that the entry provides. */
-export type ClaimsParts = Omit<ClaimWriterParts, "pacer">;
+export type ClaimsParts =
+  & Omit<ClaimWriterParts, "pacer" | "sealBytes">
+  & Partial<Pick<ClaimWriterParts, "sealBytes">>;
 
 /** Makes claims durable before calls are dispatched. */
 export class Claims {
@@ -26,7 +29,7 @@
 
   constructor(parts: ClaimsParts) {
     const pacer = new WritePacer(parts.clock, CLAIM_WRITE_INTERVAL_MS);
-    this.#parts = { ...parts, pacer };
+    this.#parts = { sealBytes: SEAL_BYTES, ...parts, pacer };
   }
 
   /** Wall-clock time, which the age of claims is told by. */
@@ -58,8 +61,8 @@
     const partition = partitionOf(keyHash, CLAIM_PARTITIONS);
     let writer = this.#writers.get(partition);
     if (!writer) {
-      const key = CLAIM_KEY_PREFIX + String(partition).padStart(3, "0");
-      writer = new ClaimWriter(key, this.#parts);
+      const prefix = `${CLAIM_KEY_PREFIX}${partition}/`;
+      writer = new ClaimWriter(prefix, this.#parts);
       this.#writers.set(partition, writer);
     }
     return writer;
--- a/packages/entry/src/claims/constants.ts
+++ b/packages/entry/src/claims/constants.ts
@@ -1,19 +1,31 @@
 /** Numbers of idempotency claims; every entry has to use the same partitions. */
 
-/** Partitions that keys are spread over; one stored object each. */
-export const CLAIM_PARTITIONS = 256;
+/** Partitions that keys are spread over; each is a chain of stored objects. */
+export const CLAIM_PARTITIONS = 8;
 
 /** Prefix of the stored objects. */
 export const CLAIM_KEY_PREFIX = "claims/";
 
-/** Size up to which a partition takes claims, in bytes of JSON. */
-export const MAX_PARTITION_BYTES = 900_000;
+/** Size at which a generation of claims is sealed, in bytes of JSON. */
+export const SEAL_BYTES = 64_000;
+
+/** Claims that are written together at most. */
+export const MAX_BATCH_CLAIMS = 1_000;
+
+/** Stored generations that are read at a time when a chain is loaded. */
+export const CHAIN_PAGE = 20;
+
+/** Sealed generations that one look for the head may pass. */
+export const MAX_ADVANCES = 64;
+
+/** Time beyond their retention that expired generations are kept, in milliseconds. */
+export const PRUNE_MARGIN_MS = 3_600_000;
 
 /** Largest answer that is kept with its claim, in bytes of JSON. */
 export const MAX_KEPT_ANSWER_BYTES = 2_048;
 
-/** Shortest time between two claim writes of one entry, in milliseconds. */
-export const CLAIM_WRITE_INTERVAL_MS = 5;
+/** Shortest time between two batches of one entry, in milliseconds. */
+export const CLAIM_WRITE_INTERVAL_MS = 25;
 
 /** Time for one batch of claims to become durable, in milliseconds. */
 export const CLAIM_TIMEOUT_MS = 2_000;
@@ -50,3 +62,6 @@
 
 /** Longest idempotency key, in characters. */
 export const MAX_IDEMPOTENCY_KEY_CHARS = 255;
+
+/** Times a claim in a sealed generation is written against others. */
+export const SEALED_WRITE_TRIES = 4;
--- a/packages/entry/src/claims/keyed_call.ts
+++ b/packages/entry/src/claims/keyed_call.ts
@@ -95,8 +95,6 @@
       case ClaimStatus.Held:
         this.#held = result.record;
         return conflict();
-      case ClaimStatus.Full:
-        return full();
       case ClaimStatus.Unavailable:
         return storeUnavailable();
     }
@@ -129,14 +127,6 @@
   );
 }
 
-function full() {
-  return notRun(
-    NotRunReason.NoCapacity,
-    "too many idempotency keys are in use; try again later",
-    60_000,
-  );
-}
-
 function storeUnavailable() {
   return notRun(
     NotRunReason.StoreUnavailable,
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -21,14 +21,17 @@
 /** Interval at which idle sidecar clients are looked for, in milliseconds. */
 export const CLIENT_SWEEP_MS = 10_000;
 
+/** Connections to one sidecar that control calls share. */
+export const CONTROL_CONNECTIONS = 8;
+
 /** Time an idle connection to a sidecar stays open, in milliseconds. */
 export const CONNECTION_IDLE_MS = 20_000;
 
 /** Time over which a cancel is repeated until it is acknowledged, in milliseconds. */
-export const CANCEL_GIVE_UP_MS = 10_000;
+export const CANCEL_GIVE_UP_MS = 6_000;
 
-/** Pause between repeats of a cancel, in milliseconds. */
-export const CANCEL_RETRY_MS = 200;
+/** First pause before a cancel is repeated, in milliseconds; it doubles. */
+export const CANCEL_RETRY_MS = 100;
 
 /** Reservations that one service's dispatcher may have under way. */
 export const MAX_PLACING = 32;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -7,6 +7,7 @@
   VError,
 } from "@sassafrascleat/runtime";
 import type { FastifyInstance } from "fastify";
+import { setMaxListeners } from "node:events";
 import {
   createCallersServer,
   createListener,
@@ -48,6 +49,7 @@
 export async function createEntry(raw: EntryOptions): Promise<Entry> {
   const options = resolveEntryOptions(raw);
   const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
   const ctx = createContext(options, controller.signal);
   const lanes = new Lanes(ctx);
   const admitter = new Admitter(ctx, createRateLimiter());
--- a/packages/entry/src/plain/plain_call.ts
+++ b/packages/entry/src/plain/plain_call.ts
@@ -26,12 +26,7 @@
   RetryAction,
   retryDecision,
 } from "@sassafrascleat/routing";
-import {
-  childController,
-  createLogger,
-  jitter,
-  sleep,
-} from "@sassafrascleat/runtime";
+import { createLogger, jitter, sleep } from "@sassafrascleat/runtime";
 import {
   ATTACH_RETRY_MS,
   ATTACH_WAIT_MS,
@@ -41,6 +36,7 @@
 import { abortOutcome, type Call, type Place } from "../lifecycle/call.ts";
 import type { EntryContext } from "../lifecycle/context.ts";
 import type { Lane } from "../lifecycle/lanes.ts";
+import { EndReason, LinkedAbort } from "../sidecar_client/linked_abort.ts";
 
 const log = createLogger("entry:plain");
 
@@ -169,22 +165,24 @@
    * for the answer meanwhile, without ending a call that has not started.
    */
   async #send(place: Place, timeoutMs: number): Promise<Sent> {
-    const controller = childController(this.#signal());
-    const { signal } = controller;
+    const link = new LinkedAbort(this.#signal());
+    const { signal } = link;
     const sent = place.client
       .call(this.#message(place, timeoutMs), timeoutMs, signal)
       .then((reply): Sent => ({ reply, direct: true }));
     try {
       return await Promise.race([sent, this.#watch(place, signal)]);
     } finally {
-      controller.abort();
+      link.abort(EndReason.Done);
+      link.unlink();
     }
   }
 
   /** Resolves only with an answer; the sent call ends the wait otherwise. */
   async #watch(place: Place, signal: AbortSignal): Promise<Sent> {
+    const { connections } = place.client;
     await sleep(PLAIN_SILENCE_MS, signal);
-    if (!signal.aborted) place.client.renewConnections();
+    if (!signal.aborted) place.client.renewConnections(connections);
     while (!signal.aborted) {
       const reply = await place.client.attach({
         ...place.ref,
@@ -220,7 +218,7 @@
     let last = UnknownReason.SidecarUnreachable;
     const signal = this.#signal();
     while (this.#ctx.clock.now() < untilMs && !signal.aborted) {
-      place.client.renewConnections();
+      place.client.renewConnections(place.client.connections);
       const reply = await place.client.attach({
         ...place.ref,
         incarnation: place.incarnation,
--- a/packages/entry/src/sidecar_client/attempt_stream.ts
+++ b/packages/entry/src/sidecar_client/attempt_stream.ts
@@ -15,10 +15,12 @@
   STREAM_SILENCE_MS,
   StreamFailure,
 } from "@sassafrascleat/protocol";
-import { childController, sleep } from "@sassafrascleat/runtime";
+import { sleep } from "@sassafrascleat/runtime";
 import { MAX_SILENT_DIALS, REDIAL_PAUSE_MS } from "../constants.ts";
 import { readFrames } from "./frame_reader.ts";
+import { EndReason, LinkedAbort } from "./linked_abort.ts";
 import type { RawReply, SidecarClient } from "./sidecar_client.ts";
+import type { Watch } from "./watchdog.ts";
 
 /** How an attempt's stream ended. */
 export type StreamEnd =
@@ -28,8 +30,10 @@
 /** Takes the next tokens of the answer; resolves when the caller can take more. */
 export type TokenSink = (tokens: string[]) => Promise<void>;
 
-/** What reading one connection came to. */
-interface ConnectionEnd {
+/** One connection, and what reading it came to. */
+interface Connection {
+  link: LinkedAbort;
+  silence: Watch;
   end?: StreamEnd;
   /** Whether the connection brought any frame of this attempt. */
   heard: boolean;
@@ -41,7 +45,7 @@
   readonly #req: StartRequest;
   #offset = 0;
   #heard = false;
-  #redial: AbortController | undefined;
+  #redial: LinkedAbort | undefined;
   /** Connections opened after the first. */
   redials = 0;
   /** Frames dropped for another attempt or a wrong offset. */
@@ -64,7 +68,7 @@
 
   /** Gives the present connection up for a new one. */
   redial(): void {
-    this.#redial?.abort();
+    this.#redial?.abort(EndReason.Silent);
   }
 
   /** Reads until the attempt is over or `signal` aborts (`Cancelled`). */
@@ -78,7 +82,6 @@
         return { ended: false, failure: StreamFailure.EngineLost };
       }
       this.redials += 1;
-      this.#client.renewConnections();
       await sleep(REDIAL_PAUSE_MS, signal);
     }
     return { ended: false, failure: StreamFailure.Cancelled };
@@ -87,33 +90,49 @@
   async #readConnection(
     sink: TokenSink,
     signal: AbortSignal,
-  ): Promise<ConnectionEnd> {
-    const controller = childController(signal);
-    this.#redial = controller;
-    const silence = new SilenceTimer(() => controller.abort());
-    const result: ConnectionEnd = { heard: false };
+  ): Promise<Connection> {
+    const link = new LinkedAbort(signal);
+    this.#redial = link;
+    const used = this.#client.connections;
+    const silence = this.#client.watchdog.watch(STREAM_SILENCE_MS, () => {
+      this.#client.renewConnections(used);
+      link.abort(EndReason.Silent);
+    });
+    const connection: Connection = { link, silence, heard: false };
     try {
-      silence.arm();
-      const reply = await this.#dial(controller.signal);
-      const refused = refusalOf(reply);
-      if (refused) return { heard: true, end: refused };
-      for await (const frame of readFrames(reply.body)) {
-        silence.disarm();
-        if (this.#isOurs(frame)) {
-          result.heard = this.#heard = true;
-          const taken = await this.#take(frame, sink);
-          if (taken === Taken.Gap) return result;
-          if (taken !== Taken.Continue) return { heard: true, end: taken };
-        }
-        silence.arm();
-      }
+      return await this.#read(connection, sink);
     } catch (err) {
       if (err instanceof SinkError) throw err.cause;
+      return connection;
     } finally {
-      silence.disarm();
-      controller.abort();
+      if (!connection.end) {
+        silence.stop();
+        link.abort(EndReason.Done);
+      }
+      link.unlink();
+    }
+  }
+
+  async #read(connection: Connection, sink: TokenSink): Promise<Connection> {
+    const { link, silence } = connection;
+    const reply = await this.#dial(link.signal);
+    const refused = refusalOf(reply);
+    if (refused) return { ...connection, heard: true, end: refused };
+    const frames = readFrames(reply.body);
+    while (true) {
+      const next = await frames.next();
+      if (next.done) return connection;
+      silence.pause();
+      const taken = this.#isOurs(next.value)
+        ? await this.#take(next.value, sink, connection)
+        : Taken.Continue;
+      if (taken === Taken.Gap) return connection;
+      silence.heard();
+      if (taken === Taken.Continue) continue;
+      connection.end = taken;
+      void finish(frames, connection);
+      return connection;
     }
-    return result;
   }
 
   #dial(signal: AbortSignal): Promise<RawReply> {
@@ -135,7 +154,12 @@
     return ours;
   }
 
-  async #take(frame: Frame, sink: TokenSink): Promise<Taken | StreamEnd> {
+  async #take(
+    frame: Frame,
+    sink: TokenSink,
+    connection: Connection,
+  ): Promise<Taken | StreamEnd> {
+    connection.heard = this.#heard = true;
     if (frame.kind === FrameKind.Failed) {
       const { failure, refusal } = frame;
       return { ended: false, failure, refusal };
@@ -180,25 +204,6 @@
   }
 }
 
-/** Calls back when it stays armed for `STREAM_SILENCE_MS`. */
-class SilenceTimer {
-  readonly #onSilence: () => void;
-  #timer: NodeJS.Timeout | undefined;
-
-  constructor(onSilence: () => void) {
-    this.#onSilence = onSilence;
-  }
-
-  arm(): void {
-    this.disarm();
-    this.#timer = setTimeout(this.#onSilence, STREAM_SILENCE_MS);
-  }
-
-  disarm(): void {
-    clearTimeout(this.#timer);
-  }
-}
-
 /** A 4xx answer refuses the attempt; a 5xx counts as a broken connection. */
 function refusalOf(reply: RawReply): StreamEnd | undefined {
   if (reply.statusCode === 200) return undefined;
@@ -206,3 +211,17 @@
   if (reply.statusCode >= 500) throw new Error("the sidecar failed");
   return { ended: false, failure: StreamFailure.Refused };
 }
+
+/** Reads what follows the last frame, so that the connection can be used again. */
+async function finish(
+  frames: AsyncGenerator<Frame>,
+  connection: Connection,
+): Promise<void> {
+  try {
+    while (!(await frames.next()).done);
+  } catch {
+    // The connection is gone; the answer was whole before.
+  } finally {
+    connection.silence.stop();
+  }
+}
--- a/packages/entry/src/sidecar_client/canceller.ts
+++ b/packages/entry/src/sidecar_client/canceller.ts
@@ -43,10 +43,12 @@
   ): Promise<CancelReply | undefined> {
     const { requestId, attempt } = ref;
     const giveUpAtMs = this.#clock.now() + CANCEL_GIVE_UP_MS;
+    let pauseMs = CANCEL_RETRY_MS;
     while (this.#clock.now() < giveUpAtMs && !this.#signal.aborted) {
       const reply = await client.cancel({ requestId, attempt }, this.#signal);
       if (reply) return reply;
-      await sleep(CANCEL_RETRY_MS, this.#signal);
+      await sleep(pauseMs, this.#signal);
+      pauseMs *= 2;
     }
     log("cancel_unacknowledged", { requestId, attempt, to: client.address });
     return undefined;
--- /dev/null
+++ b/packages/entry/src/sidecar_client/connections.ts
@@ -0,0 +1,92 @@
+/**
+ * The connections to one sidecar, replaced as a whole when one goes silent.
+ * Control calls share a few; streams, prefills and plain calls, which last
+ * long, have connections of their own.
+ */
+import {
+  CONTROL_TIMEOUT_MS,
+  SIDECAR_RPC_PATH,
+  type SidecarRouter,
+  SYSTEM_SECRET_HEADER,
+} from "@sassafrascleat/protocol";
+import type { Secret } from "@sassafrascleat/runtime";
+import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { type Dispatcher, Pool } from "undici";
+import { CONNECTION_IDLE_MS, CONTROL_CONNECTIONS } from "../constants.ts";
+
+/** What tRPC passes to its `fetch`, as far as it is used here. */
+interface RpcInit {
+  method?: string;
+  headers?: unknown;
+  body?: unknown;
+  signal?: AbortSignal | null;
+}
+
+/** Open connections to one sidecar, and tRPC clients over them. */
+export class Connections {
+  /** For streams and other calls that last long. */
+  readonly streams: Pool;
+  /** For control calls that are answered at once. */
+  readonly rpc: TRPCClient<SidecarRouter>;
+  /** For control calls that wait for work. */
+  readonly longRpc: TRPCClient<SidecarRouter>;
+  readonly #control: Pool;
+
+  constructor(address: string, secret: Secret) {
+    this.streams = createPool(address, null);
+    this.#control = createPool(address, CONTROL_CONNECTIONS);
+    this.rpc = createRpc(address, secret, this.#control);
+    this.longRpc = createRpc(address, secret, this.streams);
+  }
+
+  /** Resolves when the last open call is over. */
+  async retire(): Promise<void> {
+    await Promise.all([this.streams.close(), this.#control.close()]);
+  }
+
+  /** Ends every call at once. */
+  async destroy(): Promise<void> {
+    await Promise.all([this.streams.destroy(), this.#control.destroy()]);
+  }
+}
+
+function createPool(address: string, connections: number | null): Pool {
+  return new Pool(address, {
+    connections,
+    keepAliveTimeout: CONNECTION_IDLE_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: { timeout: CONTROL_TIMEOUT_MS },
+  });
+}
+
+function createRpc(
+  address: string,
+  secret: Secret,
+  pool: Pool,
+): TRPCClient<SidecarRouter> {
+  return createTRPCClient<SidecarRouter>({
+    links: [httpLink({
+      url: address + SIDECAR_RPC_PATH,
+      headers: { [SYSTEM_SECRET_HEADER]: secret.reveal() },
+      fetch: (url, init) => post(pool, String(url), init as RpcInit),
+    })],
+  });
+}
+
+/** The part of `fetch` that tRPC needs, without the cost of the whole. */
+async function post(pool: Pool, url: string, init: RpcInit) {
+  const { pathname, search } = new URL(url);
+  const res = await pool.request({
+    path: pathname + search,
+    method: (init.method ?? "POST") as Dispatcher.HttpMethod,
+    headers: init.headers as Record<string, string>,
+    body: init.body as string,
+    signal: init.signal,
+  });
+  return {
+    ok: res.statusCode < 300,
+    status: res.statusCode,
+    json: () => res.body.json() as Promise<unknown>,
+  } as Response;
+}
--- a/packages/entry/src/sidecar_client/sidecar_client.ts
+++ b/packages/entry/src/sidecar_client/sidecar_client.ts
@@ -20,23 +20,17 @@
   type ReserveReply,
   type ReserveRequest,
   type ResumeRequest,
-  SIDECAR_RPC_PATH,
-  type SidecarRouter,
   type StartRequest,
   STREAM_RESUME_PATH,
   STREAM_START_PATH,
   SYSTEM_SECRET_HEADER,
 } from "@sassafrascleat/protocol";
-import { childController, type Secret, sleep } from "@sassafrascleat/runtime";
-import { createTRPCClient, httpLink, type TRPCClient } from "@trpc/client";
+import { type Secret, sleep } from "@sassafrascleat/runtime";
 import type { Readable } from "node:stream";
-import { fetch as undiciFetch, Pool } from "undici";
-import {
-  CONNECTION_IDLE_MS,
-  CONTROL_TRIES,
-  PREFILL_TRIES,
-  REDIAL_PAUSE_MS,
-} from "../constants.ts";
+import { CONTROL_TRIES, PREFILL_TRIES, REDIAL_PAUSE_MS } from "../constants.ts";
+import { Connections } from "./connections.ts";
+import { EndReason, LinkedAbort } from "./linked_abort.ts";
+import type { Watchdog } from "./watchdog.ts";
 
 /** The HTTP answer that opens a stream or ends a call. */
 export interface RawReply {
@@ -47,24 +41,21 @@
 /** Sends one call; resolves with undefined when it brought no usable reply. */
 type Send<T> = (signal: AbortSignal) => Promise<T>;
 
-/** Replaced as a whole when a connection goes silent. */
-interface Connections {
-  pool: Pool;
-  rpc: TRPCClient<SidecarRouter>;
-}
-
 /** Talks to the sidecar at one address. */
 export class SidecarClient {
   readonly address: string;
+  /** Tells when a call or stream of this client has gone silent. */
+  readonly watchdog: Watchdog;
   readonly #secret: Secret;
   #connections: Connections;
-  /** Replaced pools whose last calls are still open. */
-  readonly #retired = new Set<Pool>();
+  /** Replaced connections whose last calls are still open. */
+  readonly #retired = new Set<Connections>();
   #inFlight = 0;
 
-  constructor(address: string, secret: Secret) {
+  constructor(address: string, secret: Secret, watchdog: Watchdog) {
     this.address = address;
     this.#secret = secret;
+    this.watchdog = watchdog;
     this.#connections = this.#connect();
   }
 
@@ -95,7 +86,7 @@
       PREFILL_TRIES,
       waitMs,
       signal,
-      (s) => this.#connections.rpc.prefill.mutate(req, { signal: s }),
+      (s) => this.#connections.longRpc.prefill.mutate(req, { signal: s }),
     );
   }
 
@@ -111,6 +102,7 @@
     );
   }
 
+  /** Sends one cancel; the caller repeats it. */
   cancel(
     req: CancelRequest,
     signal: AbortSignal,
@@ -161,36 +153,32 @@
     );
   }
 
-  /** Makes later calls use new connections; open ones go on undisturbed. */
-  renewConnections(): void {
-    const old = this.#connections.pool;
+  /** The connections that calls use now. */
+  get connections(): Connections {
+    return this.#connections;
+  }
+
+  /**
+   * Makes later calls use new connections; open ones go on undisturbed. Does
+   * nothing when `silent` are not the present ones: many calls that find the
+   * same connections silent replace them once.
+   */
+  renewConnections(silent: Connections): void {
+    if (silent !== this.#connections) return;
     this.#connections = this.#connect();
-    this.#retired.add(old);
-    const forget = () => this.#retired.delete(old);
-    old.close().then(forget, forget);
+    this.#retired.add(silent);
+    const forget = () => this.#retired.delete(silent);
+    silent.retire().then(forget, forget);
   }
 
   /** Ends every connection, with whatever still runs on it. */
   async close(): Promise<void> {
-    const pools = [this.#connections.pool, ...this.#retired];
-    await Promise.all(pools.map((pool) => pool.destroy()));
+    const all = [this.#connections, ...this.#retired];
+    await Promise.all(all.map((it) => it.destroy()));
   }
 
   #connect(): Connections {
-    const pool = new Pool(this.address, {
-      keepAliveTimeout: CONNECTION_IDLE_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      connect: { timeout: CONTROL_TIMEOUT_MS },
-    });
-    const rpc = createTRPCClient<SidecarRouter>({
-      links: [httpLink({
-        url: this.address + SIDECAR_RPC_PATH,
-        headers: { [SYSTEM_SECRET_HEADER]: this.#secret.reveal() },
-        fetch: (url, init) => fetchThrough(pool, String(url), init),
-      })],
-    });
-    return { pool, rpc };
+    return new Connections(this.address, this.#secret);
   }
 
   async #repeat<T>(
@@ -217,20 +205,19 @@
     signal: AbortSignal,
     send: Send<T>,
   ): Promise<T | undefined> {
-    const controller = childController(signal);
-    let silent = false;
-    const timer = setTimeout(() => {
-      silent = true;
-      controller.abort();
-    }, waitMs);
+    const link = new LinkedAbort(signal);
+    const used = this.#connections;
+    const watch = this.watchdog.watch(waitMs, () => {
+      this.renewConnections(used);
+      link.abort(EndReason.Silent);
+    });
     try {
-      return await send(controller.signal);
+      return await send(link.signal);
     } catch {
-      if (silent) this.renewConnections();
       return undefined;
     } finally {
-      clearTimeout(timer);
-      controller.abort();
+      watch.stop();
+      link.unlink();
     }
   }
 
@@ -239,7 +226,7 @@
     body: unknown,
     signal: AbortSignal,
   ): Promise<RawReply> {
-    const reply = await this.#connections.pool.request({
+    const reply = await this.#connections.streams.request({
       path,
       method: "POST",
       headers: {
@@ -266,18 +253,3 @@
     return JSON.parse(Buffer.concat(chunks).toString()) as PlainCallReply;
   }
 }
-
-type FetchInit = Parameters<typeof undiciFetch>[1];
-
-/** A `fetch` for tRPC that uses the connections of one pool. */
-async function fetchThrough(
-  pool: Pool,
-  url: string,
-  init: unknown,
-): Promise<Response> {
-  const res = await undiciFetch(url, {
-    ...(init as FetchInit),
-    dispatcher: pool,
-  });
-  return res as unknown as Response;
-}
--- a/packages/entry/src/sidecar_client/sidecar_clients.ts
+++ b/packages/entry/src/sidecar_client/sidecar_clients.ts
@@ -2,6 +2,7 @@
 import { type Clock, every, type Secret } from "@sassafrascleat/runtime";
 import { CLIENT_IDLE_MS, CLIENT_SWEEP_MS } from "../constants.ts";
 import { SidecarClient } from "./sidecar_client.ts";
+import { Watchdog } from "./watchdog.ts";
 
 interface Slot {
   client: SidecarClient;
@@ -12,11 +13,13 @@
 export class SidecarClients {
   readonly #secret: Secret;
   readonly #clock: Clock;
+  readonly #watchdog: Watchdog;
   readonly #slots = new Map<string, Slot>();
 
   constructor(secret: Secret, clock: Clock) {
     this.#secret = secret;
     this.#clock = clock;
+    this.#watchdog = new Watchdog(clock);
   }
 
   /** The number of clients that are open. */
@@ -27,7 +30,10 @@
   at(address: string): SidecarClient {
     let slot = this.#slots.get(address);
     if (!slot) {
-      slot = { client: new SidecarClient(address, this.#secret), usedAtMs: 0 };
+      slot = {
+        client: new SidecarClient(address, this.#secret, this.#watchdog),
+        usedAtMs: 0,
+      };
       this.#slots.set(address, slot);
     }
     slot.usedAtMs = this.#clock.now();
--- a/playground/src/bench/main.ts
+++ b/playground/src/bench/main.ts
@@ -6,7 +6,9 @@
 /** A bench: takes its arguments, returns the exit status. */
 type Bench = (args: string[]) => Promise<number>;
 
-const BENCHES: Record<string, () => Promise<{ main: Bench }>> = {};
+const BENCHES: Record<string, () => Promise<{ main: Bench }>> = {
+  claims: () => import("./claims/main.ts"),
+};
 
 const [name = "", ...args] = process.argv.slice(2);
 const load = BENCHES[name];
