feat(playground): bench of store writes against keyed calls

Cause: nothing told how many store writes idempotency keys cost, and a slow plain call opened a connection of its own to be asked about. Change: 'bench -- claims' runs entries before a store, a sidecar and a plain service in another thread, with and without keys. Slow calls are asked about over the control connections, with a pause that doubles, and own lag does not start the questions.

--- a/packages/entry/src/claims/claim_follower.ts
+++ b/packages/entry/src/claims/claim_follower.ts
@@ -72,7 +72,7 @@
       const end = reply && this.#read(record, reply);
       if (end) return end;
       last = reply ? UnknownReason.StillRunning : last;
-      await this.#pause(reply, client, call.signal);
+      await this.#pause(reply, call.signal);
     }
     if (call.signal.aborted) return ended(abortOutcome(call.signal));
     return ended(describe(last));
@@ -80,10 +80,8 @@
 
   async #pause(
     reply: PlainCallReply | undefined,
-    client: SidecarClient,
     signal: AbortSignal,
   ): Promise<void> {
-    if (!reply) client.renewConnections(client.connections);
     const pauseMs = reply ? FOLLOW_PAUSE_MS : ATTACH_RETRY_MS;
     await sleep(jitter(pauseMs, this.#parts.ctx.options.random), signal);
   }
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -82,7 +82,10 @@
 export const PLAIN_SILENCE_MS = 400;
 
 /** Longest wait of one request for a lost answer, in milliseconds. */
-export const ATTACH_WAIT_MS = 2_000;
+export const ATTACH_WAIT_MS = 200;
+
+/** Longest pause between questions about a call that runs, in milliseconds. */
+export const MAX_ATTACH_PAUSE_MS = 800;
 
 /** Pause before a lost answer is asked for again, in milliseconds. */
 export const ATTACH_RETRY_MS = 100;
--- a/packages/entry/src/plain/plain_call.ts
+++ b/packages/entry/src/plain/plain_call.ts
@@ -31,12 +31,14 @@
   ATTACH_RETRY_MS,
   ATTACH_WAIT_MS,
   LOST_ANSWER_MS,
+  MAX_ATTACH_PAUSE_MS,
   PLAIN_SILENCE_MS,
 } from "../constants.ts";
 import { abortOutcome, type Call, type Place } from "../lifecycle/call.ts";
 import type { EntryContext } from "../lifecycle/context.ts";
 import type { Lane } from "../lifecycle/lanes.ts";
 import { EndReason, LinkedAbort } from "../sidecar_client/linked_abort.ts";
+import type { Watchdog } from "../sidecar_client/watchdog.ts";
 
 const log = createLogger("entry:plain");
 
@@ -180,20 +182,20 @@
 
   /** Resolves only with an answer; the sent call ends the wait otherwise. */
   async #watch(place: Place, signal: AbortSignal): Promise<Sent> {
-    const { connections } = place.client;
-    await sleep(PLAIN_SILENCE_MS, signal);
-    if (!signal.aborted) place.client.renewConnections(connections);
+    await silence(place.client.watchdog, signal);
+    let pauseMs = ATTACH_RETRY_MS;
     while (!signal.aborted) {
       const reply = await place.client.attach({
         ...place.ref,
         incarnation: place.incarnation,
-        waitMs: ATTACH_WAIT_MS,
+        waitMs: 0,
         settle: false,
       }, signal);
       if (reply?.state === PlainCallState.Answered) {
         return { reply, direct: false };
       }
-      await sleep(ATTACH_RETRY_MS, signal);
+      await sleep(pauseMs, signal);
+      pauseMs = Math.min(MAX_ATTACH_PAUSE_MS, pauseMs * 2);
     }
     return new Promise(() => {});
   }
@@ -218,7 +220,6 @@
     let last = UnknownReason.SidecarUnreachable;
     const signal = this.#signal();
     while (this.#ctx.clock.now() < untilMs && !signal.aborted) {
-      place.client.renewConnections(place.client.connections);
       const reply = await place.client.attach({
         ...place.ref,
         incarnation: place.incarnation,
@@ -281,6 +282,17 @@
   }
 }
 
+/** Resolves after a silence of `PLAIN_SILENCE_MS`, or on abort. */
+function silence(watchdog: Watchdog, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    const watch = watchdog.watch(PLAIN_SILENCE_MS, resolve);
+    signal.addEventListener("abort", () => {
+      watch.stop();
+      resolve();
+    }, { once: true });
+  });
+}
+
 /** A tombstone of one attempt leaves the next one free to run. */
 function transient(reason: RefusalReason): FailureReason {
   const ofAttempt = reason === RefusalReason.Tombstoned ||
--- a/packages/entry/src/sidecar_client/connections.ts
+++ b/packages/entry/src/sidecar_client/connections.ts
@@ -30,23 +30,24 @@
   readonly rpc: TRPCClient<SidecarRouter>;
   /** For control calls that wait for work. */
   readonly longRpc: TRPCClient<SidecarRouter>;
-  readonly #control: Pool;
+  /** For calls that are answered at once. */
+  readonly control: Pool;
 
   constructor(address: string, secret: Secret) {
     this.streams = createPool(address, null);
-    this.#control = createPool(address, CONTROL_CONNECTIONS);
-    this.rpc = createRpc(address, secret, this.#control);
+    this.control = createPool(address, CONTROL_CONNECTIONS);
+    this.rpc = createRpc(address, secret, this.control);
     this.longRpc = createRpc(address, secret, this.streams);
   }
 
   /** Resolves when the last open call is over. */
   async retire(): Promise<void> {
-    await Promise.all([this.streams.close(), this.#control.close()]);
+    await Promise.all([this.streams.close(), this.control.close()]);
   }
 
   /** Ends every call at once. */
   async destroy(): Promise<void> {
-    await Promise.all([this.streams.destroy(), this.#control.destroy()]);
+    await Promise.all([this.streams.destroy(), this.control.destroy()]);
   }
 }
 
--- a/packages/entry/src/sidecar_client/sidecar_client.ts
+++ b/packages/entry/src/sidecar_client/sidecar_client.ts
@@ -27,6 +27,7 @@
 } from "@sassafrascleat/protocol";
 import { type Secret, sleep } from "@sassafrascleat/runtime";
 import type { Readable } from "node:stream";
+import type { Pool } from "undici";
 import { CONTROL_TRIES, PREFILL_TRIES, REDIAL_PAUSE_MS } from "../constants.ts";
 import { Connections } from "./connections.ts";
 import { EndReason, LinkedAbort } from "./linked_abort.ts";
@@ -117,12 +118,22 @@
 
   /** Opens the stream of a granted attempt. Rejects when no headers came. */
   start(req: StartRequest, signal: AbortSignal): Promise<RawReply> {
-    return this.#post(STREAM_START_PATH, req, signal);
+    return this.#post(
+      this.#connections.streams,
+      STREAM_START_PATH,
+      req,
+      signal,
+    );
   }
 
   /** Continues a stream on another connection. Rejects when no headers came. */
   resume(req: ResumeRequest, signal: AbortSignal): Promise<RawReply> {
-    return this.#post(STREAM_RESUME_PATH, req, signal);
+    return this.#post(
+      this.#connections.streams,
+      STREAM_RESUME_PATH,
+      req,
+      signal,
+    );
   }
 
   /** Sends a plain call once, without repeats; undefined when no reply came. */
@@ -135,11 +146,11 @@
       1,
       timeoutMs,
       signal,
-      (s) => this.#postJson(PLAIN_CALL_PATH, req, s),
+      (s) => this.#postJson(this.#connections.streams, PLAIN_CALL_PATH, req, s),
     );
   }
 
-  /** Asks on a new connection for the answer of a call that may have been sent. */
+  /** Asks beside the call's own connection for its answer. */
   attach(
     req: PlainAttachRequest,
     signal: AbortSignal,
@@ -149,7 +160,8 @@
       1,
       waitMs,
       signal,
-      (s) => this.#postJson(PLAIN_ATTACH_PATH, req, s),
+      (s) =>
+        this.#postJson(this.#connections.control, PLAIN_ATTACH_PATH, req, s),
     );
   }
 
@@ -222,11 +234,12 @@
   }
 
   async #post(
+    pool: Pool,
     path: string,
     body: unknown,
     signal: AbortSignal,
   ): Promise<RawReply> {
-    const reply = await this.#connections.streams.request({
+    const reply = await pool.request({
       path,
       method: "POST",
       headers: {
@@ -242,11 +255,12 @@
   }
 
   async #postJson(
+    pool: Pool,
     path: string,
     body: unknown,
     signal: AbortSignal,
   ): Promise<PlainCallReply | undefined> {
-    const reply = await this.#post(path, body, signal);
+    const reply = await this.#post(pool, path, body, signal);
     const chunks: Buffer[] = [];
     for await (const chunk of reply.body) chunks.push(chunk);
     if (reply.statusCode !== 200) return undefined;
--- /dev/null
+++ b/playground/src/bench/claims/backend_thread.ts
@@ -0,0 +1,50 @@
+/** The bench's store, sidecar and plain service, as the main thread sees them. */
+import { once } from "node:events";
+import { Worker } from "node:worker_threads";
+
+/** Where the backend listens. */
+export interface BackendAddresses {
+  store: string;
+  sidecar: string;
+}
+
+/** What the backend has done so far. */
+export interface BackendCounts {
+  storeWrites: number;
+  storeReads: number;
+  executions: number;
+}
+
+/** What the main thread asks. */
+export enum BackendRequest {
+  Counts = "counts",
+  Close = "close",
+}
+
+/** A backend in a thread of its own. */
+export interface BackendThread {
+  addresses: BackendAddresses;
+  counts(): Promise<BackendCounts>;
+  close(): Promise<void>;
+}
+
+/** Starts the backend; each call to its store takes `storeDelayMs`. */
+export async function startBackend(
+  storeDelayMs: number,
+): Promise<BackendThread> {
+  const url = new URL("./backend_worker.js", import.meta.url);
+  const worker = new Worker(url, { workerData: { storeDelayMs } });
+  const [addresses] = await once(worker, "message");
+  return {
+    addresses,
+    async counts() {
+      worker.postMessage(BackendRequest.Counts);
+      const [counts] = await once(worker, "message");
+      return counts;
+    },
+    async close() {
+      worker.postMessage(BackendRequest.Close);
+      await once(worker, "exit");
+    },
+  };
+}
--- a/playground/src/bench/claims/fleet.ts
+++ b/playground/src/bench/claims/fleet.ts
@@ -1,33 +1,20 @@
 /** What the bench measures: entries before one plain service, and a store. */
 import { createConfigReplica, ObjectKind } from "@sassafrascleat/config";
-import { createHttpPlainBackend } from "@sassafrascleat/engine";
 import { createEntry, type Entry } from "@sassafrascleat/entry";
 import { createHostView } from "@sassafrascleat/membership";
-import {
-  BackendRole,
-  type BackendServer,
-  HostState,
-} from "@sassafrascleat/protocol";
-import { Secret } from "@sassafrascleat/runtime";
-import { createSidecar } from "@sassafrascleat/sidecar";
+import { BackendRole } from "@sassafrascleat/protocol";
 import { createHttpStore } from "@sassafrascleat/store";
 import {
-  createPlainServer,
-  createStoreServer,
-  type PlainServer,
-  type StoreServer,
-} from "@sassafrascleat/testing";
-
-const SECRET = new Secret("system", "bench");
-const OFFICE = "hobart";
-const ZONE = "hobart-a";
-const CONCURRENCY = 256;
+  type BackendAddresses,
+  type BackendThread,
+  startBackend,
+} from "./backend_thread.ts";
+import { DESK, OFFICE, SECRET, ZONE } from "./desk.ts";
 
-/** A fleet in one process; the store and the service answer over HTTP. */
+/** Entries in this thread before a backend in a thread of its own. */
 export interface Fleet {
   entries: Entry[];
-  store: StoreServer;
-  service: PlainServer;
+  backend: BackendThread;
   close(): Promise<void>;
 }
 
@@ -36,48 +23,23 @@
   entryCount: number,
   storeDelayMs: number,
 ): Promise<Fleet> {
-  const service = await createPlainServer();
-  const store = await createStoreServer();
-  store.setFaults({ delayMs: storeDelayMs });
-  const host = backendServer();
-  const sidecar = await createSidecar({
-    backendServer: host,
-    host: "127.0.0.1",
-    secrets: [SECRET],
-    plain: createHttpPlainBackend({ baseUrl: service.address }),
-    plainConcurrency: CONCURRENCY,
-  });
-  host.sidecarAddress = sidecar.address;
+  const backend = await startBackend(storeDelayMs);
   const entries: Entry[] = [];
   for (let i = 0; i < entryCount; i++) {
-    entries.push(await startEntry(`entry-${i + 1}`, host, store.url));
+    entries.push(await startEntry(`entry-${i + 1}`, backend.addresses));
   }
   const close = async () => {
     await Promise.all(entries.map((entry) => entry.close()));
-    await sidecar.close();
-    await Promise.all([service.close(), store.close()]);
-  };
-  return { entries, store, service, close };
-}
-
-function backendServer(): BackendServer {
-  return {
-    name: "desk-1",
-    office: OFFICE,
-    availabilityZone: ZONE,
-    pool: "desk",
-    role: BackendRole.Plain,
-    sidecarAddress: "http://127.0.0.1:1",
-    engineAddress: "http://127.0.0.1:1",
-    state: HostState.Live,
+    await backend.close();
   };
+  return { entries, backend, close };
 }
 
 async function startEntry(
   entryId: string,
-  server: BackendServer,
-  storeUrl: string,
+  addresses: BackendAddresses,
 ): Promise<Entry> {
+  const server = { ...DESK, sidecarAddress: addresses.sidecar };
   const hosts = createHostView({
     source: { list: async () => [server] },
     office: OFFICE,
@@ -92,7 +54,7 @@
     secret: SECRET,
     config: configuration(),
     hosts,
-    store: createHttpStore({ baseUrl: storeUrl }),
+    store: createHttpStore({ baseUrl: addresses.store }),
   });
 }
 
--- a/playground/src/bench/claims/load.ts
+++ b/playground/src/bench/claims/load.ts
@@ -34,8 +34,7 @@
 ): Promise<LoadResult> {
   const agent = new Agent({ connections: 256 });
   const latencies = build({ numberOfSignificantValueDigits: 3 });
-  const before = fleet.store.counts();
-  const ranBefore = fleet.service.books().total;
+  const before = await fleet.backend.counts();
   const startedAtMs = performance.now();
   const pending: Promise<boolean>[] = [];
   const total = level.callsPerSecond * level.seconds;
@@ -51,16 +50,20 @@
   const answers = await Promise.all(pending);
   const seconds = (performance.now() - startedAtMs) / 1_000;
   await agent.close();
-  const after = fleet.store.counts();
+  const after = await fleet.backend.counts();
   const answered = answers.filter(Boolean).length;
   return {
     callsPerSecond: level.callsPerSecond,
     keyed: level.keyed,
     answered,
     refused: answers.length - answered,
-    executions: fleet.service.books().total - ranBefore,
-    storeWritesPerSecond: round((after.writes - before.writes) / seconds),
-    storeReadsPerSecond: round((after.reads - before.reads) / seconds),
+    executions: after.executions - before.executions,
+    storeWritesPerSecond: round(
+      (after.storeWrites - before.storeWrites) / seconds,
+    ),
+    storeReadsPerSecond: round(
+      (after.storeReads - before.storeReads) / seconds,
+    ),
     p50Ms: round(latencies.getValueAtPercentile(50) / 1_000),
     p95Ms: round(latencies.getValueAtPercentile(95) / 1_000),
     p99Ms: round(latencies.getValueAtPercentile(99) / 1_000),
