--- a/packages/config/src/proposer.ts
+++ b/packages/config/src/proposer.ts
@@ -42,6 +42,7 @@
 import { findPatch } from "./patch_records.ts";
 import type { MemoryReplica } from "./replica.ts";
 import type { SegmentStore } from "./segments.ts";
+import { Turns } from "./turns.ts";
 import { toIssues } from "./validate.ts";
 
 const log = createLogger("config");
@@ -54,6 +55,8 @@
   segments: SegmentStore;
   office: string;
   random: Random;
+  /** First wait before a lost answer is looked into, in milliseconds. */
+  resolveBackoffMs?: number;
   /** Milliseconds since 1970, for the audit trail. */
   wallClock: () => number;
 }
@@ -87,6 +90,8 @@
 /** Proposes changes for one office. */
 export class Proposer {
   readonly #options: ProposerOptions;
+  /** Proposals of one daemon don't race each other for a sequence. */
+  readonly #turns = new Turns();
 
   constructor(options: ProposerOptions) {
     this.#options = options;
@@ -96,11 +101,23 @@
   async propose(
     req: ProposeRequest,
     signal: AbortSignal,
+  ): Promise<ProposeOutcome> {
+    const outcome = await this.#turns.run(
+      signal,
+      () => this.#tryUntilDecided(req, signal),
+    );
+    const waited = "earlier proposals at this daemon took too long; try again";
+    return this.#report(req, outcome ?? notRun(req, waited));
+  }
+
+  async #tryUntilDecided(
+    req: ProposeRequest,
+    signal: AbortSignal,
   ): Promise<ProposeOutcome> {
     let waitMs = CONFLICT_BACKOFF_MS;
     for (let attempt = 0; attempt < PROPOSE_ATTEMPTS; attempt++) {
       const outcome = await this.#attempt(req, signal);
-      if (outcome) return this.#report(req, outcome);
+      if (outcome) return outcome;
       await sleep(jitter(waitMs, this.#options.random), signal);
       waitMs = Math.min(2 * waitMs, CONFLICT_BACKOFF_MAX_MS);
       if (signal.aborted) break;
@@ -181,8 +198,8 @@
     const isMine = (object: StoredObject) =>
       isDeepStrictEqual(object.value, change);
     const key = changeKey(change.sequence);
-    const options = { isMine, signal };
-    const { store } = this.#options;
+    const { store, resolveBackoffMs } = this.#options;
+    const options = { isMine, signal, backoffMs: resolveBackoffMs };
     const result = await putResolved(store, key, change, ABSENT, options);
     return this.#settle(change, req, result, signal);
   }
--- a/packages/entry/src/lifecycle/answer_meter.ts
+++ b/packages/entry/src/lifecycle/answer_meter.ts
@@ -1,14 +1,20 @@
 /** Times one answer: first token, gaps between tokens, targets met or not. */
 import type { Policy } from "@sassafrascleat/config";
-import type { Clock } from "@sassafrascleat/runtime";
+import type { PlacementRequest } from "@sassafrascleat/routing";
+import { type Clock, createLogger } from "@sassafrascleat/runtime";
 import type { EntryMetrics } from "../metrics.ts";
 
+const log = createLogger("entry:latency");
+
 /** Records the token times of one request. */
 export class AnswerMeter {
   readonly #clock: Clock;
   readonly #metrics: EntryMetrics;
   readonly #service: string;
   readonly #arrivedAtMs: number;
+  readonly #requestId: string;
+  #placedAtMs = 0;
+  #prefilledAtMs = 0;
   #firstAtMs: number | undefined;
   #lastAtMs = 0;
   #tokens = 0;
@@ -17,12 +23,23 @@
     clock: Clock,
     metrics: EntryMetrics,
     service: string,
-    arrivedAtMs: number,
+    req: PlacementRequest,
   ) {
     this.#clock = clock;
     this.#metrics = metrics;
     this.#service = service;
-    this.#arrivedAtMs = arrivedAtMs;
+    this.#arrivedAtMs = req.arrivedAtMs;
+    this.#requestId = req.requestId;
+  }
+
+  /** Records that a decode place was granted just now. */
+  placed(): void {
+    this.#placedAtMs = this.#clock.now();
+  }
+
+  /** Records that the prompt's prefill ended just now. */
+  prefilled(): void {
+    this.#prefilledAtMs = this.#clock.now();
   }
 
   /** Records tokens that arrived just now. */
@@ -47,6 +64,12 @@
 
   #first(nowMs: number): void {
     this.#firstAtMs = nowMs;
+    log("first_token", {
+      request: this.#requestId,
+      queued_ms: Math.round(this.#placedAtMs - this.#arrivedAtMs),
+      prefill_ms: Math.round(this.#prefilledAtMs - this.#placedAtMs),
+      start_ms: Math.round(nowMs - this.#prefilledAtMs),
+    });
     const seconds = (nowMs - this.#arrivedAtMs) / 1_000;
     this.#metrics.ttftSeconds.observe({ service: this.#service }, seconds);
   }
--- a/packages/sidecar/src/backend_state.ts
+++ b/packages/sidecar/src/backend_state.ts
@@ -100,6 +100,7 @@
       freePieces: this.parts ? this.capacity.freePieces : 0,
       totalPieces: this.parts ? this.#totalPieces() : 0,
       queuedTokens: prefills?.queuedTokens ?? 0,
+      urgentTokens: prefills?.urgentTokens ?? 0,
       rate: prefill ? prefills?.rate ?? 0 : steps,
       leaving: this.leaving,
     };
@@ -128,7 +129,14 @@
     const { clock, reconcileMs, prefillWindowTokens } = this.cfg;
     const canceller = new EngineCanceller(engine, signal);
     const knows = (id: string) => this.knows(id);
-    const watch = new EngineWatch({ engine, canceller, reconcileMs, knows });
+    const caches = () => this.role === BackendRole.Prefill;
+    const watch = new EngineWatch({
+      engine,
+      canceller,
+      reconcileMs,
+      caches,
+      knows,
+    });
     const { cache } = watch;
     const prefills = new PrefillScheduler({
       engine,
@@ -136,8 +144,13 @@
       clock,
       windowTokens: prefillWindowTokens,
       costOf: (req) =>
-        Math.max(1, req.promptTokens - cache.cachedTokens(req.pieceHashes)),
+        Math.max(
+          1,
+          req.promptTokens + req.generated.length -
+            cache.cachedTokens(req.pieceHashes),
+        ),
       assumedRate: () => watch.prefillRate,
+      onUnreachable: () => watch.suspect(),
     });
     return { engine, canceller, watch, prefills };
   }
@@ -155,8 +168,9 @@
   #remainingMs(place: Place): number {
     if (!this.parts) return this.callMs;
     if (place.state === PlaceState.Releasing) return 0;
-    const expected = place.expectedTokens - place.producedTokens;
-    const overdue = place.producedTokens * OVERDUE_SHARE;
+    const answer = place.generatedTokens + place.producedTokens;
+    const expected = place.expectedTokens - answer;
+    const overdue = answer * OVERDUE_SHARE;
     const tokens = Math.max(1, expected > 0 ? expected : overdue);
     return tokens * this.parts.watch.stepMs(this.capacity.running);
   }
--- a/packages/sidecar/src/decode_runner.ts
+++ b/packages/sidecar/src/decode_runner.ts
@@ -34,6 +34,8 @@
   transferTimeoutMs: number;
   /** Fails the attempt that has to give up memory. */
   evict(place: Place): void;
+  /** Called when the engine did not answer. */
+  onUnreachable(): void;
 }
 
 /** Whether the engine may still hold the request. */
@@ -93,15 +95,22 @@
         EngineHold.None,
       );
     }
-    place.state = PlaceState.Running;
+    this.#opts.capacity.begin(place, req.generated.length);
+    this.#makeRoom();
     const waitedMs = this.#opts.clock.now() - arrivedAtMs;
     const begun = await this.#begin(record, req, waitedMs);
     if (begun.status !== EngineStatus.Ok) {
+      this.#noteFailure(begun.status, signal);
       return failed(failureOf(begun.status, signal), EngineHold.Possible);
     }
     return await this.#follow(record, place, tokens, begun.events);
   }
 
+  #noteFailure(status: EngineStatus, signal: AbortSignal): void {
+    if (signal.aborted || status !== EngineStatus.Unreachable) return;
+    this.#opts.onUnreachable();
+  }
+
   /** False when the prefill result expires first, or on abort. */
   async #waitForPlace(
     place: Place,
@@ -187,8 +196,12 @@
 
   /** Takes memory for new tokens, from the least urgent attempts if need be. */
   #grow(place: Place, added: number): void {
+    this.#opts.capacity.grow(place, added);
+    this.#makeRoom();
+  }
+
+  #makeRoom(): void {
     const { capacity, evict } = this.#opts;
-    capacity.grow(place, added);
     while (capacity.deficit > 0) {
       const victim = capacity.victim();
       if (!victim) return;
@@ -210,6 +223,7 @@
       const resumed = await engine.resume(id, tokens.length, signal);
       if (resumed.status === EngineStatus.Ok) return resumed.events;
       if (resumed.status === EngineStatus.Refused) return undefined;
+      this.#noteFailure(resumed.status, signal);
       await sleep(ENGINE_RESUME_DELAY_MS, signal);
     }
     return undefined;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,5 +1,6 @@
 /** Puts the parts of a sidecar together and owns their lifetime. */
 import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import type { SidecarControl } from "@sassafrascleat/protocol";
 import { createLogger, every, sleep } from "@sassafrascleat/runtime";
 import type { FastifyInstance } from "fastify";
@@ -7,13 +8,14 @@
 import {
   ANSWER_BYTES_CAPACITY,
   DRAIN_POLL_MS,
+  PRUNE_INTERVAL_MS,
   REAP_INTERVAL_MS,
 } from "./constants.ts";
 import { ControlCalls } from "./control.ts";
 import { createListener } from "./listener.ts";
 import { resolveSidecarOptions, type SidecarOptions } from "./options.ts";
 import { PlainCalls } from "./plain_calls.ts";
-import { reap } from "./reaper.ts";
+import { prune, reap } from "./reaper.ts";
 import { Streams } from "./streams.ts";
 
 const log = createLogger("sidecar");
@@ -39,6 +41,7 @@
 export async function createSidecar(raw: SidecarOptions): Promise<Sidecar> {
   const cfg = resolveSidecarOptions(raw);
   const stop = new AbortController();
+  setMaxListeners(0, stop.signal);
   const state = new BackendState(cfg, randomUUID(), stop.signal);
   const plain = cfg.plain && createPlainCalls(state);
   const control = new ControlCalls(state, plain);
@@ -47,7 +50,8 @@
   await state.parts?.watch.start(stop.signal);
   const app = createListener({ state, control, streams, plain });
   await app.listen({ host: cfg.host, port: cfg.port });
-  void every(REAP_INTERVAL_MS, stop.signal, () => reap(state, plain));
+  void every(REAP_INTERVAL_MS, stop.signal, () => reap(state));
+  void every(PRUNE_INTERVAL_MS, stop.signal, () => prune(state, plain));
   const address = addressOf(app, cfg.host);
   log("started", { name: cfg.backendServer.name, address });
   return {
--- a/playground/src/bench/main.ts
+++ b/playground/src/bench/main.ts
@@ -8,6 +8,13 @@
 
 const BENCHES: Record<string, () => Promise<{ main: Bench }>> = {
   claims: () => import("./claims/main.ts"),
+  sidecar: () => import("./sidecar/main.ts"),
+  capacity: () => import("./capacity/main.ts"),
+  "config-log": () => import("./config_log/index.ts"),
+  relay: () => import("./relay/main.ts"),
+  streams: () => import("./streams/main.ts"),
+  decisions: () => import("./decisions/main.ts"),
+  placement: () => import("./placement/main.ts"),
 };
 
 const [name = "", ...args] = process.argv.slice(2);
