--- a/playground/src/bench/main.ts
+++ b/playground/src/bench/main.ts
@@ -7,6 +7,7 @@
 type Bench = (args: string[]) => Promise<number>;
 
 const BENCHES: Record<string, () => Promise<{ main: Bench }>> = {
+  claims: () => import("./claims/main.ts"),
   sidecar: () => import("./sidecar/main.ts"),
   capacity: () => import("./capacity/main.ts"),
   "config-log": () => import("./config_log/index.ts"),
