--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -21,14 +21,17 @@
 /** Interval at which idle sidecar clients are looked for, in milliseconds. */
 export const CLIENT_SWEEP_MS = 10_000;
 
+/** Connections to one sidecar that control calls share. */
+export const CONTROL_CONNECTIONS = 8;
+
 /** Time an idle connection to a sidecar stays open, in milliseconds. */
 export const CONNECTION_IDLE_MS = 20_000;
 
 /** Time over which a cancel is repeated until it is acknowledged, in milliseconds. */
-export const CANCEL_GIVE_UP_MS = 10_000;
+export const CANCEL_GIVE_UP_MS = 6_000;
 
-/** Pause between repeats of a cancel, in milliseconds. */
-export const CANCEL_RETRY_MS = 200;
+/** First pause before a cancel is repeated, in milliseconds; it doubles. */
+export const CANCEL_RETRY_MS = 100;
 
 /** Reservations that one service's dispatcher may have under way. */
 export const MAX_PLACING = 32;
@@ -79,7 +82,10 @@
 export const PLAIN_SILENCE_MS = 400;
 
 /** Longest wait of one request for a lost answer, in milliseconds. */
-export const ATTACH_WAIT_MS = 2_000;
+export const ATTACH_WAIT_MS = 200;
+
+/** Longest pause between questions about a call that runs, in milliseconds. */
+export const MAX_ATTACH_PAUSE_MS = 800;
 
 /** Pause before a lost answer is asked for again, in milliseconds. */
 export const ATTACH_RETRY_MS = 100;
