feat(cli): the status as tables

The status has lists inside lists, which came out as one path for each leaf, thirty lines and more for six zones. Lists are now tables of their own, with one row for each innermost item.

Conclusion: one line for each zone and backend server.

--- a/packages/cli/src/__tests__/cli_test.ts
+++ b/packages/cli/src/__tests__/cli_test.ts
@@ -32,7 +32,7 @@
     changeLog: createChangeLog({ store, replica, office: "co-op" }),
     replica,
     secrets: [new Secret("ann", SECRET)],
-    status: () => Promise.resolve({ sequence: replica.sequence }),
+    status: () => Promise.resolve(statusOf(replica.sequence)),
     drain: (name, leaving) =>
       Promise.resolve(name === "engine-1" ? { leaving } : undefined),
   }));
@@ -45,6 +45,16 @@
   await storeServer.close();
 });
 
+/** A status with lists inside lists, as daemons give it. */
+function statusOf(sequence: number) {
+  const zones = [{ zone: "a", lagging: 0 }, { zone: "b", lagging: 1 }];
+  return {
+    daemon: { id: "entry-1" },
+    sequence,
+    offices: [{ name: "co-op", zones }],
+  };
+}
+
 interface Run {
   code: number;
   stdout: string;
@@ -176,7 +186,9 @@
     const history = await run(["history", "--name", "shown", "-o", "json"]);
     expect(JSON.parse(history.stdout).changes)
       .toMatchObject([{ author: "ann", office: "co-op", version: 1 }]);
-    expect((await run(["status"])).stdout).toMatch(/sequence +\d+/);
+    const status = (await run(["status"])).stdout;
+    expect(status).toMatch(/daemon\.id +entry-1\nsequence +\d+\n\noffices:\n/);
+    expect(status).toMatch(/NAME +ZONE +LAGGING\nco-op +a +0\nco-op +b +1\n/);
   });
 
   test("drain reaches a backend server that is known", async () => {
--- a/packages/cli/src/apply_changes.ts
+++ b/packages/cli/src/apply_changes.ts
@@ -141,7 +141,7 @@
   return {
     exitCode: last.exitCode,
     document: isList ? documents : documents[0],
-    table: documents.length > 0 ? toTable(documents) : undefined,
+    tables: documents.length > 0 ? [toTable(documents)] : [],
     message: last.message,
   };
 }
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -4,7 +4,7 @@
 import { connectionArgs } from "../common_args.ts";
 import { shown } from "../result.ts";
 import { runCommand } from "../run_command.ts";
-import { documentTable } from "../table.ts";
+import { documentTable, documentTables } from "../table.ts";
 
 export const statusCommand = command({
   name: "status",
@@ -13,7 +13,10 @@
   handler: (args) =>
     runCommand(args, async (client) => {
       const result = await client.get("/v1/status");
-      return readResult(result, (body) => shown(body, documentTable(body)));
+      return readResult(
+        result,
+        (body) => shown(body, ...documentTables(body)),
+      );
     }),
 });
 
--- a/packages/cli/src/commands/validate.ts
+++ b/packages/cli/src/commands/validate.ts
@@ -16,7 +16,6 @@
 import { readChanges } from "../read_changes.ts";
 import { type CommandResult, failure } from "../result.ts";
 import { runCommand } from "../run_command.ts";
-import { documentTable } from "../table.ts";
 
 /** What the check of one change found. */
 interface Checked {
@@ -66,7 +65,7 @@
   return {
     exitCode: bad.length > 0 ? ExitCode.Invalid : ExitCode.Ok,
     document: checked,
-    table: { header: ["kind", "name", "result"], rows },
+    tables: [{ header: ["kind", "name", "result"], rows }],
     message: lines.length > 0 ? lines.join("\n") : undefined,
   };
 }
@@ -80,7 +79,7 @@
     const answer = await client.post("/v1/validate", { change });
     const result = readResult(answer, (body) => {
       checked.push(fromReply(change, body as ValidateReply));
-      return { exitCode: ExitCode.Ok, table: documentTable(body) };
+      return { exitCode: ExitCode.Ok };
     });
     if (result.exitCode !== ExitCode.Ok) return result;
   }
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -10,12 +10,12 @@
 
 /** Prints a result and sets the exit code of the process. */
 export function printResult(result: CommandResult, format: OutputFormat): void {
-  const { document, table, message } = result;
+  const { document, tables = [], message } = result;
   if (format === OutputFormat.Json && document !== undefined) {
     process.stdout.write(`${JSON.stringify(document, null, 2)}\n`);
   }
-  if (format === OutputFormat.Table && table) {
-    process.stdout.write(`${formatTable(table)}\n`);
+  if (format === OutputFormat.Table && tables.length > 0) {
+    process.stdout.write(`${tables.map(formatTable).join("\n\n")}\n`);
   }
   if (message) process.stderr.write(`${message}\n`);
   process.exitCode = result.exitCode;
--- a/packages/cli/src/result.ts
+++ b/packages/cli/src/result.ts
@@ -8,7 +8,7 @@
   /** The document that `--output json` prints; none when nothing was read. */
   document?: unknown;
   /** The same for people. */
-  table?: Table;
+  tables?: Table[];
   /** What went wrong and what to change, for the error output. */
   message?: string;
 }
@@ -19,6 +19,6 @@
 }
 
 /** A result that shows a document. */
-export function shown(document: unknown, table: Table): CommandResult {
-  return { exitCode: ExitCode.Ok, document, table };
+export function shown(document: unknown, ...tables: Table[]): CommandResult {
+  return { exitCode: ExitCode.Ok, document, tables };
 }
