fix(runtime): time limits that the garbage collector can't lose

Cause: a fuzzed caller's cancel was never sent. Ruled out: the entry's handling of a caller that hangs up (the table's cancel cases hold). Change: deadlineSignal(ms, parent), held by its timer; used for the plain backend's time limit, KV imports, operators' and control calls and all callers of the harness. Conclusion: no time limit rests on a weakly held signal any more.

--- a/packages/cli/src/operator_client.ts
+++ b/packages/cli/src/operator_client.ts
@@ -1,6 +1,10 @@
 /** Calls of the operators' API, with outcomes as values. */
 import { OperatorErrorCode } from "@sassafrascleat/config";
-import { errorMessage, type Secret } from "@sassafrascleat/runtime";
+import {
+  deadlineSignal,
+  errorMessage,
+  type Secret,
+} from "@sassafrascleat/runtime";
 import { Agent, request } from "undici";
 import { ANSWER_TIMEOUT_MS, CONNECT_TIMEOUT_MS } from "./constants.ts";
 
@@ -68,7 +72,7 @@
       authorization: `Bearer ${this.#secret.reveal()}`,
     };
     if (body !== undefined) headers["content-type"] = "application/json";
-    const signal = AbortSignal.timeout(ANSWER_TIMEOUT_MS);
+    const signal = deadlineSignal(ANSWER_TIMEOUT_MS);
     try {
       const url = new URL(path, this.#endpoint);
       const options = { method, body, headers, signal, dispatcher };
--- a/packages/daemon/src/dev/dev_role.ts
+++ b/packages/daemon/src/dev/dev_role.ts
@@ -11,7 +11,12 @@
   ProposeKind,
 } from "@sassafrascleat/config";
 import { PolicyName } from "@sassafrascleat/routing";
-import { invariant, Secret, sleep } from "@sassafrascleat/runtime";
+import {
+  deadlineSignal,
+  invariant,
+  Secret,
+  sleep,
+} from "@sassafrascleat/runtime";
 import { createMemoryStore, type MemoryStore } from "@sassafrascleat/store";
 import { randomUUID } from "node:crypto";
 import { type EntryProcess, startEntryProcess } from "../entry_process.ts";
@@ -134,7 +139,7 @@
 
 /** Creates the demo's objects and waits until every entry has them in force. */
 async function seedConfiguration(offices: DevOffice[]): Promise<void> {
-  const signal = AbortSignal.timeout(DEV_CONFIG_TIMEOUT_MS);
+  const signal = deadlineSignal(DEV_CONFIG_TIMEOUT_MS);
   let last = 0;
   for (const office of offices) {
     const first = office.entries[0];
--- a/packages/daemon/src/entry_process.ts
+++ b/packages/daemon/src/entry_process.ts
@@ -2,6 +2,7 @@
  * One entry process: configuration replica and relay, host view, and the
  * callers' listener. Requests wait for none of the control tasks.
  */
+import { deadlineSignal } from "@sassafrascleat/runtime";
 import {
   type ChangeLog,
   createChangeLog,
@@ -241,7 +242,7 @@
   }
 
   async drain(): Promise<void> {
-    await this.entry.drain(AbortSignal.timeout(this.#drainTimeoutMs));
+    await this.entry.drain(deadlineSignal(this.#drainTimeoutMs));
     await this.close();
   }
 
--- a/packages/daemon/src/operator_status.ts
+++ b/packages/daemon/src/operator_status.ts
@@ -1,4 +1,5 @@
 /** The status document that operators read. */
+import { deadlineSignal } from "@sassafrascleat/runtime";
 import type {
   HostView,
   OrderIssuer,
@@ -68,7 +69,7 @@
   sources: StatusSources,
 ): Promise<OperatorStatus> {
   const { id, office, availabilityZone } = sources;
-  const signal = AbortSignal.timeout(STATUS_TIMEOUT_MS);
+  const signal = deadlineSignal(STATUS_TIMEOUT_MS);
   const [configuration, backendServers] = await Promise.all([
     sources.relay.relayStatus(signal),
     Promise.all(
--- a/packages/daemon/src/sidecar_control_client.ts
+++ b/packages/daemon/src/sidecar_control_client.ts
@@ -14,6 +14,7 @@
 } from "@sassafrascleat/protocol";
 import {
   createLogger,
+  deadlineSignal,
   errorMessage,
   type Secret,
 } from "@sassafrascleat/runtime";
@@ -88,8 +89,7 @@
     owner?: AbortSignal,
   ): Promise<T | undefined> {
     const agent = new Agent({ connections: 1 });
-    const timeout = AbortSignal.timeout(CONTROL_CALL_TIMEOUT_MS);
-    const signal = owner ? AbortSignal.any([owner, timeout]) : timeout;
+    const signal = deadlineSignal(CONTROL_CALL_TIMEOUT_MS, owner);
     try {
       return await send(this.#dial(server, agent), signal);
     } catch (err) {
--- a/packages/daemon/src/sidecar_role.ts
+++ b/packages/daemon/src/sidecar_role.ts
@@ -1,4 +1,5 @@
 /** The `sidecar` role: the process beside one backend server. */
+import { deadlineSignal } from "@sassafrascleat/runtime";
 import {
   createHttpEngine,
   createHttpPlainBackend,
@@ -40,7 +41,7 @@
   }
 
   async drain(): Promise<void> {
-    await this.#sidecar.drain(AbortSignal.timeout(this.#drainTimeoutMs));
+    await this.#sidecar.drain(deadlineSignal(this.#drainTimeoutMs));
     await this.#sidecar.close();
   }
 
--- a/packages/engine/src/connection.ts
+++ b/packages/engine/src/connection.ts
@@ -3,7 +3,11 @@
  * been forgotten by something between the two ends, and so may its idle
  * neighbours: after a timeout all of them are replaced.
  */
-import { createLogger, errorMessage } from "@sassafrascleat/runtime";
+import {
+  createLogger,
+  deadlineSignal,
+  errorMessage,
+} from "@sassafrascleat/runtime";
 import { Pool } from "undici";
 import { ENGINE_CONNECT_TIMEOUT_MS } from "./constants.ts";
 
@@ -40,7 +44,7 @@
         path,
         headers: { "content-type": "application/json" },
         body: body === undefined ? null : JSON.stringify(body),
-        signal: AbortSignal.timeout(timeoutMs),
+        signal: deadlineSignal(timeoutMs),
       });
       const text = await res.body.text();
       if (res.statusCode >= 300) return { reached: true };
--- a/packages/engine/src/http_plain.ts
+++ b/packages/engine/src/http_plain.ts
@@ -3,7 +3,7 @@
  * connection that something in between has forgotten would swallow a call that
  * may not be repeated, and its outcome could no longer be told.
  */
-import { errorMessage } from "@sassafrascleat/runtime";
+import { deadlineSignal, errorMessage } from "@sassafrascleat/runtime";
 import { Agent, DecoratorHandler, type Dispatcher, request } from "undici";
 import { ENGINE_CONNECT_TIMEOUT_MS } from "./constants.ts";
 import {
@@ -80,7 +80,7 @@
         method: req.method as Dispatcher.HttpMethod,
         headers: { ...endToEnd(req.headers), [CALL_ID_HEADER]: req.id },
         body: req.bodyBase64 ? Buffer.from(req.bodyBase64, "base64") : null,
-        signal: AbortSignal.any([signal, AbortSignal.timeout(req.timeoutMs)]),
+        signal: deadlineSignal(req.timeoutMs, signal),
         dispatcher,
       });
       const body = Buffer.from(await res.body.arrayBuffer());
--- a/packages/entry/src/operator/operator_routes.ts
+++ b/packages/entry/src/operator/operator_routes.ts
@@ -19,6 +19,7 @@
 } from "@sassafrascleat/config";
 import {
   createLogger,
+  deadlineSignal,
   matchSecret,
   type Secret,
 } from "@sassafrascleat/runtime";
@@ -114,9 +115,7 @@
   }
 
   #deadline(timeoutMs: number): AbortSignal {
-    const { signal } = this.#options;
-    const timeout = AbortSignal.timeout(timeoutMs);
-    return signal ? AbortSignal.any([signal, timeout]) : timeout;
+    return deadlineSignal(timeoutMs, this.#options.signal);
   }
 
   async #apply(req: FastifyRequest, res: FastifyReply): Promise<FastifyReply> {
--- a/packages/runtime/src/__tests__/runtime_test.ts
+++ b/packages/runtime/src/__tests__/runtime_test.ts
@@ -1,7 +1,10 @@
 /** Shared building blocks. */
 import { describe, expect, test } from "@jest/globals";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import {
   createRandom,
+  deadlineSignal,
   formatEvent,
   Mailbox,
   matchSecret,
@@ -75,3 +78,29 @@
   await wait;
   expect(controller.signal.aborted).toBe(true);
 });
+
+describe("deadlineSignal", () => {
+  test("fires although nobody but a listener knows it and memory is collected", async () => {
+    setFlagsFromString("--expose-gc");
+    const collect = runInNewContext("gc") as () => void;
+    let fired = 0;
+    const arm = () => {
+      const parent = new AbortController();
+      deadlineSignal(30, deadlineSignal(60_000, parent.signal))
+        .addEventListener("abort", () => fired++);
+    };
+    for (let i = 0; i < 50; i++) arm();
+    collect();
+    await sleep(60);
+    collect();
+    await sleep(60);
+    expect(fired).toBe(50);
+  });
+
+  test("ends with its parent", () => {
+    const parent = new AbortController();
+    const signal = deadlineSignal(60_000, parent.signal);
+    parent.abort();
+    expect(signal.aborted).toBe(true);
+  });
+});
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -12,4 +12,10 @@
 export { Mailbox } from "./mailbox.ts";
 export { createRandom, jitter, type Random } from "./random.ts";
 export { matchSecret, Secret } from "./secret.ts";
-export { aborted, childController, every, sleep } from "./wait.ts";
+export {
+  aborted,
+  childController,
+  deadlineSignal,
+  every,
+  sleep,
+} from "./wait.ts";
--- a/packages/runtime/src/wait.ts
+++ b/packages/runtime/src/wait.ts
@@ -44,6 +44,20 @@
   return controller;
 }
 
+/**
+ * A signal that aborts after `ms`, or with `parent`. The timer and the parent
+ * hold it; a signal from `AbortSignal.any` over `AbortSignal.timeout` can be
+ * collected on Node.js 20 before it fires.
+ */
+export function deadlineSignal(ms: number, parent?: AbortSignal): AbortSignal {
+  const controller = childController(parent);
+  const timer = setTimeout(() => controller.abort(), ms);
+  timer.unref();
+  const stop = () => clearTimeout(timer);
+  controller.signal.addEventListener("abort", stop, { once: true });
+  return controller.signal;
+}
+
 /** Calls `work` every `intervalMs` until `signal` aborts; never overlaps. */
 export async function every(
   intervalMs: number,
--- a/packages/testing/src/engine/kv_client.ts
+++ b/packages/testing/src/engine/kv_client.ts
@@ -1,6 +1,10 @@
 /** Fetches prefill results from other engines. */
 import { type EngineDecodeRequest, EngineStatus } from "@sassafrascleat/engine";
-import { childController, sleep } from "@sassafrascleat/runtime";
+import {
+  childController,
+  deadlineSignal,
+  sleep,
+} from "@sassafrascleat/runtime";
 import { Agent, request } from "undici";
 import { KvPath } from "./constants.ts";
 import type { ResolvedEngineServerOptions } from "./options.ts";
@@ -22,8 +26,7 @@
     req: EngineDecodeRequest,
     signal: AbortSignal,
   ): Promise<EngineStatus> {
-    const timeout = AbortSignal.timeout(req.transferTimeoutMs);
-    const stop = childController(AbortSignal.any([signal, timeout]));
+    const stop = childController(deadlineSignal(req.transferTimeoutMs, signal));
     const { availabilityZone, engineAddress, handle, tokens } = req.kv;
     await sleep(this.#cfg.zoneLatencyMs[availabilityZone] ?? 0, stop.signal);
     const exported = this.#export(engineAddress, handle, stop.signal);
@@ -59,7 +62,7 @@
   async #post(
     url: string,
     body: unknown,
-    signal: AbortSignal = AbortSignal.timeout(1_000),
+    signal: AbortSignal = deadlineSignal(1_000),
   ): Promise<number> {
     try {
       const res = await request(url, {
--- a/playground/src/faults/model_case.ts
+++ b/playground/src/faults/model_case.ts
@@ -1,4 +1,5 @@
 /** One case of the table for model requests: a moment, faults, the promises. */
+import { deadlineSignal } from "@sassafrascleat/runtime";
 import { expectedText } from "@sassafrascleat/testing";
 import { callModel, type ModelAnswer } from "../caller/model_caller.ts";
 import { type Rig, RIG_MODEL, until } from "../rig/index.ts";
@@ -54,7 +55,7 @@
     prompt,
     maxTokens: OUTPUT_TOKENS,
     stream: true,
-    signal: AbortSignal.any([signal, AbortSignal.timeout(REQUEST_LIMIT_MS)]),
+    signal: deadlineSignal(REQUEST_LIMIT_MS, signal),
     onChunk: (chunks) => call.chunks = chunks,
   }).catch(() => undefined).finally(() => call.over = true);
   return call;
--- a/playground/src/faults/plain_case.ts
+++ b/playground/src/faults/plain_case.ts
@@ -1,4 +1,5 @@
 /** One case of the table for calls that may not be repeated. */
+import { deadlineSignal } from "@sassafrascleat/runtime";
 import { randomUUID } from "node:crypto";
 import { callPlain, type PlainResult } from "../caller/plain_caller.ts";
 import { type Rig, RIG_PLAIN_SERVICE } from "../rig/index.ts";
@@ -36,14 +37,13 @@
   order: Order,
   signal?: AbortSignal,
 ): Promise<PlainResult | undefined> {
-  const limit = AbortSignal.timeout(CALL_LIMIT_MS);
   return callPlain({
     address: rig.entries[entry].address,
     service: RIG_PLAIN_SERVICE,
     method: "POST",
     path: "/swaps",
     ...order,
-    signal: signal ? AbortSignal.any([signal, limit]) : limit,
+    signal: deadlineSignal(CALL_LIMIT_MS, signal),
   }).catch(() => undefined);
 }
 
--- a/playground/src/fuzz/run.ts
+++ b/playground/src/fuzz/run.ts
@@ -1,6 +1,6 @@
 /** One fuzz run: performs steps on a world and keeps the callers' records. */
 import { BackendRole, SYSTEM_SECRET_HEADER } from "@sassafrascleat/protocol";
-import { sleep } from "@sassafrascleat/runtime";
+import { deadlineSignal, sleep } from "@sassafrascleat/runtime";
 import { PlainFault, StoreMode } from "@sassafrascleat/testing";
 import { randomUUID } from "node:crypto";
 import { callModel, type ModelAnswer } from "../caller/model_caller.ts";
@@ -84,10 +84,10 @@
   }
 
   async #callModel(step: ModelStep, record: ModelRecord): Promise<void> {
-    const patience = AbortSignal.timeout(CALLER_PATIENCE_MS);
+    const patience = deadlineSignal(CALLER_PATIENCE_MS);
     const signal = step.cancelAfterMs === undefined
       ? patience
-      : AbortSignal.any([patience, AbortSignal.timeout(step.cancelAfterMs)]);
+      : deadlineSignal(step.cancelAfterMs, patience);
     const answer = callModel({
       address: this.#entry(step.entry).address,
       model: FUZZ_MODEL,
@@ -121,7 +121,7 @@
   }
 
   async #callPlain(step: PlainStep, record: PlainRecord): Promise<void> {
-    const patience = AbortSignal.timeout(CALLER_PATIENCE_MS);
+    const patience = deadlineSignal(CALLER_PATIENCE_MS);
     record.result = await callPlain({
       address: this.#entry(step.entry).address,
       service: FUZZ_PLAIN_SERVICE,
