--- a/packages/sidecar/src/__tests__/ledger_test.ts
+++ b/packages/sidecar/src/__tests__/ledger_test.ts
@@ -8,7 +8,9 @@
 } from "@sassafrascleat/protocol";
 import { AttemptLedger, AttemptState } from "../attempt_ledger.ts";
 import { CacheView } from "../cache_view.ts";
-import { CapacityLedger, PlaceResult, PlaceState } from "../capacity.ts";
+import { CapacityLedger, PlaceResult } from "../capacity.ts";
+import { PlaceState } from "../place.ts";
+import { forecastMs } from "../forecast.ts";
 import { PlainCalls } from "../plain_calls.ts";
 import { StepModel } from "../step_model.ts";
 
@@ -128,6 +130,24 @@
   });
 });
 
+describe("forecastMs", () => {
+  const end = { beginsInMs: 0, remainingMs: 2_000, pieces: 1 };
+
+  test("the first of many ends comes well before the mean", () => {
+    const ends = Array.from({ length: 20 }, () => end);
+    expect(forecastMs([end], { slots: 1, pieces: 0 })).toBe(2_000);
+    expect(forecastMs(ends, { slots: 1, pieces: 0 })).toBe(100);
+    expect(forecastMs(ends, { slots: 3, pieces: 0 })).toBe(500);
+  });
+
+  test("memory counts as slots do, and what can't be met never is", () => {
+    const ends = [end, { ...end, beginsInMs: 500, pieces: 3 }];
+    expect(forecastMs(ends, { slots: 0, pieces: 0 })).toBe(0);
+    expect(forecastMs(ends, { slots: 1, pieces: 4 })).toBeGreaterThan(2_000);
+    expect(forecastMs(ends, { slots: 3, pieces: 0 })).toBe(Infinity);
+  });
+});
+
 describe("StepModel", () => {
   test("finds the batch that keeps steps under the target", () => {
     const model = new StepModel();
--- a/packages/sidecar/src/backend_state.ts
+++ b/packages/sidecar/src/backend_state.ts
@@ -13,7 +13,8 @@
   AttemptState,
   parseAttemptId,
 } from "./attempt_ledger.ts";
-import { CapacityLedger, type Place, PlaceState } from "./capacity.ts";
+import { CapacityLedger } from "./capacity.ts";
+import { type Place, PlaceState } from "./place.ts";
 import {
   INITIAL_CALL_MS,
   LEDGER_CAPACITY,
--- a/packages/sidecar/src/capacity.ts
+++ b/packages/sidecar/src/capacity.ts
@@ -4,46 +4,16 @@
  * `Running`; a `Releasing` place still occupies the engine until the engine
  * has confirmed its cancel. Pure but for the promise that a place is ready.
  */
-import { RequestClass, TOKENS_PER_PIECE } from "@sassafrascleat/protocol";
-import { GROWTH_LEAD_TOKENS, GROWTH_MARGIN, MIN_WAIT_MS } from "./constants.ts";
-
-/** Where a place stands. */
-export enum PlaceState {
-  Waiting = "waiting",
-  Held = "held",
-  Running = "running",
-  Releasing = "releasing",
-}
-
-/** What is asked for. */
-export interface PlaceRequest {
-  id: string;
-  requestClass: RequestClass;
-  promptTokens: number;
-  expectedTokens: number;
-  maxTokens: number;
-}
-
-/** A granted place. */
-export interface Place {
-  readonly id: string;
-  readonly requestClass: RequestClass;
-  readonly promptTokens: number;
-  readonly expectedTokens: number;
-  readonly maxTokens: number;
-  /** Order of the grants. */
-  readonly number: number;
-  state: PlaceState;
-  pieces: number;
-  /** Tokens that earlier attempts produced; they are part of the context. */
-  generatedTokens: number;
-  producedTokens: number;
-  /** When the grant expires unless its attempt was started. */
-  readonly expiresAtMs: number;
-  /** Resolves when the place is no longer waiting. */
-  readonly ready: Promise<void>;
-  readonly setReady: () => void;
-}
+import { GROWTH_LEAD_TOKENS } from "./constants.ts";
+import { type ExpectedEnd, forecastMs } from "./forecast.ts";
+import {
+  compareVictims,
+  piecesOf,
+  piecesWanted,
+  type Place,
+  type PlaceRequest,
+  PlaceState,
+} from "./place.ts";
 
 /** What the ledger needs to know about the backend server. */
 export interface CapacityOptions {
@@ -67,12 +37,6 @@
   | { result: PlaceResult.Full; retryAfterMs: number }
   | { result: PlaceResult.TooLarge };
 
-const CLASS_ORDER: Record<RequestClass, number> = {
-  [RequestClass.Interactive]: 0,
-  [RequestClass.Standard]: 1,
-  [RequestClass.Batch]: 2,
-};
-
 /** Decides about slots and memory pieces. */
 export class CapacityLedger {
   readonly #cfg: CapacityOptions;
@@ -217,36 +181,31 @@
   }
 
   /**
-   * Plays forward when running answers end and who takes their places; the
-   * result is when `target`, or a new place of `pieces`, gets its turn.
+   * When `target`, or a new place of `pieces`, is expected to get its turn
+   * after those who wait before it, in milliseconds.
    */
   #predict(pieces: number, target?: Place): number {
-    const ends = this.#occupying().map((place) => ({
-      atMs: Math.max(0, this.#cfg.remainingMs(place)),
-      pieces: place.pieces,
-    }));
-    let freeSlots = this.#cfg.slots() - ends.length;
-    let freePieces = this.freePieces;
-    let nowMs = 0;
-    const queue: (Place | undefined)[] = this.#waiting();
-    if (!target) queue.push(undefined);
-    for (const next of queue) {
-      const wanted = next?.pieces ?? pieces;
-      while (freeSlots <= 0 || freePieces < wanted) {
-        ends.sort((a, b) => a.atMs - b.atMs);
-        const end = ends.shift();
-        if (!end) return Infinity;
-        nowMs = Math.max(nowMs, end.atMs, MIN_WAIT_MS);
-        freeSlots++;
-        freePieces += end.pieces;
-      }
-      if (next === target) return nowMs;
-      freeSlots--;
-      freePieces -= wanted;
-      const lasts = next ? this.#cfg.remainingMs(next) : 0;
-      ends.push({ atMs: nowMs + lasts, pieces: wanted });
+    const ends: ExpectedEnd[] = this.#occupying()
+      .map((place) => this.#endOf(place, 0));
+    const need = {
+      slots: ends.length - this.#cfg.slots(),
+      pieces: -this.freePieces,
+    };
+    for (const place of this.#waiting()) {
+      need.slots++;
+      need.pieces += place.pieces;
+      const beginsInMs = forecastMs(ends, need);
+      if (place === target) return beginsInMs;
+      ends.push(this.#endOf(place, beginsInMs));
     }
-    return nowMs;
+    need.slots++;
+    need.pieces += pieces;
+    return forecastMs(ends, need);
+  }
+
+  #endOf(place: Place, beginsInMs: number): ExpectedEnd {
+    const remainingMs = Math.max(0, this.#cfg.remainingMs(place));
+    return { beginsInMs, remainingMs, pieces: place.pieces };
   }
 
   #waiting(): Place[] {
@@ -267,25 +226,3 @@
     return count;
   }
 }
-
-function piecesOf(tokens: number): number {
-  return Math.ceil(tokens / TOKENS_PER_PIECE);
-}
-
-/** Pieces for the prompt and the growth that is expected of the answer. */
-function piecesWanted(req: PlaceRequest): number {
-  const growth = Math.max(
-    1,
-    Math.min(req.expectedTokens * GROWTH_MARGIN, req.maxTokens),
-  );
-  return piecesOf(req.promptTokens + Math.ceil(growth));
-}
-
-function compareVictims(a: Place, b: Place): number {
-  return CLASS_ORDER[b.requestClass] - CLASS_ORDER[a.requestClass] ||
-    startedRank(a) - startedRank(b) || b.number - a.number;
-}
-
-function startedRank(place: Place): number {
-  return place.state === PlaceState.Running ? 1 : 0;
-}
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -87,3 +87,6 @@
 
 /** Assumed time of a plain call before one was measured, in milliseconds. */
 export const INITIAL_CALL_MS = 50;
+
+/** Half width of the spread of an answer's end around its mean, as a share. */
+export const END_SPREAD = 1;
--- a/packages/sidecar/src/control.ts
+++ b/packages/sidecar/src/control.ts
@@ -21,7 +21,8 @@
 import { createLogger } from "@sassafrascleat/runtime";
 import { attemptId, AttemptState } from "./attempt_ledger.ts";
 import type { BackendState } from "./backend_state.ts";
-import { type Place, PlaceResult } from "./capacity.ts";
+import { PlaceResult } from "./capacity.ts";
+import type { Place } from "./place.ts";
 import { FULL_RETRY_MAX_MS } from "./constants.ts";
 import { OrderGuard } from "./order_guard.ts";
 import type { PlainCalls } from "./plain_calls.ts";
--- a/packages/sidecar/src/decode_runner.ts
+++ b/packages/sidecar/src/decode_runner.ts
@@ -15,7 +15,8 @@
 import { type StartRequest, StreamFailure } from "@sassafrascleat/protocol";
 import { type Clock, createLogger, sleep } from "@sassafrascleat/runtime";
 import { attemptId, type AttemptRecord } from "./attempt_ledger.ts";
-import { type CapacityLedger, type Place, PlaceState } from "./capacity.ts";
+import type { CapacityLedger } from "./capacity.ts";
+import { type Place, PlaceState } from "./place.ts";
 import { ENGINE_RESUME_DELAY_MS, ENGINE_RESUME_MS } from "./constants.ts";
 import type { EngineCanceller } from "./engine_canceller.ts";
 import { settleWithin } from "./settle_within.ts";
--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -1,7 +1,24 @@
-/** The process beside a backend server: ledgers, streams, drain and order fencing. */
+/**
+ * The process beside a backend server: ledgers, streams, drain and order
+ * fencing. The ledgers are parts of their own that others can embed.
+ */
+export {
+  AttemptLedger,
+  type AttemptLedgerOptions,
+  type AttemptRecord,
+  AttemptState,
+} from "./attempt_ledger.ts";
+export {
+  CapacityLedger,
+  type CapacityOptions,
+  type PlaceReply,
+  PlaceResult,
+} from "./capacity.ts";
 export {
   type ResolvedSidecarOptions,
   resolveSidecarOptions,
   type SidecarOptions,
 } from "./options.ts";
+export { type Place, type PlaceRequest, PlaceState } from "./place.ts";
 export { createSidecar, type Sidecar } from "./sidecar.ts";
+export { StepModel } from "./step_model.ts";
--- a/packages/sidecar/src/plain_calls.ts
+++ b/packages/sidecar/src/plain_calls.ts
@@ -30,7 +30,8 @@
   AttemptState,
   isOpen,
 } from "./attempt_ledger.ts";
-import { type CapacityLedger, PlaceState } from "./capacity.ts";
+import type { CapacityLedger } from "./capacity.ts";
+import { PlaceState } from "./place.ts";
 import { settleWithin } from "./settle_within.ts";
 
 const log = createLogger("sidecar:plain");
--- a/packages/sidecar/src/streams.ts
+++ b/packages/sidecar/src/streams.ts
@@ -14,7 +14,7 @@
   parseAttemptId,
 } from "./attempt_ledger.ts";
 import type { BackendState } from "./backend_state.ts";
-import { type Place, PlaceState } from "./capacity.ts";
+import { type Place, PlaceState } from "./place.ts";
 import { STREAM_RETENTION_MS } from "./constants.ts";
 import { DecodeRunner } from "./decode_runner.ts";
 import { failedFrame, framesOf, refusedFrame } from "./frames.ts";
--- a/playground/src/bench/main.ts
+++ b/playground/src/bench/main.ts
@@ -7,6 +7,7 @@
 type Bench = (args: string[]) => Promise<number>;
 
 const BENCHES: Record<string, () => Promise<{ main: Bench }>> = {
+  reservations: () => import("./reservations/main.ts"),
   sidecar: () => import("./sidecar/main.ts"),
   "config-log": () => import("./config_log/index.ts"),
   relay: () => import("./relay/main.ts"),
