--- a/packages/daemon/src/entry_process.ts
+++ b/packages/daemon/src/entry_process.ts
@@ -2,6 +2,7 @@
  * One entry process: configuration replica and relay, host view, and the
  * callers' listener. Requests wait for none of the control tasks.
  */
+import { deadlineSignal } from "@sassafrascleat/runtime";
 import {
   type ChangeLog,
   createChangeLog,
@@ -10,6 +11,7 @@
 } from "@sassafrascleat/config";
 import { createEntry, type Entry } from "@sassafrascleat/entry";
 import {
+  createChangeLogFollower,
   createHostView,
   createOrderIssuer,
   createRelay,
@@ -28,7 +30,6 @@
 } from "@sassafrascleat/routing";
 import type { Secret } from "@sassafrascleat/runtime";
 import type { ObjectStore } from "@sassafrascleat/store";
-import { createLogFollower } from "./log_follower.ts";
 import {
   createOperatorListener,
   type OperatorListener,
@@ -125,7 +126,10 @@
     availabilityZone,
     address,
     replica: parts.replica,
-    changeLogFollower: createLogFollower({ store, ...parts }),
+    changeLogFollower: createChangeLogFollower({
+      store,
+      changeLog: parts.changeLog,
+    }),
     peers: joinPeerSources(presence, createStaticPeers(options.peers)),
     secret: options.systemSecrets[0],
     presence,
@@ -238,7 +242,7 @@
   }
 
   async drain(): Promise<void> {
-    await this.entry.drain(AbortSignal.timeout(this.#drainTimeoutMs));
+    await this.entry.drain(deadlineSignal(this.#drainTimeoutMs));
     await this.close();
   }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -7,6 +7,7 @@
   VError,
 } from "@sassafrascleat/runtime";
 import type { FastifyInstance } from "fastify";
+import { setMaxListeners } from "node:events";
 import {
   createCallersServer,
   createListener,
@@ -18,6 +19,7 @@
 import { Admitter } from "./lifecycle/admitter.ts";
 import type { EntryContext } from "./lifecycle/context.ts";
 import { Lanes } from "./lifecycle/lanes.ts";
+import { PlannedPrefills } from "./lifecycle/planned_prefills.ts";
 import { OutputEstimator } from "./lifecycle/output_estimator.ts";
 import { createEntryMetrics, type EntryMetrics } from "./metrics.ts";
 import {
@@ -48,6 +50,7 @@
 export async function createEntry(raw: EntryOptions): Promise<Entry> {
   const options = resolveEntryOptions(raw);
   const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
   const ctx = createContext(options, controller.signal);
   const lanes = new Lanes(ctx);
   const admitter = new Admitter(ctx, createRateLimiter());
@@ -88,6 +91,7 @@
     canceller: new Canceller(clock, signal),
     metrics,
     outputs: new OutputEstimator(),
+    planned: new PlannedPrefills(),
     claims: new Claims({ ...options, metrics, signal }),
     observe(name, incarnation, hint) {
       hints.observe(name, hint);
--- a/playground/src/bench/main.ts
+++ b/playground/src/bench/main.ts
@@ -8,7 +8,9 @@
 
 const BENCHES: Record<string, () => Promise<{ main: Bench }>> = {
   reservations: () => import("./reservations/main.ts"),
+  claims: () => import("./claims/main.ts"),
   sidecar: () => import("./sidecar/main.ts"),
+  capacity: () => import("./capacity/main.ts"),
   "config-log": () => import("./config_log/index.ts"),
   relay: () => import("./relay/main.ts"),
   streams: () => import("./streams/main.ts"),
