test(sidecar): keep tests without renewals clear of the renewal grace

Most decode tests stream for about a second and send no renewals, so that on a slow machine the default grace of 2 s would cancel their attempts.

The harness gives these tests a grace of 30 s.

--- a/packages/sidecar/src/__tests__/harness.ts
+++ b/packages/sidecar/src/__tests__/harness.ts
@@ -38,6 +38,9 @@
 
 export const SECRET = "system-secret";
 
+/** A grace that no test without renewals runs into on a slow machine. */
+const PATIENT_GRACE_MS = 30_000;
+
 type Overrides = Partial<SidecarOptions>;
 
 /** An engine, its client and its sidecar. */
@@ -78,6 +81,7 @@
       host: "127.0.0.1",
       secrets: [new Secret("system", SECRET)],
       engine,
+      renewGraceMs: PATIENT_GRACE_MS,
       ...overrides,
     });
     this.defer(async () => {
