--- a/packages/entry/src/callers/model_routes.ts
+++ b/packages/entry/src/callers/model_routes.ts
@@ -12,7 +12,8 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
 import type { TokenSink } from "../sidecar_client/attempt_stream.ts";
 import type { Admission } from "../lifecycle/admitter.ts";
-import { type ModelAnswer, ModelCall } from "../lifecycle/model_call.ts";
+import { ModelCall } from "../lifecycle/model_call.ts";
+import type { ModelAnswer } from "../lifecycle/model_outcome.ts";
 import { estimateTokens, pieceHashes } from "../lifecycle/prompt.ts";
 import { type Caller, identifyCaller } from "./caller.ts";
 import { errorBody, errorOf, refusal } from "./caller_error.ts";
--- a/packages/entry/src/callers/plain_routes.ts
+++ b/packages/entry/src/callers/plain_routes.ts
@@ -19,7 +19,8 @@
 } from "../claims/idempotency_key.ts";
 import { KeyedCall } from "../claims/keyed_call.ts";
 import type { Admission } from "../lifecycle/admitter.ts";
-import { PlainCall, type PlainInput } from "../plain/plain_call.ts";
+import { PlainCall } from "../plain/plain_call.ts";
+import type { PlainInput } from "../plain/plain_parts.ts";
 import { forwardedHeaders, returnedHeaders } from "../plain/headers.ts";
 import { isRepeatable } from "../plain/repeatable.ts";
 import { type Caller, identifyCaller } from "./caller.ts";
--- a/packages/entry/src/claims/claim_follower.ts
+++ b/packages/entry/src/claims/claim_follower.ts
@@ -18,7 +18,8 @@
   LOST_ANSWER_MS,
 } from "../constants.ts";
 import { abortOutcome, type Call } from "../lifecycle/call.ts";
-import { describe, type PlainCallParts } from "../plain/plain_call.ts";
+import type { PlainCallParts } from "../plain/plain_parts.ts";
+import { describe } from "../plain/unknown_outcome.ts";
 import type { SidecarClient } from "../sidecar_client/sidecar_client.ts";
 import { type ClaimRecord, holderOf } from "./claim_record.ts";
 import {
--- a/packages/entry/src/claims/keyed_call.ts
+++ b/packages/entry/src/claims/keyed_call.ts
@@ -15,7 +15,8 @@
 } from "@sassafrascleat/protocol";
 import { createLogger } from "@sassafrascleat/runtime";
 import type { Call, Place } from "../lifecycle/call.ts";
-import { PlainCall, type PlainCallParts } from "../plain/plain_call.ts";
+import { PlainCall } from "../plain/plain_call.ts";
+import type { PlainCallParts } from "../plain/plain_parts.ts";
 import { type ClaimRecord, ClaimStatus, holderOf } from "./claim_record.ts";
 import { ClaimFollower } from "./claim_follower.ts";
 import type { Claims } from "./claims.ts";
--- a/packages/entry/src/lifecycle/model_call.ts
+++ b/packages/entry/src/lifecycle/model_call.ts
@@ -12,11 +12,8 @@
   NotRunReason,
   type Outcome,
   OutcomeKind,
-  RequestClass,
   type StartRequest,
   StreamFailure,
-  unknownOutcome,
-  UnknownReason,
 } from "@sassafrascleat/protocol";
 import {
   type AdmissionTicket,
@@ -32,19 +29,18 @@
   type TokenSink,
 } from "../sidecar_client/attempt_stream.ts";
 import { AnswerMeter } from "./answer_meter.ts";
-import { AbortCause, abortOutcome, type Call, type Place } from "./call.ts";
+import { abortOutcome, type Call, type Place } from "./call.ts";
 import type { EntryContext } from "./context.ts";
 import type { Lane } from "./lanes.ts";
+import {
+  honestOutcome,
+  type ModelAnswer,
+  priorityOf,
+} from "./model_outcome.ts";
 import { type LiveKv, Prefiller } from "./prefiller.ts";
 
 const log = createLogger("entry:model");
 
-/** A whole answer; its tokens went to the sink. */
-export interface ModelAnswer {
-  finish: FinishReason;
-  outputTokens: number;
-}
-
 /** What a model call needs besides its `Call`. */
 export interface ModelCallParts {
   ctx: EntryContext;
@@ -292,19 +288,8 @@
     );
   }
 
-  /** Only a request that no engine has worked for is called not run. */
   #honest<T>(outcome: Outcome<T>): Outcome<ModelAnswer> {
-    if (outcome.kind === OutcomeKind.Answered) {
-      throw new Error("an answered outcome needs no explanation");
-    }
-    if (outcome.kind === OutcomeKind.Unknown || !this.#mayHaveRun) {
-      return outcome;
-    }
-    const late = this.#call.signal.reason === AbortCause.Deadline;
-    return unknownOutcome(
-      late ? UnknownReason.StillRunning : UnknownReason.BackendFailed,
-      `the answer could not be finished: ${outcome.message}`,
-    );
+    return honestOutcome(outcome, this.#mayHaveRun, this.#call.signal);
   }
 }
 
@@ -313,9 +298,3 @@
   const cancelledElsewhere = reason === StreamFailure.Cancelled;
   return cancelledElsewhere ? StreamFailure.EngineLost : reason;
 }
-
-/** Priority for the engine; larger is sooner. */
-function priorityOf(requestClass: RequestClass): number {
-  if (requestClass === RequestClass.Interactive) return 2;
-  return requestClass === RequestClass.Standard ? 1 : 0;
-}
--- /dev/null
+++ b/packages/entry/src/plain/plain_dispatch.ts
@@ -0,0 +1,201 @@
+/**
+ * Dispatches a plain call for a granted place. The message with the call is
+ * sent once; after a lost answer only questions follow. `NotRun` is believed
+ * only from those who can prove it.
+ */
+import {
+  answered,
+  type Outcome,
+  type PlainAnswer,
+  type PlainCallReply,
+  type PlainCallRequest,
+  PlainCallState,
+  RefusalReason,
+  type Unknown,
+  UnknownReason,
+} from "@sassafrascleat/protocol";
+import { AttemptFailure, type FailureReason } from "@sassafrascleat/routing";
+import { jitter, sleep } from "@sassafrascleat/runtime";
+import {
+  ATTACH_RETRY_MS,
+  ATTACH_WAIT_MS,
+  LOST_ANSWER_MS,
+  MAX_ATTACH_PAUSE_MS,
+  PLAIN_SILENCE_MS,
+} from "../constants.ts";
+import type { Call, Place } from "../lifecycle/call.ts";
+import type { EntryContext } from "../lifecycle/context.ts";
+import { EndReason, LinkedAbort } from "../sidecar_client/linked_abort.ts";
+import type { Watchdog } from "../sidecar_client/watchdog.ts";
+import type { PlainCallParts } from "./plain_parts.ts";
+import { describe } from "./unknown_outcome.ts";
+
+/** What a dispatched attempt came to. */
+export type AttemptEnd =
+  | { outcome: Outcome<PlainAnswer> }
+  | { failed: FailureReason; ran: Unknown | undefined };
+
+/** The reply to a call, and whether the call's own connection brought it. */
+interface Sent {
+  reply: PlainCallReply | undefined;
+  direct: boolean;
+}
+
+/** Sends one call's attempts. */
+export class PlainDispatch {
+  readonly #call: Call;
+  readonly #parts: PlainCallParts;
+  readonly #ctx: EntryContext;
+
+  constructor(call: Call, parts: PlainCallParts) {
+    this.#call = call;
+    this.#parts = parts;
+    this.#ctx = parts.ctx;
+  }
+
+  /** Sends the call for a granted place and learns what became of it. */
+  async run(place: Place): Promise<AttemptEnd> {
+    const { service } = this.#parts;
+    const nowMs = this.#ctx.clock.now();
+    const remainingMs = this.#call.req.deadlineMs - nowMs;
+    const timeoutMs = Math.max(1, Math.min(service.timeoutMs, remainingMs));
+    const { reply, direct } = await this.#send(place, timeoutMs);
+    if (reply && reply.state !== PlainCallState.Running) {
+      return this.#read(place, reply, direct);
+    }
+    if (this.#signal().aborted) {
+      void this.#ctx.canceller.cancel(place.client, place.ref);
+      return { outcome: describe(UnknownReason.StillRunning) };
+    }
+    if (!reply) this.#ctx.hosts.observeFailure(place.server.name);
+    return this.#recover(place, nowMs + timeoutMs + LOST_ANSWER_MS);
+  }
+
+  /**
+   * Sends the call once. When its connection stays silent, another one asks
+   * for the answer meanwhile, without ending a call that has not started.
+   */
+  async #send(place: Place, timeoutMs: number): Promise<Sent> {
+    const link = new LinkedAbort(this.#signal());
+    const { signal } = link;
+    const sent = place.client
+      .call(this.#message(place, timeoutMs), timeoutMs, signal)
+      .then((reply): Sent => ({ reply, direct: true }));
+    try {
+      return await Promise.race([sent, this.#watch(place, signal)]);
+    } finally {
+      link.abort(EndReason.Done);
+      link.unlink();
+    }
+  }
+
+  /** Resolves only with an answer; the sent call ends the wait otherwise. */
+  async #watch(place: Place, signal: AbortSignal): Promise<Sent> {
+    await silence(place.client.watchdog, signal);
+    let pauseMs = ATTACH_RETRY_MS;
+    while (!signal.aborted) {
+      const reply = await place.client.attach({
+        ...place.ref,
+        incarnation: place.incarnation,
+        waitMs: 0,
+        settle: false,
+      }, signal);
+      if (reply?.state === PlainCallState.Answered) {
+        return { reply, direct: false };
+      }
+      await sleep(pauseMs, signal);
+      pauseMs = Math.min(MAX_ATTACH_PAUSE_MS, pauseMs * 2);
+    }
+    return new Promise(() => {});
+  }
+
+  /** A call that may not be repeated goes on without its caller. */
+  #signal(): AbortSignal {
+    return this.#parts.repeatable ? this.#call.signal : this.#ctx.signal;
+  }
+
+  #message(place: Place, timeoutMs: number): PlainCallRequest {
+    return {
+      ...place.ref,
+      ...this.#parts.input,
+      entryId: this.#ctx.options.entryId,
+      incarnation: place.incarnation,
+      timeoutMs,
+    };
+  }
+
+  /** Asks for a lost answer on new connections until `untilMs`. */
+  async #recover(place: Place, untilMs: number): Promise<AttemptEnd> {
+    let last = UnknownReason.SidecarUnreachable;
+    const signal = this.#signal();
+    while (this.#ctx.clock.now() < untilMs && !signal.aborted) {
+      const reply = await place.client.attach({
+        ...place.ref,
+        incarnation: place.incarnation,
+        waitMs: this.#attachWaitMs(untilMs),
+        settle: true,
+      }, signal);
+      if (reply && reply.state !== PlainCallState.Running) {
+        return this.#read(place, reply, false);
+      }
+      last = reply
+        ? UnknownReason.StillRunning
+        : UnknownReason.SidecarUnreachable;
+      if (!reply) {
+        await sleep(jitter(ATTACH_RETRY_MS, this.#ctx.options.random), signal);
+      }
+    }
+    return this.#unknown(place, last);
+  }
+
+  #attachWaitMs(untilMs: number): number {
+    const leftMs = untilMs - this.#ctx.clock.now();
+    return Math.max(0, Math.min(ATTACH_WAIT_MS, leftMs));
+  }
+
+  /**
+   * Only the incarnation that granted the place can prove that a call was not
+   * run; a refusal of the one message that carried the call proves it too.
+   */
+  #read(place: Place, reply: PlainCallReply, direct: boolean): AttemptEnd {
+    switch (reply.state) {
+      case PlainCallState.Answered:
+        return { outcome: answered(reply.answer) };
+      case PlainCallState.NotRun: {
+        const proved = direct || reply.incarnation === place.incarnation;
+        if (!proved) {
+          return this.#unknown(place, UnknownReason.SidecarRestarted);
+        }
+        this.#call.avoid.add(place.server.name);
+        return { failed: transient(reply.reason), ran: undefined };
+      }
+      case PlainCallState.Unknown:
+        return this.#unknown(place, reply.reason);
+      case PlainCallState.Running:
+        return this.#unknown(place, UnknownReason.StillRunning);
+    }
+  }
+
+  #unknown(place: Place, reason: UnknownReason): AttemptEnd {
+    this.#call.avoid.add(place.server.name);
+    return { failed: AttemptFailure.Unreachable, ran: describe(reason) };
+  }
+}
+
+/** Resolves after a silence of `PLAIN_SILENCE_MS`, or on abort. */
+function silence(watchdog: Watchdog, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    const watch = watchdog.watch(PLAIN_SILENCE_MS, resolve);
+    signal.addEventListener("abort", () => {
+      watch.stop();
+      resolve();
+    }, { once: true });
+  });
+}
+
+/** A tombstone of one attempt leaves the next one free to run. */
+function transient(reason: RefusalReason): FailureReason {
+  const ofAttempt = reason === RefusalReason.Tombstoned ||
+    reason === RefusalReason.Superseded;
+  return ofAttempt ? AttemptFailure.Unreachable : reason;
+}
--- a/packages/entry/src/sidecar_client/watchdog.ts
+++ b/packages/entry/src/sidecar_client/watchdog.ts
@@ -4,7 +4,7 @@
  * busy entry must not take its own lag for silence of the others, and answer
  * it with repeats and new connections.
  */
-import { type Clock } from "@sassafrascleat/runtime";
+import type { Clock } from "@sassafrascleat/runtime";
 
 const TICK_MS = 20;
 const MAX_STEP_MS = 30;
@@ -53,6 +53,7 @@
     if (this.#timer) return;
     this.#tickedAtMs = this.#clock.now();
     this.#timer = setInterval(() => this.#tick(), TICK_MS);
+    this.#timer.unref();
   }
 
   #tick(): void {
