fix(entry): a claim's time limit can't be collected

Cause: the claim chain still rested on AbortSignal.timeout. Change: deadlineSignal, as everywhere else.

--- a/packages/entry/src/claims/claim_chain.ts
+++ b/packages/entry/src/claims/claim_chain.ts
@@ -5,7 +5,11 @@
  * fingerprints: a key is free when neither they nor the head hold it.
  */
 import { CLAIM_RETENTION_MS } from "@sassafrascleat/protocol";
-import { type Clock, createLogger } from "@sassafrascleat/runtime";
+import {
+  type Clock,
+  createLogger,
+  deadlineSignal,
+} from "@sassafrascleat/runtime";
 import {
   ABSENT,
   type ObjectStore,
@@ -187,5 +191,5 @@
 }
 
 function storeLimit(): AbortSignal {
-  return AbortSignal.timeout(CLAIM_STORE_CALL_MS);
+  return deadlineSignal(CLAIM_STORE_CALL_MS);
 }
