--- a/playground/src/fuzz/records.ts
+++ b/playground/src/fuzz/records.ts
@@ -11,7 +11,7 @@
   tokens: number;
   cancelled: boolean;
   /** Backend servers that were told to leave before the request was sent. */
-  leaving: ReadonlySet<string>;
+  leaving: Set<string>;
   /** Undefined when the connection was cut. */
   answer: ModelAnswer | undefined;
   hung: boolean;
@@ -23,7 +23,7 @@
   key: string | undefined;
   repeatable: boolean;
   /** Backend servers that were leaving when the body was first sent. */
-  leaving: ReadonlySet<string>;
+  leaving: Set<string>;
   result: PlainResult | undefined;
   hung: boolean;
 }
--- a/playground/src/fuzz/steps.ts
+++ b/playground/src/fuzz/steps.ts
@@ -85,6 +85,9 @@
 const LATEST_CANCEL_MS = 400;
 const KEYS = 4;
 
+/** Numbers of the plain services' nodes. */
+const PLAIN_NODES = [2, 5];
+
 const entry = fc.nat(1);
 const node = fc.nat(5);
 
@@ -133,6 +136,27 @@
   fault: fc.constantFrom(...Object.values(BoxFault)),
 });
 
+/** A dispatch to a plain service that arrives after its sender gave up. */
+const latePlainStep = fc.record({
+  kind: fc.constant(StepKind.Box as const),
+  entry,
+  node: fc.constantFrom(...PLAIN_NODES),
+  fault: fc.constant(BoxFault.HoldDispatch),
+});
+
+const repeatFramesStep = fc.record({
+  kind: fc.constant(StepKind.Box as const),
+  entry,
+  node: fc.constant(0),
+  fault: fc.constant(BoxFault.RepeatFrames),
+});
+
+/** A plain service's sidecar that dies, often with a call in progress. */
+const killPlainStep = fc.record({
+  kind: fc.constant(StepKind.KillSidecar as const),
+  node: fc.constantFrom(...PLAIN_NODES),
+});
+
 const processSteps: fc.Arbitrary<Step>[] = [
   fc.record({ kind: fc.constant(StepKind.KillSidecar as const), node }),
   fc.record({ kind: fc.constant(StepKind.StartSidecar as const), node }),
@@ -175,6 +199,9 @@
   waitStep,
   boxStep,
   boxStep,
+  latePlainStep,
+  repeatFramesStep,
+  killPlainStep,
   ...processSteps,
   ...platformSteps,
 ];
