feat(membership): start without a rush to the store

Cause: every daemon read the store once within seconds of its start, although its zone's heads would have vouched for it a little later: a reply's age was counted from when the pull was sent, which threw away the time it had waited. Change: replies say how long the pull waited; the first store call of a daemon that is no head is put off in proportion to its zone; a test plays a leaving notice that one of eight entries heard.

--- a/packages/membership/src/__tests__/host_view_test.ts
+++ b/packages/membership/src/__tests__/host_view_test.ts
@@ -146,6 +146,33 @@
   });
 });
 
+describe("a notice that only one of many entries heard", () => {
+  test("costs each other entry one refused call and gives no new work", async () => {
+    const all = many(6, "a");
+    const leaving = all[0]!.name;
+    const accepted = new Map<string, number>();
+    const entries = await Promise.all(
+      Array.from({ length: 8 }, () => setUp(all, 6)),
+    );
+    entries[0]!.view.observe(leaving, "i1", hint(true));
+    let refused = 0;
+    for (const { clock, view } of entries) {
+      for (let call = 0; call < 60; call++) {
+        clock.advance(100);
+        const candidates = view.candidates("decode");
+        const { name } = candidates[call % candidates.length]!;
+        const isLeaving = name === leaving;
+        if (isLeaving) refused += 1;
+        else accepted.set(name, (accepted.get(name) ?? 0) + 1);
+        view.observe(name, "i1", hint(isLeaving));
+        await view.refresh(never);
+      }
+    }
+    expect(refused).toBeLessThanOrEqual(entries.length - 1);
+    expect(accepted.size).toBe(5);
+  });
+});
+
 describe("the list", () => {
   test("keeps the last reading while it is unreadable", async () => {
     const { source, view, names } = await setUp([server("x")]);
--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -72,6 +72,9 @@
 /** Mean delay of the first store call of a daemon that is no head, in milliseconds. */
 export const FIRST_FALLBACK_MS = 2_000;
 
+/** Daemons of a zone beyond which that first call is put off in proportion. */
+export const FIRST_FALLBACK_PEERS = 8;
+
 /** Interval at which the peer source is read, in milliseconds. */
 export const PEER_REFRESH_MS = 2_000;
 
--- a/packages/membership/src/relay/create_relay.ts
+++ b/packages/membership/src/relay/create_relay.ts
@@ -158,7 +158,7 @@
       puller: this.#puller,
       isStoreSilent: () => this.#reader.isSilent,
     });
-    this.control = new PullServer({ replica, freshness, members });
+    this.control = new PullServer({ replica, freshness, members, clock });
   }
 
   isHead(): boolean {
--- a/packages/membership/src/relay/pull_server.ts
+++ b/packages/membership/src/relay/pull_server.ts
@@ -8,6 +8,7 @@
   PullRequest,
   RelayControl,
 } from "@sassafrascleat/protocol";
+import type { Clock } from "@sassafrascleat/runtime";
 import {
   PULL_CHANGE_LIMIT,
   PULL_WAIT_LIMIT_MS,
@@ -21,6 +22,7 @@
   replica: ConfigReplica;
   freshness: Freshness;
   members: Members;
+  clock: Clock;
 }
 
 /** The relay calls of one daemon. */
@@ -39,19 +41,22 @@
   }
 
   async pull(req: PullRequest): Promise<PullReply> {
-    const { replica, members } = this.#parts;
+    const { clock, replica, members } = this.#parts;
     members.record(req);
     const hasNews = replica.sequence > req.afterSequence;
+    const startedAtMs = clock.now();
     if (!hasNews && this.#waiting.size < WAITING_PULL_LIMIT) {
       await this.#waitForNews(Math.min(req.waitMs, PULL_WAIT_LIMIT_MS));
     }
-    return this.#reply(req.afterSequence);
+    const waitedMs = Math.floor(clock.now() - startedAtMs);
+    return this.#reply(req.afterSequence, waitedMs);
   }
 
-  #reply(afterSequence: number): PullReply {
+  #reply(afterSequence: number, waitedMs: number): PullReply {
     const { replica, freshness } = this.#parts;
     const age = freshness.ageMs();
-    const reply: PullReply = { sequence: replica.sequence, changes: [] };
+    const { sequence } = replica;
+    const reply: PullReply = { sequence, waitedMs, changes: [] };
     if (age !== undefined) reply.confirmedAgeMs = Math.ceil(age);
     if (replica.sequence <= afterSequence) return reply;
     const changes = replica.changesAfter(afterSequence, PULL_CHANGE_LIMIT);
--- a/packages/membership/src/relay/puller.ts
+++ b/packages/membership/src/relay/puller.ts
@@ -89,7 +89,8 @@
     this.#heardAtMs = clock.now();
     const caughtUp = applyReply(replica, reply);
     if (caughtUp && reply.confirmedAgeMs !== undefined) {
-      freshness.confirm(sentAtMs - reply.confirmedAgeMs);
+      const repliedAtMs = sentAtMs + (reply.waitedMs ?? 0);
+      freshness.confirm(repliedAtMs - reply.confirmedAgeMs);
     }
     return reply;
   }
--- a/packages/membership/src/relay/store_reader.ts
+++ b/packages/membership/src/relay/store_reader.ts
@@ -12,6 +12,7 @@
 } from "@sassafrascleat/runtime";
 import {
   FIRST_FALLBACK_MS,
+  FIRST_FALLBACK_PEERS,
   ROLE_CHECK_MS,
   SILENT_AFTER_MS,
   STORE_FALLBACK_MS,
@@ -44,15 +45,14 @@
   readonly #parts: StoreReaderParts;
   #failures = 0;
   #upkeep: Promise<void> | undefined;
+  #fallbacks = 0;
   #lastFallbackMs: number;
   #fallbackFactor: number;
 
   constructor(parts: StoreReaderParts) {
     this.#parts = parts;
     this.#fallbackFactor = jitter(1, parts.random);
-    const firstMs = jitter(FIRST_FALLBACK_MS, parts.random);
-    this.#lastFallbackMs = parts.clock.now() + firstMs -
-      STORE_FALLBACK_STALE_MS * this.#fallbackFactor;
+    this.#lastFallbackMs = parts.clock.now();
   }
 
   /** Whether a call has failed since the last one that was answered. */
@@ -90,13 +90,24 @@
     const { clock, freshness, puller } = this.#parts;
     const silent = puller.silentMs() > SILENT_AFTER_MS;
     if (!silent && freshness.staleness === Staleness.Current) return false;
-    const pauseMs = silent ? STORE_FALLBACK_MS : STORE_FALLBACK_STALE_MS;
+    const pauseMs = silent ? STORE_FALLBACK_MS : this.#pauseMs();
     const waitedMs = clock.now() - this.#lastFallbackMs;
     return waitedMs >= pauseMs * this.#fallbackFactor;
   }
 
+  /**
+   * After a start the heads' word is waited for, longer in a large zone, so
+   * that a fleet that starts at once does not go to the store as one.
+   */
+  #pauseMs(): number {
+    if (this.#fallbacks > 0) return STORE_FALLBACK_STALE_MS;
+    const share = this.#parts.peers.ofOwnZone().length / FIRST_FALLBACK_PEERS;
+    return FIRST_FALLBACK_MS * Math.max(1, share);
+  }
+
   async #fallBack(signal: AbortSignal): Promise<void> {
     const { clock, puller, random } = this.#parts;
+    this.#fallbacks += 1;
     this.#lastFallbackMs = clock.now();
     this.#fallbackFactor = jitter(1, random);
     log("store_fallback", { silentMs: Math.round(puller.silentMs()) });
--- a/packages/protocol/src/relay_rpc.ts
+++ b/packages/protocol/src/relay_rpc.ts
@@ -42,6 +42,11 @@
    * through others, in milliseconds; absent when it never did.
    */
   confirmedAgeMs?: number;
+  /**
+   * Time that the pull waited before the reply was made, in milliseconds; the
+   * reply is at least that much younger than the request.
+   */
+  waitedMs?: number;
   snapshot?: { sequence: number; document: unknown };
   changes: { sequence: number; document: unknown }[];
 }
--- a/playground/src/bench/relay/run.ts
+++ b/playground/src/bench/relay/run.ts
@@ -51,6 +51,8 @@
   head: PartCost;
   follower: PartCost;
   store: {
+    /** Reads of all daemons from their start until they are at rest. */
+    startReads: number;
     idleReadsPerS: number;
     idleWritesPerS: number;
     readsPerChange: number;
@@ -208,6 +210,7 @@
   const reads = busy[1].reads - busy[0].reads - idleReadsPerS * busyS;
   const writes = busy[1].writes - busy[0].writes - idleWritesPerS * busyS;
   return {
+    startReads: idle[0].reads,
     idleReadsPerS,
     idleWritesPerS,
     readsPerChange: reads / changes,
