--- a/packages/config/src/constants.ts
+++ b/packages/config/src/constants.ts
@@ -42,7 +42,7 @@
 /** Largest piece of a snapshot or an archive segment, in bytes of JSON. */
 export const PIECE_BYTES = 800_000;
 
-/** Changes of one archive segment. */
+/** Changes of one archive segment; a part of the stored format. */
 export const SEGMENT_CHANGES = 500;
 
 /** Newest changes that are never archived. */
@@ -59,3 +59,6 @@
 
 /** Changes in one answer of the history when the caller names no limit. */
 export const HISTORY_LIMIT = 100;
+
+/** Largest configuration object, in bytes of JSON. */
+export const MAX_OBJECT_BYTES = 400_000;
--- a/packages/entry/src/claims/claim_follower.ts
+++ b/packages/entry/src/claims/claim_follower.ts
@@ -18,7 +18,8 @@
   LOST_ANSWER_MS,
 } from "../constants.ts";
 import { abortOutcome, type Call } from "../lifecycle/call.ts";
-import { describe, type PlainCallParts } from "../plain/plain_call.ts";
+import type { PlainCallParts } from "../plain/plain_parts.ts";
+import { describe } from "../plain/unknown_outcome.ts";
 import type { SidecarClient } from "../sidecar_client/sidecar_client.ts";
 import { type ClaimRecord, holderOf } from "./claim_record.ts";
 import {
@@ -72,7 +73,7 @@
       const end = reply && this.#read(record, reply);
       if (end) return end;
       last = reply ? UnknownReason.StillRunning : last;
-      await this.#pause(reply, client, call.signal);
+      await this.#pause(reply, call.signal);
     }
     if (call.signal.aborted) return ended(abortOutcome(call.signal));
     return ended(describe(last));
@@ -80,10 +81,8 @@
 
   async #pause(
     reply: PlainCallReply | undefined,
-    client: SidecarClient,
     signal: AbortSignal,
   ): Promise<void> {
-    if (!reply) client.renewConnections();
     const pauseMs = reply ? FOLLOW_PAUSE_MS : ATTACH_RETRY_MS;
     await sleep(jitter(pauseMs, this.#parts.ctx.options.random), signal);
   }
--- a/packages/entry/src/claims/keyed_call.ts
+++ b/packages/entry/src/claims/keyed_call.ts
@@ -15,7 +15,8 @@
 } from "@sassafrascleat/protocol";
 import { createLogger } from "@sassafrascleat/runtime";
 import type { Call, Place } from "../lifecycle/call.ts";
-import { PlainCall, type PlainCallParts } from "../plain/plain_call.ts";
+import { PlainCall } from "../plain/plain_call.ts";
+import type { PlainCallParts } from "../plain/plain_parts.ts";
 import { type ClaimRecord, ClaimStatus, holderOf } from "./claim_record.ts";
 import { ClaimFollower } from "./claim_follower.ts";
 import type { Claims } from "./claims.ts";
@@ -95,8 +96,6 @@
       case ClaimStatus.Held:
         this.#held = result.record;
         return conflict();
-      case ClaimStatus.Full:
-        return full();
       case ClaimStatus.Unavailable:
         return storeUnavailable();
     }
@@ -129,14 +128,6 @@
   );
 }
 
-function full() {
-  return notRun(
-    NotRunReason.NoCapacity,
-    "too many idempotency keys are in use; try again later",
-    60_000,
-  );
-}
-
 function storeUnavailable() {
   return notRun(
     NotRunReason.StoreUnavailable,
