fix(entry): hints of renewals are used, and a lost attempt is resumed

Cause: the load hints that ride on renewals were dropped, so hints aged while requests ran; no test showed what a 'missing' attempt leads to. Change: the renewer knows the backend server's name and passes hints and failures on; a test for a missing attempt, which resumes, learns that it is not found and goes on elsewhere.

--- a/packages/entry/src/__tests__/fakes.ts
+++ b/packages/entry/src/__tests__/fakes.ts
@@ -125,7 +125,7 @@
     return this.servers;
   }
 
-  observe(): void {}
+  observe(_name: string): void {}
 
   observeFailure(name: string): void {
     this.failures.push(name);
--- a/packages/entry/src/__tests__/stream_failures_test.ts
+++ b/packages/entry/src/__tests__/stream_failures_test.ts
@@ -4,6 +4,7 @@
   RefusalReason,
   StreamFailure,
 } from "@sassafrascleat/protocol";
+import { HINT } from "./fake_sidecar.ts";
 import { eventsOf, Harness, textOf } from "./harness.ts";
 
 const WHOLE = "a whole answer";
@@ -200,3 +201,34 @@
     await harness.close();
   });
 });
+
+describe("a running attempt", () => {
+  test("is renewed, and resumed at once when the sidecar lost it", async () => {
+    const harness = await Harness.start();
+    const [decode] = harness.decodes;
+    const hints: string[] = [];
+    harness.hosts.observe = (name: string) => void hints.push(name);
+    decode.onStart = (_req, out) => {
+      const beat = setInterval(() => {
+        out.frame({ kind: FrameKind.Heartbeat, offset: 0 });
+      }, 50);
+      void out.closed().then(() => clearInterval(beat));
+    };
+    decode.onResume = (_req, out) => {
+      out.fail({ kind: FrameKind.Failed, failure: StreamFailure.NotFound });
+    };
+    decode.renew = async (req) => {
+      decode.renews.push(req);
+      return { incarnation: "d1", missing: req.attempts, hint: HINT };
+    };
+    const res = await harness.complete({ stream: true });
+    expect(textOf(eventsOf(await res.text()))).toBe(WHOLE);
+    expect(decode.renews[0]!.attempts).toEqual([
+      { requestId: decode.starts[0]!.requestId, attempt: 1 },
+    ]);
+    expect(decode.resumes).toHaveLength(1);
+    expect(harness.decodes[1].starts).toHaveLength(1);
+    expect(hints).toContain("decode-1");
+    await harness.close();
+  });
+});
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -80,6 +80,14 @@
   const hints = createHintBook(clock);
   const clients = new SidecarClients(options.secret, clock);
   const metrics = createEntryMetrics();
+  const observe: EntryContext["observe"] = (name, incarnation, hint) => {
+    hints.observe(name, hint);
+    hosts.observe(name, incarnation, hint);
+  };
+  const renewer = new Renewer(options.entryId, (name, reply) => {
+    if (reply) observe(name, reply.incarnation, reply.hint);
+    else hosts.observeFailure(name);
+  });
   return {
     options,
     signal,
@@ -87,16 +95,13 @@
     hosts,
     hints,
     clients,
-    renewer: new Renewer(options.entryId, () => {}),
+    renewer,
     canceller: new Canceller(clock, signal),
     metrics,
     outputs: new OutputEstimator(),
     planned: new PlannedPrefills(),
     claims: new Claims({ ...options, metrics, signal }),
-    observe(name, incarnation, hint) {
-      hints.observe(name, hint);
-      hosts.observe(name, incarnation, hint);
-    },
+    observe,
   };
 }
 
--- a/packages/entry/src/lifecycle/model_call.ts
+++ b/packages/entry/src/lifecycle/model_call.ts
@@ -184,6 +184,7 @@
     this.#mayHaveRun = true;
     place.lease.release();
     const lease = this.#ctx.renewer.add(
+      place.server.name,
       place.client,
       place.ref,
       () => stream.redial(),
--- a/packages/entry/src/lifecycle/prefiller.ts
+++ b/packages/entry/src/lifecycle/prefiller.ts
@@ -168,7 +168,7 @@
     const waitMs = this.#expectedMs(call, plan, server);
     planned.remove(call.requestId);
     hints.sent(server.name, plan.expectedTokens ?? call.req.promptTokens);
-    const lease = renewer.add(client, ref, () => {});
+    const lease = renewer.add(server.name, client, ref, () => {});
     const reply = await client.prefill(
       this.#message(call, plan, input),
       waitMs,
--- a/packages/entry/src/lifecycle/reserver.ts
+++ b/packages/entry/src/lifecycle/reserver.ts
@@ -135,7 +135,7 @@
       incarnation: reply.incarnation,
       readyAtMs: nowMs + reply.readyInMs,
       expiresAtMs: nowMs + reply.expiresInMs,
-      lease: this.#ctx.renewer.add(client, ref, () => {}),
+      lease: this.#ctx.renewer.add(server.name, client, ref, () => {}),
     };
   }
 
--- a/packages/entry/src/sidecar_client/renewer.ts
+++ b/packages/entry/src/sidecar_client/renewer.ts
@@ -23,17 +23,23 @@
 }
 
 interface Batch {
+  /** Name of the backend server. */
+  server: string;
   attempts: Map<string, LiveAttempt>;
   renewing: boolean;
 }
 
+function createBatch(server: string): Batch {
+  return { server, attempts: new Map(), renewing: false };
+}
+
 function keyOf(ref: AttemptRef): string {
   return `${ref.requestId}/${ref.attempt}`;
 }
 
 /** Called with what a sidecar said about itself on a renewal. */
 export type RenewObserver = (
-  client: SidecarClient,
+  server: string,
   reply: RenewReply | undefined,
 ) => void;
 
@@ -49,9 +55,13 @@
   }
 
   /** Renews `ref` until it is released; `onMissing` tells that the sidecar lost it. */
-  add(client: SidecarClient, ref: AttemptRef, onMissing: () => void): Lease {
-    const batch = this.#batches.get(client) ??
-      { attempts: new Map<string, LiveAttempt>(), renewing: false };
+  add(
+    server: string,
+    client: SidecarClient,
+    ref: AttemptRef,
+    onMissing: () => void,
+  ): Lease {
+    const batch = this.#batches.get(client) ?? createBatch(server);
     this.#batches.set(client, batch);
     const key = keyOf(ref);
     batch.attempts.set(key, { ref, onMissing });
@@ -87,7 +97,7 @@
       signal,
     );
     batch.renewing = false;
-    this.#observe(client, reply);
+    this.#observe(batch.server, reply);
     for (const ref of reply?.missing ?? []) {
       batch.attempts.get(keyOf(ref))?.onMissing();
     }
