fix(entry): empty prompts, far deadlines, and a test of the deadline

Cause: an empty prompt was reserved as a plain call (0 tokens); a time limit above 2^31 ms made its timer fire at once. Change: at least one prompt token; the timer takes at most its range.

--- a/packages/entry/src/__tests__/model_call_test.ts
+++ b/packages/entry/src/__tests__/model_call_test.ts
@@ -1,5 +1,5 @@
 import { afterEach, beforeEach, describe, expect, test } from "@jest/globals";
-import { eventsOf, Harness, textOf } from "./harness.ts";
+import { eventsOf, Harness, textOf, until } from "./harness.ts";
 
 describe("a model request", () => {
   let harness: Harness;
@@ -32,6 +32,36 @@
   });
 });
 
+describe("limits of a request", () => {
+  test("an empty prompt takes a place in memory all the same", async () => {
+    const harness = await Harness.start();
+    expect((await harness.complete({ prompt: "" })).status).toBe(200);
+    expect(harness.decodes[0].reserves[0]!.promptTokens).toBe(1);
+    await harness.close();
+  });
+
+  test("a time limit beyond what a timer takes does not end at once", async () => {
+    const policy = { requestTimeoutMs: 1e12 };
+    const harness = await Harness.start({ policy });
+    expect((await harness.complete()).status).toBe(200);
+    await harness.close();
+  });
+
+  test("a request is over at its deadline, and held nowhere", async () => {
+    const policy = { requestTimeoutMs: 150 };
+    const harness = await Harness.start({ policy });
+    const [decode] = harness.decodes;
+    decode.onStart = (_req, out) => out.tokens(0, "a ");
+    const res = await harness.complete({ stream: true });
+    const events = eventsOf(await res.text());
+    expect(JSON.parse(events.at(-1)!)).toMatchObject({
+      error: { outcome: "unknown", code: "still_running" },
+    });
+    await until(() => decode.held.size === 0);
+    await harness.close();
+  });
+});
+
 describe("a plain call", () => {
   test("is answered by the service", async () => {
     const harness = await Harness.start();
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -107,3 +107,6 @@
 
 /** Random bytes in a request id. */
 export const REQUEST_ID_BYTES = 16;
+
+/** Longest time that a timer takes, in milliseconds. */
+export const MAX_TIMER_MS = 2_147_483_647;
--- a/packages/entry/src/lifecycle/admitter.ts
+++ b/packages/entry/src/lifecycle/admitter.ts
@@ -15,6 +15,7 @@
   ANONYMOUS_CUSTOMER,
   ASSUMED_PREFILL_TOKENS_PER_MS,
   ASSUMED_SERVICE_MS,
+  MAX_TIMER_MS,
 } from "../constants.ts";
 import { AbortCause, Call } from "./call.ts";
 import type { EntryContext } from "./context.ts";
@@ -89,7 +90,7 @@
     const req = placementRequest(input, customer, nowMs);
     const timer = setTimeout(
       () => controller.abort(AbortCause.Deadline),
-      lane.policy.requestTimeoutMs,
+      Math.min(lane.policy.requestTimeoutMs, MAX_TIMER_MS),
     );
     this.#inFlight += 1;
     this.#ctx.metrics.inFlight.inc({ service: service.name });
--- a/packages/entry/src/lifecycle/prompt.ts
+++ b/packages/entry/src/lifecycle/prompt.ts
@@ -16,9 +16,9 @@
   return messages.map((it) => `${it.role}: ${it.content}\n`).join("");
 }
 
-/** The estimated length of `prompt` in tokens. */
+/** The estimated length of `prompt` in tokens; an empty one has a start token. */
 export function estimateTokens(prompt: string): number {
-  return Math.ceil(prompt.length / CHARS_PER_TOKEN);
+  return Math.max(1, Math.ceil(prompt.length / CHARS_PER_TOKEN));
 }
 
 /**
