fix(entry): close leaves no timer behind

Cause: the second that a closing entry gives to its cancels stayed armed after they were done, which held the process up. Change: the wait ends with the cancels.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -155,7 +155,9 @@
     this.#app.server.closeAllConnections();
     await this.#app.close();
     const over = admitter.idle().then(() => ctx.canceller.settled());
-    await Promise.race([over, sleep(CLOSE_GRACE_MS)]);
+    const grace = new AbortController();
+    await Promise.race([over, sleep(CLOSE_GRACE_MS, grace.signal)]);
+    grace.abort();
     this.#controller.abort();
     await ctx.clients.close().catch((err) => {
       log("close_failed", { error: errorMessage(err) });
