feat(playground): bench of the router's overhead

Nothing measured what entry and sidecar add to a first token, how many tokens one entry streams on its core, or what idle daemons hold.

The bench sends pairs through the router and directly to the stand-in engines, streams stand-in tokens through one entry process at the planned rate and at more than its core can carry, and reads resident memory.

--- a/playground/src/bench/main.ts
+++ b/playground/src/bench/main.ts
@@ -16,6 +16,7 @@
   streams: () => import("./streams/main.ts"),
   decisions: () => import("./decisions/main.ts"),
   placement: () => import("./placement/main.ts"),
+  overhead: () => import("./overhead/main.ts"),
 };
 
 const [name = "", ...args] = process.argv.slice(2);
