--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -16,6 +16,7 @@
 } from "./evaluate.ts";
 export { formatIssues, type Issue } from "./issue.ts";
 export { CHANGES_PREFIX } from "./log_keys.ts";
+export { objectJsonSchemas, type ObjectSchema } from "./object_schemas.ts";
 export * from "./objects.ts";
 export * from "./operator_messages.ts";
 export {
--- a/packages/config/src/objects.ts
+++ b/packages/config/src/objects.ts
@@ -35,39 +35,47 @@
 
 /** Calls of a plain service that may be repeated. */
 export const repeatableRouteSchema = z.strictObject({
-  method: z.enum(["GET", "HEAD", "PUT", "DELETE", "POST", "PATCH"]),
-  /** Path below the service, matched as a prefix of whole segments. */
-  path: z.string().startsWith("/"),
+  method: z.enum(["GET", "HEAD", "PUT", "DELETE", "POST", "PATCH"]).describe(
+    "HTTP method",
+  ),
+  path: z.string().startsWith("/").describe(
+    "Path below the service, matched as a prefix of whole segments",
+  ),
 });
 
 export const modelServiceSchema = z.strictObject({
-  kind: z.literal(ServiceKind.Model),
-  name: nameSchema,
-  /** The office whose pools serve it. */
-  office: nameSchema,
-  /** Model name in the callers' API. */
-  model: z.string().min(1),
-  prefillPool: nameSchema,
-  decodePool: nameSchema,
-  policy: nameSchema,
-  /** Longest prompt, in tokens. @default 60000 */
-  maxPromptTokens: z.number().int().min(1).default(60_000),
-  /** Longest answer, in tokens. @default 4096 */
-  maxOutputTokens: z.number().int().min(1).default(4_096),
-  /** Output tokens of a request that names none. @default 256 */
-  defaultOutputTokens: z.number().int().min(1).default(256),
+  kind: z.literal(ServiceKind.Model).describe("What the service is"),
+  name: nameSchema.describe("Unique name of the service"),
+  office: nameSchema.describe("Office whose pools serve it"),
+  model: z.string().min(1).describe("Model name in the callers' API"),
+  prefillPool: nameSchema.describe("Pool of the engines that prefill"),
+  decodePool: nameSchema.describe("Pool of the engines that decode"),
+  policy: nameSchema.describe("Routing policy of its requests"),
+  maxPromptTokens: z.number().int().min(1).default(60_000).describe(
+    "Longest prompt, in tokens",
+  ),
+  maxOutputTokens: z.number().int().min(1).default(4_096).describe(
+    "Longest answer, in tokens",
+  ),
+  defaultOutputTokens: z.number().int().min(1).default(256).describe(
+    "Output tokens of a request that names none",
+  ),
 });
 
 export const plainServiceSchema = z.strictObject({
-  kind: z.literal(ServiceKind.Plain),
-  name: nameSchema,
-  office: nameSchema,
-  pool: nameSchema,
-  policy: nameSchema,
-  /** Calls that may be repeated; every other call runs at most once. @default [] */
-  repeatable: z.array(repeatableRouteSchema).default([]),
-  /** Time for one call's answer, in milliseconds. @default 5000 */
-  timeoutMs: z.number().int().min(1).default(5_000),
+  kind: z.literal(ServiceKind.Plain).describe("What the service is"),
+  name: nameSchema.describe(
+    "Unique name of the service, a part of its address",
+  ),
+  office: nameSchema.describe("Office whose pool serves it"),
+  pool: nameSchema.describe("Pool of its backend servers"),
+  policy: nameSchema.describe("Routing policy of its calls"),
+  repeatable: z.array(repeatableRouteSchema).default([]).describe(
+    "Calls that may be repeated; every other call runs at most once",
+  ),
+  timeoutMs: z.number().int().min(1).default(5_000).describe(
+    "Time for one call's answer, in milliseconds",
+  ),
 });
 
 export const serviceSchema = z.discriminatedUnion("kind", [
@@ -79,67 +87,86 @@
 export type Service = z.infer<typeof serviceSchema>;
 
 export const poolSchema = z.strictObject({
-  name: nameSchema,
-  office: nameSchema,
-  role: z.enum(BackendRole),
-  /** Model that the pool's engines should have loaded. @default "" */
-  model: z.string().default(""),
-  /** @default "" */
-  modelVersion: z.string().default(""),
-  /** Adapters that the pool's engines should have loaded. @default [] */
-  adapters: z.array(z.string().min(1)).default([]),
-  /** Engines of the pool that may load weights at once. @default 1 */
-  maxConcurrentLoads: z.number().int().min(1).default(1),
+  name: nameSchema.describe("Unique name of the pool"),
+  office: nameSchema.describe("Office of its backend servers"),
+  role: z.enum(BackendRole).describe("What its backend servers do"),
+  model: z.string().default("").describe(
+    "Model that the pool's engines should have loaded",
+  ),
+  modelVersion: z.string().default("").describe("Version of that model"),
+  adapters: z.array(z.string().min(1)).default([]).describe(
+    "Adapters that the pool's engines should have loaded",
+  ),
+  maxConcurrentLoads: z.number().int().min(1).default(1).describe(
+    "Engines of the pool that may load weights at once",
+  ),
 });
 export type Pool = z.infer<typeof poolSchema>;
 
 const limitSchema = z.strictObject({
-  /** Sustained requests a second of one customer. @default 1000 */
-  requestsPerSecond: z.number().positive().default(1_000),
-  /** Requests that may come at once. @default 200 */
-  burst: z.number().int().min(1).default(200),
-  /** Requests in progress at one entry. @default 500 */
-  concurrent: z.number().int().min(1).default(500),
+  requestsPerSecond: z.number().positive().default(1_000).describe(
+    "Sustained requests a second of one customer at one entry",
+  ),
+  burst: z.number().int().min(1).default(200).describe(
+    "Requests that may come at once",
+  ),
+  concurrent: z.number().int().min(1).default(500).describe(
+    "Requests in progress at one entry",
+  ),
 });
 export type CustomerLimit = z.infer<typeof limitSchema>;
 
 export const policySchema = z.strictObject({
-  name: nameSchema,
-  /** @default "goodput" */
-  objective: z.enum(RoutingObjective).default(RoutingObjective.Goodput),
-  /** Target time to the first token, in milliseconds. @default 570 */
-  ttftTargetMs: z.number().positive().default(570),
-  /** Target time between tokens, in milliseconds. @default 43 */
-  tbtTargetMs: z.number().positive().default(43),
-  /** Longest time that a request may take in all, in milliseconds. @default 120000 */
-  requestTimeoutMs: z.number().positive().default(120_000),
-  /** Longest time in the queue before a request is refused, in milliseconds. @default 10000 */
-  maxQueueMs: z.number().positive().default(10_000),
-  /** Requests that may wait at one entry. @default 400 */
-  maxQueueLength: z.number().int().min(1).default(400),
-  /** Attempts of one request, the first included. @default 4 */
-  maxAttempts: z.number().int().min(1).max(16).default(4),
-  /** Retries allowed for each new request, as a share. @default 0.15 */
-  retryBudgetRatio: z.number().min(0).max(1).default(0.15),
-  /** Refuse callers without a known API key. @default false */
-  requireApiKey: z.boolean().default(false),
-  /** Class of a request that names none. @default "standard" */
-  defaultClass: z.enum(RequestClass).default(RequestClass.Standard),
-  /** Limits of a customer that has none of its own. */
-  limit: limitSchema.prefault({}),
+  name: nameSchema.describe("Unique name of the policy"),
+  objective: z.enum(RoutingObjective).default(RoutingObjective.Goodput)
+    .describe("What goes first when goodput and wasted prefill pull apart"),
+  ttftTargetMs: z.number().positive().default(570).describe(
+    "Target time to the first token, in milliseconds",
+  ),
+  tbtTargetMs: z.number().positive().default(43).describe(
+    "Target time between tokens, in milliseconds",
+  ),
+  requestTimeoutMs: z.number().positive().default(120_000).describe(
+    "Longest time that a request may take in all, in milliseconds",
+  ),
+  maxQueueMs: z.number().positive().default(10_000).describe(
+    "Longest time in the queue before a request is refused, in milliseconds",
+  ),
+  maxQueueLength: z.number().int().min(1).default(400).describe(
+    "Requests that may wait at one entry",
+  ),
+  maxAttempts: z.number().int().min(1).max(16).default(4).describe(
+    "Attempts of one request, the first included",
+  ),
+  retryBudgetRatio: z.number().min(0).max(1).default(0.15).describe(
+    "Retries allowed for each new request, as a share",
+  ),
+  requireApiKey: z.boolean().default(false).describe(
+    "Refuse callers without a known API key",
+  ),
+  defaultClass: z.enum(RequestClass).default(RequestClass.Standard).describe(
+    "Class of a request that names none",
+  ),
+  limit: limitSchema.prefault({}).describe(
+    "Limits of a customer that has none of its own",
+  ),
 });
 export type Policy = z.infer<typeof policySchema>;
 
 export const customerSchema = z.strictObject({
-  name: nameSchema,
-  /** SHA-256 of the API key, in hexadecimal; the key itself is never stored. */
+  name: nameSchema.describe("Unique name of the customer"),
   keySha256: z.array(
     z.string().regex(/^[0-9a-f]{64}$/, "64 hexadecimal digits"),
   )
-    .min(1).max(2),
-  /** Highest class that the customer may ask for. @default "interactive" */
-  maxClass: z.enum(RequestClass).default(RequestClass.Interactive),
-  limit: limitSchema.optional(),
+    .min(1).max(2).describe(
+      "SHA-256 of the API keys, in hexadecimal; a key itself is never stored",
+    ),
+  maxClass: z.enum(RequestClass).default(RequestClass.Interactive).describe(
+    "Highest class that the customer may ask for",
+  ),
+  limit: limitSchema.optional().describe(
+    "Limits of this customer; without it, those of the service's policy",
+  ),
 });
 export type Customer = z.infer<typeof customerSchema>;
 
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -65,11 +65,12 @@
   baseUrl: baseUrlSchema.describe("Base address of the platform's object API"),
   timeoutMs: z.number().int().min(1).default(2_000)
     .describe("Time for one store call, in milliseconds"),
-});
+}).describe("The platform's object API");
 
 export const entrySettingsSchema = z.strictObject({
   ...commonFields,
-  role: z.literal(DaemonRole.Entry),
+  role: z.literal(DaemonRole.Entry)
+    .describe("Serves callers and operators, on an entry host"),
   callers: listenSchema.describe("Listener for callers"),
   operators: listenSchema.describe("Listener for operators"),
   system: listenSchema.describe("Listener for the system's own processes"),
@@ -80,9 +81,9 @@
   hostsBaseUrl: baseUrlSchema
     .describe("Base address of the platform's list of hosts"),
   peers: z.array(z.strictObject({
-    id: z.string().min(1),
-    office: z.string().min(1),
-    availabilityZone: z.string().min(1),
+    id: z.string().min(1).describe("Its `id`"),
+    office: z.string().min(1).describe("Its office"),
+    availabilityZone: z.string().min(1).describe("Its availability zone"),
     address: baseUrlSchema.describe("System listener of the peer"),
   })).default([]).describe("Other entries, for the configuration relay"),
   hostRefreshMs: z.number().int().min(50).default(DEFAULT_HOST_REFRESH_MS)
@@ -95,13 +96,14 @@
 
 export const sidecarSettingsSchema = z.strictObject({
   ...commonFields,
-  role: z.literal(DaemonRole.Sidecar),
+  role: z.literal(DaemonRole.Sidecar)
+    .describe("Runs beside one backend server"),
   system: listenSchema.describe("Listener for the system's own processes"),
   systemSecrets: systemSecretsSchema,
   backendServer: z.strictObject({
-    name: z.string().min(1),
-    pool: z.string().min(1),
-    role: z.enum(BackendRole),
+    name: z.string().min(1).describe("Its name in the host list"),
+    pool: z.string().min(1).describe("Pool that it belongs to"),
+    role: z.enum(BackendRole).describe("What it does"),
     baseUrl: baseUrlSchema.describe("Address of the backend server beside"),
     engineAddress: baseUrlSchema.optional()
       .describe(
@@ -109,7 +111,7 @@
       ),
     advertise: baseUrlSchema.optional()
       .describe("Address at which entries reach this process"),
-  }),
+  }).describe("The backend server beside this process"),
   maxRunning: z.number().int().min(1).default(20)
     .describe("Requests that the backend server runs at once"),
   tbtTargetMs: z.number().positive().default(43)
@@ -118,7 +120,8 @@
 
 export const devSettingsSchema = z.strictObject({
   $schema: z.string().optional().describe("For editors; not read"),
-  role: z.literal(DaemonRole.Dev),
+  role: z.literal(DaemonRole.Dev)
+    .describe("Runs the whole product with stand-ins in one process"),
   basePort: z.number().int().min(0).max(60_000).default(0)
     .describe("First TCP port; 0 takes any free ones"),
   seed: z.number().int().default(1).describe("Seed of the stand-ins"),
