--- a/packages/daemon/src/__tests__/config_docs_test.ts
+++ b/packages/daemon/src/__tests__/config_docs_test.ts
@@ -57,7 +57,8 @@
 });
 
 describe("docs/examples", () => {
-  const names = readdirSync(new URL("docs/examples", ROOT));
+  const names = readdirSync(new URL("docs/examples", ROOT))
+    .filter((name) => name.endsWith(".json"));
   const examples = names.map((name) => ({
     name,
     document: JSON.parse(read(`docs/examples/${name}`)) as { role: string },
