docs: a guide for callers, operators and embedders

Cause: the README linked a guide that did not exist. Change: docs/GUIDE.md covers the callers' API with every error code, status and outcome, keys, classes and limits; objects, changes, audit trail, status, drain and deployment for operators; and embedding with runnable examples. The objects of the guide are a file that a test proposes in order.

--- a/packages/daemon/src/__tests__/config_docs_test.ts
+++ b/packages/daemon/src/__tests__/config_docs_test.ts
@@ -1,12 +1,23 @@
 /** docs/CONFIG.md and the examples against the schemas of the code. */
 import { describe, expect, test } from "@jest/globals";
-import { objectJsonSchemas } from "@sassafrascleat/config";
+import {
+  type ChangeDocument,
+  createChangeLog,
+  createConfigReplica,
+  objectJsonSchemas,
+  ProposeKind,
+  toProposal,
+} from "@sassafrascleat/config";
+import { createMemoryStore } from "@sassafrascleat/store";
 import { readdirSync, readFileSync } from "node:fs";
 import { formatIssue, resolveSettings } from "../load_settings.ts";
 import { DaemonRole, settingsJsonSchema } from "../settings.ts";
 
 const ROOT = new URL("../../../../", import.meta.url);
 
+/** The example of configuration objects; the others are settings. */
+const OBJECTS = "objects.json";
+
 /** What the script that writes the tables exports. */
 interface ConfigDocs {
   renderConfigPage(
@@ -58,7 +69,7 @@
 
 describe("docs/examples", () => {
   const names = readdirSync(new URL("docs/examples", ROOT))
-    .filter((name) => name.endsWith(".json"));
+    .filter((name) => name.endsWith(".json") && name !== OBJECTS);
   const examples = names.map((name) => ({
     name,
     document: JSON.parse(read(`docs/examples/${name}`)) as { role: string },
@@ -74,4 +85,23 @@
     const roles = new Set(examples.map((it) => it.document.role));
     expect([...roles].sort()).toEqual(Object.values(DaemonRole).sort());
   });
+
+  test("the configuration objects are accepted in their order", async () => {
+    const { signal } = new AbortController();
+    const replica = createConfigReplica();
+    const log = createChangeLog({
+      store: createMemoryStore(),
+      replica,
+      office: "carolinas",
+    });
+    const text = read(`docs/examples/${OBJECTS}`);
+    const changes = JSON.parse(text) as ChangeDocument[];
+    expect(changes.length).toBeGreaterThan(0);
+    for (const [index, change] of changes.entries()) {
+      const proposal = toProposal(change, `example/${index}`, "ada");
+      const outcome = await log.propose(proposal, signal);
+      expect(outcome.kind).toBe(ProposeKind.Accepted);
+    }
+    expect(read("docs/GUIDE.md")).toContain(text);
+  });
 });
