--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -64,7 +64,9 @@
 const storeSchema = z.strictObject({
   baseUrl: baseUrlSchema.describe("Base address of the platform's object API"),
   timeoutMs: z.number().int().min(1).default(2_000)
-    .describe("Time for one store call, in milliseconds"),
+    .describe(
+      "Time for one read of the store, in milliseconds; a write has 1,500",
+    ),
 }).describe("The platform's object API");
 
 export const entrySettingsSchema = z.strictObject({
