--- a/packages/daemon/src/__tests__/programs_test.ts
+++ b/packages/daemon/src/__tests__/programs_test.ts
@@ -1,6 +1,8 @@
 /** The programs that `npx` finds: npm links them before anything is built. */
 import { expect, test } from "@jest/globals";
+import { spawnSync } from "node:child_process";
 import { accessSync, constants, readFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
 
 const PACKAGES = new URL("../../../", import.meta.url);
 
@@ -16,3 +18,19 @@
   expect(bin).not.toMatch(/dist/);
   accessSync(new URL(bin, root), constants.X_OK);
 });
+
+/** Runs the daemon to its end and returns its exit status. */
+function runDaemon(...args: string[]): number | null {
+  const program = new URL("daemon/bin/sassafrascleatd.js", PACKAGES);
+  const argv = [fileURLToPath(program), ...args];
+  return spawnSync(process.execPath, argv, { stdio: "ignore" }).status;
+}
+
+test("the daemon's exit status tells wrong arguments and settings", () => {
+  const example = new URL("../docs/examples/dev.json", PACKAGES);
+  expect(runDaemon("--settings", fileURLToPath(example), "--check")).toBe(0);
+  expect(runDaemon("--version")).toBe(0);
+  expect(runDaemon("--no-such-option")).toBe(2);
+  expect(runDaemon()).toBe(2);
+  expect(runDaemon("--settings", "no-such-file.json")).toBe(2);
+});
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -5,7 +5,7 @@
  * signal stops at once.
  */
 import { createLogger, errorMessage } from "@sassafrascleat/runtime";
-import { command, flag, option, optional, run, string } from "cmd-ts";
+import { command, flag, option, optional, runSafely, string } from "cmd-ts";
 import { ExitCode } from "./constants.ts";
 import {
   formatIssue,
@@ -63,6 +63,7 @@
 
 const program = command({
   name: "sassafrascleatd",
+  version: "0.1.0",
   description: "Runs an entry, a sidecar, or the whole product in one process.",
   args: {
     settings: option({
@@ -90,4 +91,9 @@
   },
 });
 
-await run(program, process.argv.slice(2));
+const result = await runSafely(program, process.argv.slice(2));
+if (result._tag === "error") {
+  const { message, into, exitCode } = result.error.config;
+  process[into].write(`${message}\n`);
+  process.exitCode = exitCode === 0 ? ExitCode.Ok : ExitCode.BadSettings;
+}
