--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -7,6 +7,7 @@
   VError,
 } from "@sassafrascleat/runtime";
 import type { FastifyInstance } from "fastify";
+import { setMaxListeners } from "node:events";
 import {
   createCallersServer,
   createListener,
@@ -49,6 +50,7 @@
 export async function createEntry(raw: EntryOptions): Promise<Entry> {
   const options = resolveEntryOptions(raw);
   const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
   const ctx = createContext(options, controller.signal);
   const lanes = new Lanes(ctx);
   const admitter = new Admitter(ctx, createRateLimiter());
@@ -78,6 +80,14 @@
   const hints = createHintBook(clock);
   const clients = new SidecarClients(options.secret, clock);
   const metrics = createEntryMetrics();
+  const observe: EntryContext["observe"] = (name, incarnation, hint) => {
+    hints.observe(name, hint);
+    hosts.observe(name, incarnation, hint);
+  };
+  const renewer = new Renewer(options.entryId, (name, reply) => {
+    if (reply) observe(name, reply.incarnation, reply.hint);
+    else hosts.observeFailure(name);
+  });
   return {
     options,
     signal,
@@ -85,16 +95,13 @@
     hosts,
     hints,
     clients,
-    renewer: new Renewer(options.entryId, () => {}),
+    renewer,
     canceller: new Canceller(clock, signal),
     metrics,
     outputs: new OutputEstimator(),
     planned: new PlannedPrefills(),
     claims: new Claims({ ...options, metrics, signal }),
-    observe(name, incarnation, hint) {
-      hints.observe(name, hint);
-      hosts.observe(name, incarnation, hint);
-    },
+    observe,
   };
 }
 
@@ -148,7 +155,9 @@
     this.#app.server.closeAllConnections();
     await this.#app.close();
     const over = admitter.idle().then(() => ctx.canceller.settled());
-    await Promise.race([over, sleep(CLOSE_GRACE_MS)]);
+    const grace = new AbortController();
+    await Promise.race([over, sleep(CLOSE_GRACE_MS, grace.signal)]);
+    grace.abort();
     this.#controller.abort();
     await ctx.clients.close().catch((err) => {
       log("close_failed", { error: errorMessage(err) });
--- a/packages/sidecar/src/__tests__/order_test.ts
+++ b/packages/sidecar/src/__tests__/order_test.ts
@@ -34,6 +34,25 @@
   expect(followed).toEqual([5, 6]);
 });
 
+test("one change may order a model and several adapters", async () => {
+  const { server, sidecar } = await bench.node(BackendRole.Decode);
+  const adapter = (target: string): OrderRequest => ({
+    fencingNumber: 5,
+    kind: OrderKind.LoadAdapter,
+    target,
+    version: "",
+  });
+  const orders = [load(5), adapter("one"), adapter("two")];
+  for (const req of [...orders, ...orders]) {
+    const reply = await sidecar.control.order(req);
+    expect(reply.state).toBe(OrderState.Done);
+  }
+  expect(server.books().orders.map((req) => req.target))
+    .toEqual(["model", "one", "two"]);
+  const other = await sidecar.control.order(load(5, "other"));
+  expect(other.state).toBe(OrderState.Refused);
+});
+
 test("a failed order can be sent again", async () => {
   const { server, sidecar } = await bench.node(BackendRole.Decode);
   server.setFaults({ dead: true });
--- a/packages/sidecar/src/backend_state.ts
+++ b/packages/sidecar/src/backend_state.ts
@@ -13,7 +13,8 @@
   AttemptState,
   parseAttemptId,
 } from "./attempt_ledger.ts";
-import { CapacityLedger, type Place, PlaceState } from "./capacity.ts";
+import { CapacityLedger } from "./capacity.ts";
+import { type Place, PlaceState } from "./place.ts";
 import {
   INITIAL_CALL_MS,
   LEDGER_CAPACITY,
@@ -129,7 +130,14 @@
     const { clock, reconcileMs, prefillWindowTokens } = this.cfg;
     const canceller = new EngineCanceller(engine, signal);
     const knows = (id: string) => this.knows(id);
-    const watch = new EngineWatch({ engine, canceller, reconcileMs, knows });
+    const caches = () => this.role === BackendRole.Prefill;
+    const watch = new EngineWatch({
+      engine,
+      canceller,
+      reconcileMs,
+      caches,
+      knows,
+    });
     const { cache } = watch;
     const prefills = new PrefillScheduler({
       engine,
@@ -143,6 +151,7 @@
             cache.cachedTokens(req.pieceHashes),
         ),
       assumedRate: () => watch.prefillRate,
+      onUnreachable: () => watch.suspect(),
     });
     return { engine, canceller, watch, prefills };
   }
--- a/packages/sidecar/src/decode_runner.ts
+++ b/packages/sidecar/src/decode_runner.ts
@@ -15,7 +15,8 @@
 import { type StartRequest, StreamFailure } from "@sassafrascleat/protocol";
 import { type Clock, createLogger, sleep } from "@sassafrascleat/runtime";
 import { attemptId, type AttemptRecord } from "./attempt_ledger.ts";
-import { type CapacityLedger, type Place, PlaceState } from "./capacity.ts";
+import type { CapacityLedger } from "./capacity.ts";
+import { type Place, PlaceState } from "./place.ts";
 import { ENGINE_RESUME_DELAY_MS, ENGINE_RESUME_MS } from "./constants.ts";
 import type { EngineCanceller } from "./engine_canceller.ts";
 import { settleWithin } from "./settle_within.ts";
@@ -34,6 +35,8 @@
   transferTimeoutMs: number;
   /** Fails the attempt that has to give up memory. */
   evict(place: Place): void;
+  /** Called when the engine did not answer. */
+  onUnreachable(): void;
 }
 
 /** Whether the engine may still hold the request. */
@@ -98,11 +101,17 @@
     const waitedMs = this.#opts.clock.now() - arrivedAtMs;
     const begun = await this.#begin(record, req, waitedMs);
     if (begun.status !== EngineStatus.Ok) {
+      this.#noteFailure(begun.status, signal);
       return failed(failureOf(begun.status, signal), EngineHold.Possible);
     }
     return await this.#follow(record, place, tokens, begun.events);
   }
 
+  #noteFailure(status: EngineStatus, signal: AbortSignal): void {
+    if (signal.aborted || status !== EngineStatus.Unreachable) return;
+    this.#opts.onUnreachable();
+  }
+
   /** False when the prefill result expires first, or on abort. */
   async #waitForPlace(
     place: Place,
@@ -215,6 +224,7 @@
       const resumed = await engine.resume(id, tokens.length, signal);
       if (resumed.status === EngineStatus.Ok) return resumed.events;
       if (resumed.status === EngineStatus.Refused) return undefined;
+      this.#noteFailure(resumed.status, signal);
       await sleep(ENGINE_RESUME_DELAY_MS, signal);
     }
     return undefined;
