--- a/packages/entry/src/lifecycle/admitter.ts
+++ b/packages/entry/src/lifecycle/admitter.ts
@@ -104,7 +104,7 @@
     });
     const close = () => {
       clearTimeout(timer);
-      controller.abort();
+      controller.abort(AbortCause.Over);
       this.#ctx.planned.remove(req.requestId);
       this.#close(service.name, customer, lane);
     };
--- a/packages/entry/src/lifecycle/call.ts
+++ b/packages/entry/src/lifecycle/call.ts
@@ -83,6 +83,8 @@
 export enum AbortCause {
   CallerGone = "caller_gone",
   Deadline = "deadline",
+  /** The call has its outcome. */
+  Over = "over",
 }
 
 /** The outcome of a call that was aborted before anything ran. */
--- a/packages/entry/src/plain/plain_dispatch.ts
+++ b/packages/entry/src/plain/plain_dispatch.ts
@@ -76,17 +76,18 @@
    * for the answer meanwhile, without ending a call that has not started.
    */
   async #send(place: Place, timeoutMs: number): Promise<Sent> {
-    const link = new LinkedAbort(this.#signal());
-    const { signal } = link;
-    const sent = place.client
-      .call(this.#message(place, timeoutMs), timeoutMs, signal)
+    const own = new LinkedAbort(this.#signal());
+    const watch = new LinkedAbort(this.#signal());
+    const message = this.#message(place, timeoutMs);
+    const sent = place.client.call(message, timeoutMs, own.signal)
       .then((reply): Sent => ({ reply, direct: true }));
-    try {
-      return await Promise.race([sent, this.#watch(place, signal)]);
-    } finally {
-      link.abort(EndReason.Done);
-      link.unlink();
-    }
+    const watched = this.#watch(place, watch.signal);
+    const first = await Promise.race([sent, watched]);
+    watch.abort(EndReason.Done);
+    if (!first.direct) own.abort(EndReason.Done);
+    own.unlink();
+    watch.unlink();
+    return first;
   }
 
   /** Resolves only with an answer; the sent call ends the wait otherwise. */
