fix(entry): cancelled work no longer holds requests back for ever

Cause: a prefill that was cancelled, or whose answer was lost, brought no hint, so its tokens counted as queued until the next hint; the policy then held every request back and nothing was sent that could have brought one. Change: where a hint older than 200 ms holds requests back, the entry asks for a fresh one by a renewal without attempts, at most one at a time for each backend server.

--- a/packages/entry/src/__tests__/caller_gone_test.ts
+++ b/packages/entry/src/__tests__/caller_gone_test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, test } from "@jest/globals";
 import { RefusalReason } from "@sassafrascleat/protocol";
+import { createPlacementPolicy, PolicyName } from "@sassafrascleat/routing";
 import { sleep } from "@sassafrascleat/runtime";
 import type { FrameWriter } from "./fake_sidecar.ts";
 import { Harness, until } from "./harness.ts";
@@ -134,3 +135,26 @@
     await harness.close();
   });
 });
+
+describe("work that was cancelled", () => {
+  test("does not hold later requests back", async () => {
+    const placement = createPlacementPolicy(PolicyName.JustInTime);
+    const harness = await Harness.start({ entry: { placement } });
+    const { prefill } = harness;
+    const prompt = "word ".repeat(3_900);
+    const answer = prefill.onPrefill;
+    prefill.onPrefill = () => NEVER;
+    for (const asked of [1, 2, 3]) {
+      const caller = new AbortController();
+      const sent = harness.complete({ prompt }, { signal: caller.signal })
+        .catch(() => {});
+      await until(() => prefill.prefills.length === asked);
+      caller.abort();
+      await sent;
+      await until(() => harness.entry.inFlight === 0);
+    }
+    prefill.onPrefill = answer;
+    expect((await harness.complete({ prompt })).status).toBe(200);
+    await harness.close();
+  });
+});
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -110,3 +110,6 @@
 
 /** Longest time that a timer takes, in milliseconds. */
 export const MAX_TIMER_MS = 2_147_483_647;
+
+/** Age from which a hint that holds requests back is asked for anew, in milliseconds. */
+export const HINT_STALE_MS = 200;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -18,6 +18,7 @@
 import { CLOSE_GRACE_MS } from "./constants.ts";
 import { Admitter } from "./lifecycle/admitter.ts";
 import type { EntryContext } from "./lifecycle/context.ts";
+import { HintRefresher } from "./lifecycle/hint_refresher.ts";
 import { Lanes } from "./lifecycle/lanes.ts";
 import { PlannedPrefills } from "./lifecycle/planned_prefills.ts";
 import { OutputEstimator } from "./lifecycle/output_estimator.ts";
@@ -28,7 +29,7 @@
   resolveEntryOptions,
 } from "./options.ts";
 import { Canceller } from "./sidecar_client/canceller.ts";
-import { Renewer } from "./sidecar_client/renewer.ts";
+import { Renewer, type RenewObserver } from "./sidecar_client/renewer.ts";
 import { SidecarClients } from "./sidecar_client/sidecar_clients.ts";
 
 const log = createLogger("entry");
@@ -84,18 +85,20 @@
     hints.observe(name, hint);
     hosts.observe(name, incarnation, hint);
   };
-  const renewer = new Renewer(options.entryId, (name, reply) => {
+  const { entryId } = options;
+  const heard: RenewObserver = (name, reply) => {
     if (reply) observe(name, reply.incarnation, reply.hint);
     else hosts.observeFailure(name);
-  });
+  };
   return {
     options,
     signal,
     clock,
     hosts,
     hints,
+    refresher: new HintRefresher({ entryId, clients, observe: heard, signal }),
     clients,
-    renewer,
+    renewer: new Renewer(entryId, heard),
     canceller: new Canceller(clock, signal),
     metrics,
     outputs: new OutputEstimator(),
--- a/packages/entry/src/lifecycle/context.ts
+++ b/packages/entry/src/lifecycle/context.ts
@@ -10,6 +10,7 @@
 import type { Renewer } from "../sidecar_client/renewer.ts";
 import type { SidecarClients } from "../sidecar_client/sidecar_clients.ts";
 import type { PlannedPrefills } from "./planned_prefills.ts";
+import type { HintRefresher } from "./hint_refresher.ts";
 import type { OutputEstimator } from "./output_estimator.ts";
 
 /** Shared parts, made once by the entry. */
@@ -20,6 +21,7 @@
   clock: Clock;
   hosts: HostView;
   hints: HintBook;
+  refresher: HintRefresher;
   clients: SidecarClients;
   renewer: Renewer;
   canceller: Canceller;
--- a/packages/entry/src/lifecycle/prefiller.ts
+++ b/packages/entry/src/lifecycle/prefiller.ts
@@ -118,6 +118,7 @@
       const plan = this.#plan(call, place, states);
       const server = states.find((it) => it.server.name === plan?.name)?.server;
       if (!plan || !server) {
+        this.#ctx.refresher.refresh(states);
         avoid.clear();
         await sleep(PLAN_RETRY_MS, call.signal);
         continue;
--- a/packages/entry/src/lifecycle/reserver.ts
+++ b/packages/entry/src/lifecycle/reserver.ts
@@ -58,17 +58,21 @@
 
   /** Time for which the prefill pool is busy enough; plans the prompt when 0. */
   #holdMs(call: Call): number {
-    const { hosts, hints, clock, planned } = this.#ctx;
+    const { hosts, hints, clock, planned, refresher } = this.#ctx;
     if (call.service.kind !== ServiceKind.Model) return 0;
     const pool = call.service.prefillPool;
+    const states = hints.states(hosts.candidates(pool));
     const outlook = call.placement.outlook?.(
       call.req,
-      hints.states(hosts.candidates(pool)),
+      states,
       planned.tokens(pool),
       clock.now(),
     );
     if (!outlook) return 0;
-    if (outlook.holdMs > 0) return outlook.holdMs;
+    if (outlook.holdMs > 0) {
+      refresher.refresh(states);
+      return outlook.holdMs;
+    }
     planned.add(call.requestId, pool, outlook.expectedTokens);
     return 0;
   }
