fix(membership): a pool that leaves as a whole is asked again

Cause: fault pairs left both decode sidecars marked as leaving; after the notices were taken back no entry asked them for 30 s, since only a reply tells. Ruled out: a shorter memory of 'leaving' (it costs each entry repeated refused calls while the list lags; a test forbids that). Change: when nobody else is left in a pool, sidecars that the list calls live are asked again 2.5 s after their notice; one that still leaves refuses.

--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -18,6 +18,9 @@
 /** Time that "leaving" is remembered while the list says live, in milliseconds. */
 export const LEAVING_MEMORY_MS = 30_000;
 
+/** Time after which a pool that leaves as a whole is asked again, in milliseconds. */
+export const RETURN_PROBE_MS = 2_500;
+
 /** First exclusion after a failed call to a sidecar, in milliseconds. */
 export const FAILURE_BACKOFF_MS = 500;
 
--- a/packages/membership/src/hosts/host_record.ts
+++ b/packages/membership/src/hosts/host_record.ts
@@ -12,6 +12,7 @@
   FORMER_INCARNATIONS,
   LATE_REPLY_MS,
   LEAVING_MEMORY_MS,
+  RETURN_PROBE_MS,
 } from "../constants.ts";
 
 /** The state of one backend server, moved by readings and replies. */
@@ -73,6 +74,16 @@
     return listed || nowMs < this.#saidLeavingAtMs + LEAVING_MEMORY_MS;
   }
 
+  /**
+   * Whether its sidecar said some time ago that it leaves and the list says
+   * live: the notice may have been taken back.
+   */
+  mayHaveReturned(nowMs: number): boolean {
+    if (this.#server.state === HostState.Leaving) return false;
+    const said = this.#saidLeavingAtMs;
+    return said !== undefined && nowMs >= said + RETURN_PROBE_MS;
+  }
+
   /** Whether the last call failed and none has succeeded since. */
   get isSuspect(): boolean {
     return this.#failures > 0;
@@ -87,6 +98,7 @@
   nextChangeMs(nowMs: number): number {
     const times = [this.#excludedUntilMs];
     if (this.#saidLeavingAtMs !== undefined) {
+      times.push(this.#saidLeavingAtMs + RETURN_PROBE_MS);
       times.push(this.#saidLeavingAtMs + LEAVING_MEMORY_MS);
     }
     return Math.min(...times.filter((time) => time > nowMs), Infinity);
--- a/packages/membership/src/hosts/pool_members.ts
+++ b/packages/membership/src/hosts/pool_members.ts
@@ -79,8 +79,10 @@
   members: PoolMembers,
   nowMs: number,
 ): HostRecord[] {
-  return [...members.sameZone, ...members.otherZones]
-    .filter((record) => !record.isLeaving(nowMs))
+  const all = [...members.sameZone, ...members.otherZones];
+  const staying = all.filter((record) => !record.isLeaving(nowMs));
+  const returned = all.filter((record) => record.mayHaveReturned(nowMs));
+  return (staying.length > 0 ? staying : returned)
     .sort((a, b) => a.excludedUntilMs - b.excludedUntilMs)
     .slice(0, owner.subsetSize);
 }
