fix(entry): a pool whose members all left is used again

Cause: the last hint of a backend server that left stays 'leaving' until the next one, and nothing was sent to it any more. Change: when the policy names nobody to ask, the entry asks up to 16 members of the pool, leaving ones included, for a fresh hint.

--- a/packages/entry/src/__tests__/stream_failures_test.ts
+++ b/packages/entry/src/__tests__/stream_failures_test.ts
@@ -4,8 +4,9 @@
   RefusalReason,
   StreamFailure,
 } from "@sassafrascleat/protocol";
+import { createPlacementPolicy, PolicyName } from "@sassafrascleat/routing";
 import { HINT } from "./fake_sidecar.ts";
-import { eventsOf, Harness, textOf } from "./harness.ts";
+import { eventsOf, Harness, textOf, until } from "./harness.ts";
 
 const WHOLE = "a whole answer";
 
@@ -232,3 +233,23 @@
     await harness.close();
   });
 });
+
+describe("a pool whose members all left", () => {
+  test("is used again when one takes its notice back", async () => {
+    const placement = createPlacementPolicy(PolicyName.JustInTime);
+    const harness = await Harness.start({ entry: { placement } });
+    let leaving = true;
+    for (const decode of harness.decodes) {
+      const hint = { ...HINT, leaving: true };
+      decode.onReserve = async () =>
+        leaving
+          ? { ...decode.refused(RefusalReason.Leaving), hint }
+          : decode.granted();
+    }
+    const sent = harness.complete();
+    await until(() => harness.decodes.every((it) => it.reserves.length > 0));
+    leaving = false;
+    expect((await sent).status).toBe(200);
+    await harness.close();
+  });
+});
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -113,3 +113,6 @@
 
 /** Age from which a hint that holds requests back is asked for anew, in milliseconds. */
 export const HINT_STALE_MS = 200;
+
+/** Backend servers of one pool that are asked whether they take work again. */
+export const MAX_REFRESHED = 16;
--- a/packages/entry/src/lifecycle/reserver.ts
+++ b/packages/entry/src/lifecycle/reserver.ts
@@ -7,7 +7,7 @@
 import type { BackendServer, ReserveReply } from "@sassafrascleat/protocol";
 import type { DecodeProbe } from "@sassafrascleat/routing";
 import { createLogger } from "@sassafrascleat/runtime";
-import { MAX_BLOCKED_MS } from "../constants.ts";
+import { MAX_BLOCKED_MS, MAX_REFRESHED } from "../constants.ts";
 import type { SidecarClient } from "../sidecar_client/sidecar_client.ts";
 import type { Call, Place } from "./call.ts";
 import type { EntryContext } from "./context.ts";
@@ -42,6 +42,7 @@
     }
     const states = hints.states(servers);
     const probes = call.placement.decodeProbes(call.req, states, clock.now());
+    if (probes.length === 0) this.#refreshPool(call.pool);
     let retryAfterMs = MAX_BLOCKED_MS;
     for (const probe of probes) {
       if (call.signal.aborted) break;
@@ -56,6 +57,13 @@
     return { placed: false, retryAfterMs, candidates: servers.length };
   }
 
+  /** A notice of leaving may have been taken back, which nobody is told of. */
+  #refreshPool(pool: string): void {
+    const { hints, hosts, refresher } = this.#ctx;
+    const members = hosts.all().filter((it) => it.pool === pool);
+    refresher.refresh(hints.states(members.slice(0, MAX_REFRESHED)));
+  }
+
   /** Time for which the prefill pool is busy enough; plans the prompt when 0. */
   #holdMs(call: Call): number {
     const { hosts, hints, clock, planned, refresher } = this.#ctx;
