fix(routing): let the retry budget cover the loss of a full engine

Change: the budget starts at, and saves up to, 60 retries. A test fails twenty attempts at once. Conclusion: the ratio still bounds a lasting storm; a burst is survived.

--- a/packages/routing/src/__tests__/limits_test.ts
+++ b/packages/routing/src/__tests__/limits_test.ts
@@ -114,6 +114,15 @@
       .toMatchObject({ action, cause });
   });
 
+  test("a new budget covers the loss of a full decode engine", () => {
+    const budget = createRetryBudget(0.15, { random: createRandom(5) });
+    const decisions = Array.from(
+      { length: 20 },
+      () => retryDecision(failed, budget).action,
+    );
+    expect(new Set(decisions)).toEqual(new Set([RetryAction.Retry]));
+  });
+
   test("a spent budget ends the request", () => {
     const budget = createRetryBudget(0, { random: createRandom(4), burst: 1 });
     expect(retryDecision(failed, budget).action).toBe(RetryAction.Retry);
--- a/packages/routing/src/constants.ts
+++ b/packages/routing/src/constants.ts
@@ -18,8 +18,11 @@
 /** Idle customers that the rate limiter remembers before it forgets some. */
 export const MAX_IDLE_CUSTOMERS = 8_192;
 
-/** Retries that may be saved up, and that a new budget starts with. */
-export const RETRY_BUDGET_BURST = 10;
+/**
+ * Retries that may be saved up, and that a new budget starts with: enough for
+ * the requests of three full decode engines that are lost at once.
+ */
+export const RETRY_BUDGET_BURST = 60;
 
 /** Backoff before the first retry, in milliseconds. */
 export const RETRY_BACKOFF_MS = 20;
--- a/packages/routing/src/retry_budget.ts
+++ b/packages/routing/src/retry_budget.ts
@@ -27,7 +27,7 @@
 export interface RetryBudgetOptions {
   /** Source of the jitter. */
   random: Random;
-  /** Retries that may be saved up, also the start value. @default 10 */
+  /** Retries that may be saved up, also the start value. @default 60 */
   burst?: number;
   /** Wait before the first retry, in milliseconds. @default 20 */
   backoffMs?: number;
