fix(config): a patch id used again for another change is refused

Cause: 'apply' with a known patch id and another document was answered with the first change's acceptance, so an operator was told that a change is in force which was never made. The archive test repeated a patch with other content and relied on the fault: it now repeats the same one and checks that another is refused. Before: accepted. Also: a KV import is given up after 400 ms, within the 800 ms that a prefill result lives, so that it can be handed to another engine by default. Conclusion: an answer to a patch id is about that patch.

--- a/packages/config/src/__tests__/archive_test.ts
+++ b/packages/config/src/__tests__/archive_test.ts
@@ -119,9 +119,12 @@
     await accept(open(store).log, 1, 40);
     const late = open(store);
     for (const i of [2, 20, 39]) {
-      const request = patchPolicy(`p${i}`, "std", i - 1, 1);
+      const request = patchPolicy(`p${i}`, "std", i - 1, (i % 16) + 1);
       expect(await late.log.propose(request, forever))
         .toEqual({ kind: ProposeKind.Accepted, sequence: i, version: i });
+      const other = patchPolicy(`p${i}`, "std", i - 1, (i % 16) + 2);
+      expect(await late.log.propose(other, forever))
+        .toMatchObject({ kind: ProposeKind.Invalid });
     }
   });
 
--- a/packages/config/src/__tests__/change_log_test.ts
+++ b/packages/config/src/__tests__/change_log_test.ts
@@ -87,6 +87,22 @@
     });
   });
 
+  test("a patch id used again for another change is refused", async () => {
+    const store = createMemoryStore();
+    const { log } = open(store);
+    await log.propose(createPolicy("p1", "std"), forever);
+    const other = open(store, "hobart-a");
+    const outcome = await other.log.propose(
+      createPolicy("p1", "another"),
+      forever,
+    );
+    expect(outcome).toMatchObject({
+      kind: ProposeKind.Invalid,
+      issues: [{ path: "/patchId", value: "p1" }],
+    });
+    expect(other.replica.get(ObjectKind.Policy, "another")).toBeUndefined();
+  });
+
   test("a deleted object that is made again goes on counting", async () => {
     const { log, replica } = open(createMemoryStore());
     await log.propose(createPolicy("p1", "std"), forever);
--- a/packages/config/src/change.ts
+++ b/packages/config/src/change.ts
@@ -65,6 +65,8 @@
       patchId: z.string(),
       sequence: z.number(),
       version: z.number(),
+      /** Tells a repeat from another change under the same id. */
+      digest: z.string().optional(),
     }),
   ),
 });
--- a/packages/config/src/patch_records.ts
+++ b/packages/config/src/patch_records.ts
@@ -9,12 +9,14 @@
 import type { Change } from "./change.ts";
 import { LogReadStatus, type LogUnavailable } from "./change_log_contract.ts";
 import { patchKey } from "./log_keys.ts";
+import { patchDigest } from "./patch_digest.ts";
 import { readTail } from "./log_tail.ts";
 import type { AcceptedPatch, MemoryReplica } from "./replica.ts";
 
 const recordSchema = z.object({
   sequence: z.number().int().min(1),
   version: z.number().int(),
+  digest: z.string().optional(),
 });
 
 /** Result of a search; no patch when the id was never accepted. */
@@ -39,7 +41,8 @@
 ): Promise<boolean> {
   const { sequence, version = 0 } = change;
   const key = patchKey(change.patchId);
-  const result = await store.put(key, { sequence, version }, ABSENT, signal);
+  const record = { sequence, version, digest: patchDigest(change) };
+  const result = await store.put(key, record, ABSENT, signal);
   return result.status === StoreStatus.Ok ||
     result.status === StoreStatus.Conflict;
 }
@@ -84,5 +87,5 @@
   const change = tail.changes.find((item) => item.patchId === patchId);
   if (!change) return found(undefined);
   const { sequence, version = 0 } = change;
-  return found({ sequence, version });
+  return found({ sequence, version, digest: patchDigest(change) });
 }
--- a/packages/config/src/proposer.ts
+++ b/packages/config/src/proposer.ts
@@ -39,8 +39,9 @@
 } from "./evaluate.ts";
 import { changeKey } from "./log_keys.ts";
 import type { LogReader } from "./log_reader.ts";
+import { patchDigest } from "./patch_digest.ts";
 import { findPatch } from "./patch_records.ts";
-import type { MemoryReplica } from "./replica.ts";
+import type { AcceptedPatch, MemoryReplica } from "./replica.ts";
 import type { SegmentStore } from "./segments.ts";
 import { Turns } from "./turns.ts";
 import { toIssues } from "./validate.ts";
@@ -74,6 +75,21 @@
   return JSON.parse(JSON.stringify(value));
 }
 
+/** The first answer to a patch id; another change under it is refused. */
+function repeatOf(req: ProposeRequest, first: AcceptedPatch): ProposeOutcome {
+  const { sequence, version, digest } = first;
+  if (digest === undefined || digest === patchDigest(req)) {
+    return { kind: ProposeKind.Accepted, sequence, version };
+  }
+  const issue = {
+    path: "/patchId",
+    value: req.patchId,
+    expected: `a new patch id; this one was accepted for another change, ` +
+      `sequence ${sequence}`,
+  };
+  return { kind: ProposeKind.Invalid, issues: [issue] };
+}
+
 function notRun(req: ProposeRequest, message: string): ProposeOutcome {
   if (!req.repeated) return { kind: ProposeKind.NotRun, message };
   const text = `${message}; an earlier call with this patch id may have been ` +
@@ -137,9 +153,7 @@
     }
     const search = await findPatch(store, replica, req.patchId, signal);
     if (search.status !== LogReadStatus.Ok) return notRun(req, search.message);
-    if (search.accepted) {
-      return { kind: ProposeKind.Accepted, ...search.accepted };
-    }
+    if (search.accepted) return repeatOf(req, search.accepted);
     const evaluation = replica.evaluate(req);
     if (evaluation.kind !== EvaluationKind.Fits) {
       return this.#reject(req, evaluation);
--- a/packages/config/src/replica.ts
+++ b/packages/config/src/replica.ts
@@ -19,6 +19,7 @@
   ObjectKind,
   Versioned,
 } from "./objects.ts";
+import { patchDigest } from "./patch_digest.ts";
 import { ApplyResult, type ConfigReplica } from "./replica_contract.ts";
 import { validateObject } from "./validate.ts";
 
@@ -29,6 +30,8 @@
   sequence: number;
   /** Version of the object after the change. */
   version: number;
+  /** Digest of the change; missing where it was recorded without one. */
+  digest?: string;
 }
 
 /** Options of a replica. */
@@ -166,7 +169,8 @@
     this.#changes.push(change);
     if (this.#changes.length > this.#keptChanges) this.#changes.shift();
     const { sequence } = change;
-    this.#patches.set(change.patchId, { sequence, version });
+    const digest = patchDigest(change);
+    this.#patches.set(change.patchId, { sequence, version, digest });
     if (this.#patches.size <= this.#keptPatchIds) return;
     const oldest = this.#patches.keys().next().value;
     if (oldest !== undefined) this.#patches.delete(oldest);
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -13,7 +13,7 @@
 export const DEFAULT_MAX_TRANSFERS = 4;
 
 /** Time for one KV import, in milliseconds. */
-export const DEFAULT_TRANSFER_TIMEOUT_MS = 1_000;
+export const DEFAULT_TRANSFER_TIMEOUT_MS = 400;
 
 /** Prompt tokens handed to a prefill engine ahead of need. */
 export const DEFAULT_PREFILL_WINDOW_TOKENS = 4_096;
--- a/packages/sidecar/src/options.ts
+++ b/packages/sidecar/src/options.ts
@@ -58,7 +58,7 @@
   maxTransfers?: number;
   /**
    * Time for one KV import, in milliseconds.
-   * @default 1000
+   * @default 400
    */
   transferTimeoutMs?: number;
   /**
