perf(entry): take and send the frames of a chunk together

Each token passed an async iterator, a generator and several promises, and was encoded anew with everything that its answer's chunks repeat.

Frames are read by listener; tokens that arrive in one chunk reach the caller in one write; a write that flows makes no promise; the constant text of a chunk is encoded once for each answer.

--- a/packages/entry/src/callers/event_stream.ts
+++ b/packages/entry/src/callers/event_stream.ts
@@ -27,12 +27,15 @@
     return this.#res.headersSent;
   }
 
-  /** Writes one event; resolves when the caller can take more or is gone. */
-  send(data: object | string): Promise<void> {
+  /**
+   * Writes one event. The promise resolves when the caller can take more or is
+   * gone; without one it can at once.
+   */
+  send(data: object | string): Promise<void> | undefined {
     if (!this.started) this.#writeHead();
     const text = typeof data === "string" ? data : JSON.stringify(data);
     const flowing = this.#res.write(`data: ${text}\n\n`);
-    return flowing ? Promise.resolve() : this.#drained();
+    return flowing ? undefined : this.#drained();
   }
 
   end(): void {
--- a/packages/entry/src/callers/model_format.ts
+++ b/packages/entry/src/callers/model_format.ts
@@ -49,6 +49,35 @@
   };
 }
 
+/** Stands for the text while the rest of a chunk is encoded. */
+const TEXT_MARK = JSON.stringify("@text@");
+
+/** Encodes the chunks of one answer; only the text differs between them. */
+export class ChunkEncoder {
+  readonly #head: AnswerHead;
+  readonly #before: string;
+  readonly #after: string;
+
+  constructor(head: AnswerHead) {
+    this.#head = head;
+    const whole = encodeChunk(head, JSON.parse(TEXT_MARK) as string);
+    // Nothing of the caller's follows the text, so the last mark is its place.
+    const at = whole.lastIndexOf(TEXT_MARK);
+    this.#before = whole.slice(0, at);
+    this.#after = whole.slice(at + TEXT_MARK.length);
+  }
+
+  /** The JSON text of a chunk with more text. */
+  encode(text: string): string {
+    if (text === "") return encodeChunk(this.#head, text);
+    return this.#before + JSON.stringify(text) + this.#after;
+  }
+}
+
+function encodeChunk(head: AnswerHead, text: string): string {
+  return JSON.stringify(chunk(head, text, undefined));
+}
+
 /** The first chunk of a chat, which names the role. */
 export function roleChunk(head: AnswerHead): object {
   const delta = { role: "assistant", content: "" };
--- a/packages/entry/src/callers/model_routes.ts
+++ b/packages/entry/src/callers/model_routes.ts
@@ -21,6 +21,7 @@
 import {
   type AnswerHead,
   chunk,
+  ChunkEncoder,
   roleChunk,
   usageChunk,
   wholeAnswer,
@@ -163,8 +164,9 @@
   async #whole(exchange: Exchange): Promise<FastifyReply> {
     const { req, reply, head, promptTokens } = exchange;
     const pieces: string[] = [];
-    const outcome = await this.#run(exchange, async (tokens) => {
+    const outcome = await this.#run(exchange, (tokens) => {
       pieces.push(...tokens);
+      return undefined;
     });
     if (outcome.kind !== OutcomeKind.Answered) {
       return sendError(req, reply, errorOf(outcome));
@@ -184,12 +186,13 @@
       ...this.#listener.connectionHeaders(),
     };
     const events = new EventStream(reply.raw, headers, callerStallMs);
-    const outcome = await this.#run(exchange, async (tokens) => {
+    const chunks = new ChunkEncoder(head);
+    const outcome = await this.#run(exchange, (tokens) => {
       if (!events.started) {
         reply.hijack();
-        if (body.api === ModelApi.Chat) await events.send(roleChunk(head));
+        if (body.api === ModelApi.Chat) void events.send(roleChunk(head));
       }
-      await events.send(chunk(head, tokens.join(""), undefined));
+      return events.send(chunks.encode(tokens.join("")));
     });
     if (outcome.kind !== OutcomeKind.Answered && !events.started) {
       return sendError(req, reply, errorOf(outcome));
--- a/packages/entry/src/lifecycle/model_call.ts
+++ b/packages/entry/src/lifecycle/model_call.ts
@@ -222,11 +222,11 @@
     };
   }
 
-  async #take(tokens: string[], kv: LiveKv): Promise<void> {
+  #take(tokens: string[], kv: LiveKv): Promise<void> | undefined {
     kv.count(PrefillUse.Used);
     this.#generated.push(...tokens);
     this.#meter.tokens(tokens.length);
-    await this.#parts.sink(tokens);
+    return this.#parts.sink(tokens);
   }
 
   #whole(finish: FinishReason): Outcome<ModelAnswer> {
--- a/packages/entry/src/sidecar_client/attempt_stream.ts
+++ b/packages/entry/src/sidecar_client/attempt_stream.ts
@@ -21,14 +21,18 @@
 import { EndReason, LinkedAbort } from "./linked_abort.ts";
 import type { RawReply, SidecarClient } from "./sidecar_client.ts";
 import type { Watch } from "./watchdog.ts";
+import type { Readable } from "node:stream";
 
 /** How an attempt's stream ended. */
 export type StreamEnd =
   | { ended: true; finish: FinishReason }
   | { ended: false; failure: StreamFailure; refusal?: RefusalReason };
 
-/** Takes the next tokens of the answer; resolves when the caller can take more. */
-export type TokenSink = (tokens: string[]) => Promise<void>;
+/**
+ * Takes the next tokens of the answer. A promise resolves when the caller can
+ * take more; without one it can at once.
+ */
+export type TokenSink = (tokens: string[]) => Promise<void> | undefined;
 
 /** One connection, and what reading it came to. */
 interface Connection {
@@ -118,21 +122,23 @@
     const reply = await this.#dial(link.signal);
     const refused = refusalOf(reply);
     if (refused) return { ...connection, heard: true, end: refused };
-    const frames = readFrames(reply.body);
-    while (true) {
-      const next = await frames.next();
-      if (next.done) return connection;
+    await readFrames(reply.body, (frames) => {
+      const took = this.#takeAll(frames, sink, connection);
+      if (!took.wait) return this.#took(took.taken, connection);
       silence.pause();
-      const taken = this.#isOurs(next.value)
-        ? await this.#take(next.value, sink, connection)
-        : Taken.Continue;
-      if (taken === Taken.Gap) return connection;
-      silence.heard();
-      if (taken === Taken.Continue) continue;
-      connection.end = taken;
-      void finish(frames, connection);
-      return connection;
-    }
+      return took.wait.then(() => this.#took(took.taken, connection));
+    });
+    if (connection.end) finish(reply.body, connection);
+    return connection;
+  }
+
+  /** Notes what frames came to; whether the connection is read on. */
+  #took(taken: Taken | StreamEnd, connection: Connection): boolean {
+    if (taken === Taken.Gap) return false;
+    connection.silence.heard();
+    if (taken === Taken.Continue) return true;
+    connection.end = taken;
+    return false;
   }
 
   #dial(signal: AbortSignal): Promise<RawReply> {
@@ -154,12 +160,22 @@
     return ours;
   }
 
-  async #take(
-    frame: Frame,
-    sink: TokenSink,
-    connection: Connection,
-  ): Promise<Taken | StreamEnd> {
-    connection.heard = this.#heard = true;
+  /** Takes the frames of one chunk; their tokens reach the sink together. */
+  #takeAll(frames: Frame[], sink: TokenSink, connection: Connection): Took {
+    const tokens: string[] = [];
+    let taken: Taken | StreamEnd = Taken.Continue;
+    for (const frame of frames) {
+      if (!this.#isOurs(frame)) continue;
+      connection.heard = this.#heard = true;
+      taken = this.#take(frame, tokens);
+      if (taken !== Taken.Continue) break;
+    }
+    const wait = tokens.length > 0 ? this.#deliver(tokens, sink) : undefined;
+    return { taken, wait };
+  }
+
+  /** Adds the frame's tokens to `tokens` when they continue the answer. */
+  #take(frame: Frame, tokens: string[]): Taken | StreamEnd {
     if (frame.kind === FrameKind.Failed) {
       const { failure, refusal } = frame;
       return { ended: false, failure, refusal };
@@ -170,7 +186,8 @@
       return { ended: true, finish: frame.finish };
     }
     if (frame.kind === FrameKind.Tokens) {
-      await this.#deliver(frame.tokens, sink);
+      tokens.push(...frame.tokens);
+      this.#offset += frame.tokens.length;
     }
     return Taken.Continue;
   }
@@ -180,12 +197,13 @@
     return taken;
   }
 
-  async #deliver(tokens: string[], sink: TokenSink): Promise<void> {
-    this.#offset += tokens.length;
+  #deliver(tokens: string[], sink: TokenSink): Promise<void> | undefined {
     try {
-      await sink(tokens);
+      return sink(tokens)?.catch((err) => {
+        throw new SinkError(err);
+      });
     } catch (err) {
-      throw new SinkError(err);
+      return Promise.reject(new SinkError(err));
     }
   }
 }
@@ -197,6 +215,13 @@
   Gap = "gap",
 }
 
+/** What the frames of one chunk came to. */
+interface Took {
+  taken: Taken | StreamEnd;
+  /** Resolves when the caller can take more; absent when it can at once. */
+  wait: Promise<void> | undefined;
+}
+
 /** Keeps failures of the sink apart from those of the connection. */
 class SinkError extends Error {
   constructor(cause: unknown) {
@@ -213,15 +238,10 @@
 }
 
 /** Reads what follows the last frame, so that the connection can be used again. */
-async function finish(
-  frames: AsyncGenerator<Frame>,
-  connection: Connection,
-): Promise<void> {
-  try {
-    while (!(await frames.next()).done);
-  } catch {
-    // The connection is gone; the answer was whole before.
-  } finally {
-    connection.silence.stop();
-  }
+function finish(body: Readable, connection: Connection): void {
+  // The answer is whole: what becomes of the connection now only ends the watch.
+  const stop = () => connection.silence.stop();
+  if (body.closed) return stop();
+  body.once("close", stop);
+  body.resume();
 }
--- a/playground/src/bench/overhead/options.ts
+++ b/playground/src/bench/overhead/options.ts
@@ -45,7 +45,7 @@
 export const PLANNED_LOAD: StreamLoad = { streams: 240, stepMs: 43 };
 
 /** More than one core can carry, so that the entry's core is the limit. */
-export const FULL_LOAD: StreamLoad = { streams: 240, stepMs: 4 };
+export const FULL_LOAD: StreamLoad = { streams: 240, stepMs: 2 };
 
 /** Options of a run. */
 export interface OverheadOptions {
