fix(entry): an entry without configuration is not ready

Cause: an entry that starts while the store is out and no peer answers said /readyz 200 and 404 model_not_found to every request. Change: 503 not_configured, not_run, Retry-After 1, until the first change is in force; /readyz says not_configured. Conclusion: a balancer keeps such an entry out, and callers know to go on.

--- a/packages/entry/src/__tests__/drain_test.ts
+++ b/packages/entry/src/__tests__/drain_test.ts
@@ -55,3 +55,23 @@
     await harness.close();
   });
 });
+
+describe("an entry without any configuration", () => {
+  test("is not ready and refuses requests as not run", async () => {
+    const harness = await Harness.start();
+    harness.config.sequence = 0;
+    const ready = await fetch(`${harness.entry.callersAddress}/readyz`);
+    expect(ready.status).toBe(503);
+    expect(await ready.json()).toEqual({ status: "not_configured" });
+    const refused = await harness.complete();
+    expect(refused.status).toBe(503);
+    expect(refused.headers.get("retry-after")).toBe("1");
+    expect(await refused.json()).toMatchObject({
+      error: { code: "not_configured", outcome: "not_run" },
+    });
+    harness.config.sequence = 1;
+    const later = await fetch(`${harness.entry.callersAddress}/readyz`);
+    expect(later.status).toBe(200);
+    await harness.close();
+  });
+});
--- a/packages/entry/src/__tests__/fakes.ts
+++ b/packages/entry/src/__tests__/fakes.ts
@@ -57,7 +57,7 @@
 
 /** A fixed configuration. */
 export class FakeConfig implements ConfigView {
-  readonly sequence = 1;
+  sequence = 1;
   customers: Customer[] = [];
   policy: Policy;
 
--- a/packages/entry/src/callers/listener.ts
+++ b/packages/entry/src/callers/listener.ts
@@ -22,6 +22,7 @@
   CALLER_REQUEST_TIMEOUT_MS,
   MAX_HEADER_BYTES,
   REQUEST_ID_BYTES,
+  RETRY_ELSEWHERE_MS,
 } from "../constants.ts";
 import type { Admitter } from "../lifecycle/admitter.ts";
 import type { EntryContext } from "../lifecycle/context.ts";
@@ -121,19 +122,34 @@
   const health = req.routeOptions.config as { health?: boolean };
   if (listener.state === ListenerState.Closing && !health.health) {
     const err = refusal(503, "draining", "this entry is draining; ask another");
-    sendError(req, reply, { ...err, retryAfterMs: 1_000 });
+    sendError(req, reply, { ...err, retryAfterMs: RETRY_ELSEWHERE_MS });
+    return;
+  }
+  if (!isConfigured(listener) && !health.health) {
+    const message = "this entry has no configuration yet; ask another";
+    const err = refusal(503, "not_configured", message);
+    sendError(req, reply, { ...err, retryAfterMs: RETRY_ELSEWHERE_MS });
     return;
   }
   done();
 }
 
+/** Whether any change is in force here: a new entry may find store and peers out. */
+function isConfigured(listener: Listener): boolean {
+  return listener.ctx.options.config.sequence > 0;
+}
+
+function readiness(listener: Listener): string {
+  if (listener.state !== ListenerState.Open) return "draining";
+  return isConfigured(listener) ? "ready" : "not_configured";
+}
+
 function registerHealth(app: FastifyInstance, listener: Listener): void {
   const config = { health: true };
   app.get("/healthz", { config }, () => ({ status: "ok" }));
   app.get("/readyz", { config }, (_req, reply) => {
-    const ready = listener.state === ListenerState.Open;
-    return reply.code(ready ? 200 : 503)
-      .send({ status: ready ? "ready" : "draining" });
+    const status = readiness(listener);
+    return reply.code(status === "ready" ? 200 : 503).send({ status });
   });
   app.get("/metrics", { config }, async (_req, reply) => {
     const { registry, queued } = listener.ctx.metrics;
--- a/packages/entry/src/constants.ts
+++ b/packages/entry/src/constants.ts
@@ -93,6 +93,9 @@
 /** Time beyond a call's own limit in which a lost answer is asked for, in milliseconds. */
 export const LOST_ANSWER_MS = 3_000;
 
+/** Time after which a caller that is sent elsewhere may try again, in milliseconds. */
+export const RETRY_ELSEWHERE_MS = 1_000;
+
 /** Time after a drain begins in which new requests are still taken, in milliseconds. */
 export const LAME_DUCK_MS = 1_000;
 
