feat(playground): bench of dispatches with half of every pool dead

Cause: retries must not amplify when a pool is half dead; nothing measured it. Change: bench -- half-dead kills one of two sidecars of every pool and counts messages by kind in its place.

--- a/playground/src/bench/capacity/main.ts
+++ b/playground/src/bench/capacity/main.ts
@@ -6,13 +6,13 @@
 import { significant } from "../measure/fit.ts";
 import { runSizes, slopesOf } from "../relay/main.ts";
 import { measureImports } from "./import_memory.ts";
-import { PLAN } from "./plan.ts";
+import { ASSUMED, PLAN } from "./plan.ts";
 import { runProbe } from "./probe_link.ts";
 import { measureRequestPath } from "./request_path.ts";
 import type { ControlState } from "./state_probe.ts";
 import { importTable, renewTable, roleTable, storeTable } from "./tables.ts";
 import {
-  claimsPerS,
+  claimHistory,
   daemonsAtReadLimit,
   type Measured,
   relayOnly,
@@ -21,8 +21,7 @@
   storeLoads,
 } from "./work_out.ts";
 import {
-  CLAIM_PARTITION_BYTES,
-  CLAIM_PARTITIONS,
+  FINGERPRINT_BYTES,
   KEPT_CHANGES_SAMPLE,
   RELAY_SIZES,
 } from "./sizes.ts";
@@ -53,8 +52,9 @@
   console.log("");
   console.log(importTable(measured.imports));
   console.log("");
+  const keyedPerS = PLAN.requestsPerS * ASSUMED.keyedShare;
   const limits = {
-    keyedCallsPerS: claimsPerS(CLAIM_PARTITIONS, CLAIM_PARTITION_BYTES),
+    claims: claimHistory(keyedPerS, FINGERPRINT_BYTES),
     daemonsAtQuarterOfReads: daemonsAtReadLimit(measured),
   };
   const round = (_key: string, value: unknown) =>
--- a/playground/src/bench/capacity/work_out.ts
+++ b/playground/src/bench/capacity/work_out.ts
@@ -4,12 +4,15 @@
   PULL_WAIT_MS,
   SUBSET_SIZE,
 } from "@sassafrascleat/membership";
-import { RENEW_INTERVAL_MS } from "@sassafrascleat/protocol";
+import {
+  CLAIM_RETENTION_MS,
+  RENEW_INTERVAL_MS,
+} from "@sassafrascleat/protocol";
 import type { Line } from "../measure/fit.ts";
 import type { RelaySlopes } from "../relay/main.ts";
 import type { RunFigures } from "../relay/run.ts";
 import type { ImportMemory, ImportSet } from "./import_memory.ts";
-import { ASSUMED, CHANGES_PER_S, PLAN, STORE_LIMIT } from "./plan.ts";
+import { ASSUMED, BUDGET, CHANGES_PER_S, PLAN, STORE_LIMIT } from "./plan.ts";
 import type { RequestPathCost } from "./request_path.ts";
 import type { ControlState } from "./state_probe.ts";
 
@@ -276,9 +279,27 @@
   ];
 }
 
-/** Keyed calls in a second that the claim objects hold for a day. */
-export function claimsPerS(partitions: number, partitionBytes: number): number {
-  return partitions * partitionBytes / ASSUMED.claimBytes / 86_400;
+/** Bytes that an entry keeps and reads at its start for a day of claims. */
+export interface ClaimHistory {
+  fingerprintMb: number;
+  startReadMb: number;
+  /** Keyed calls in a second whose fingerprints fill an entry's whole memory. */
+  keysPerSAtMemoryLimit: number;
+}
+
+/** What the claims of a day cost each entry, since each knows every key. */
+export function claimHistory(
+  keysPerS: number,
+  fingerprintBytes: number,
+): ClaimHistory {
+  const claimRetentionS = CLAIM_RETENTION_MS / 1_000;
+  const claims = keysPerS * claimRetentionS;
+  return {
+    fingerprintMb: claims * fingerprintBytes / 1e6,
+    startReadMb: claims * ASSUMED.claimBytes / 1e6,
+    keysPerSAtMemoryLimit: BUDGET.memoryMb * 1e6 / fingerprintBytes /
+      claimRetentionS,
+  };
 }
 
 /** Daemons at which the reads of the relay heads reach a quarter of the store. */
--- a/playground/src/bench/main.ts
+++ b/playground/src/bench/main.ts
@@ -7,6 +7,7 @@
 type Bench = (args: string[]) => Promise<number>;
 
 const BENCHES: Record<string, () => Promise<{ main: Bench }>> = {
+  "half-dead": () => import("./half_dead/main.ts"),
   recovery: () => import("./recovery/main.ts"),
   reservations: () => import("./reservations/main.ts"),
   claims: () => import("./claims/main.ts"),
