fix(entry): a caller that leaves mid-answer is not a backend failure

Cause: such requests counted as unknown/backend_failed, which operators are told to watch. A signal shared by many calls printed a leak warning. Ruled out: a leak (every child controller is aborted when its call ends). Before: backend_failed. Conclusion: requests_total tells failures from departures.

--- a/packages/entry/src/__tests__/caller_gone_test.ts
+++ b/packages/entry/src/__tests__/caller_gone_test.ts
@@ -95,6 +95,22 @@
     await expectNothingHeld();
   });
 
+  test("in mid-answer is counted as gone, not as a failed backend server", async () => {
+    harness.decodes[0].onStart = (_req, writer) => writer.tokens(0, "a ");
+    const res = await harness.complete(
+      { stream: true },
+      { signal: caller.signal },
+    );
+    const reader = res.body!.getReader();
+    await reader.read();
+    caller.abort();
+    await expectNothingHeld();
+    const metrics = await fetch(`${harness.entry.callersAddress}/metrics`);
+    const text = await metrics.text();
+    expect(text).toMatch(/outcome="unknown",reason="caller_gone"\} 1/);
+    expect(text).not.toMatch(/backend_failed/);
+  });
+
   test("is cancelled again until the sidecar acknowledges", async () => {
     const [decode] = harness.decodes;
     harness.prefill.onPrefill = () => NEVER;
--- a/packages/entry/src/callers/caller_error.ts
+++ b/packages/entry/src/callers/caller_error.ts
@@ -52,6 +52,7 @@
   [UnknownReason.BackendFailed]: 502,
   [UnknownReason.StillRunning]: 504,
   [UnknownReason.AnswerExpired]: 502,
+  [UnknownReason.CallerGone]: 499,
 };
 
 /** The type field of the OpenAI form. */
--- a/packages/entry/src/lifecycle/model_outcome.ts
+++ b/packages/entry/src/lifecycle/model_outcome.ts
@@ -1,6 +1,8 @@
 /** Outcomes and priorities of model requests. */
 import {
   type FinishReason,
+  type NotRun,
+  NotRunReason,
   type Outcome,
   OutcomeKind,
   RequestClass,
@@ -27,13 +29,18 @@
 ): Outcome<ModelAnswer> {
   invariant(outcome.kind !== OutcomeKind.Answered, "only failures are told");
   if (outcome.kind === OutcomeKind.Unknown || !mayHaveRun) return outcome;
-  const late = signal.reason === AbortCause.Deadline;
   return unknownOutcome(
-    late ? UnknownReason.StillRunning : UnknownReason.BackendFailed,
+    reasonOf(outcome, signal),
     `the answer could not be finished: ${outcome.message}`,
   );
 }
 
+function reasonOf(outcome: NotRun, signal: AbortSignal): UnknownReason {
+  if (signal.reason === AbortCause.Deadline) return UnknownReason.StillRunning;
+  const gone = outcome.reason === NotRunReason.Cancelled;
+  return gone ? UnknownReason.CallerGone : UnknownReason.BackendFailed;
+}
+
 /** Priority for the engine; larger is sooner. */
 export function priorityOf(requestClass: RequestClass): number {
   if (requestClass === RequestClass.Interactive) return 2;
--- a/packages/entry/src/plain/unknown_outcome.ts
+++ b/packages/entry/src/plain/unknown_outcome.ts
@@ -16,6 +16,8 @@
     "the call is still running; ask again with the same idempotency key",
   [UnknownReason.AnswerExpired]:
     "the call's answer is no longer kept; the call may have run",
+  [UnknownReason.CallerGone]:
+    "the caller hung up during the call; the call may have run",
 };
 
 /** The outcome `Unknown` with a text for the caller. */
--- a/packages/protocol/src/outcome.ts
+++ b/packages/protocol/src/outcome.ts
@@ -34,6 +34,8 @@
   BackendFailed = "backend_failed",
   StillRunning = "still_running",
   AnswerExpired = "answer_expired",
+  /** The caller hung up while its request was worked for. */
+  CallerGone = "caller_gone",
 }
 
 /** The call was answered with `value`. */
--- a/packages/runtime/src/wait.ts
+++ b/packages/runtime/src/wait.ts
@@ -3,6 +3,15 @@
  * task that it belongs to. Nothing here throws on abort; callers look at
  * `signal.aborted` after the wait.
  */
+import { setMaxListeners } from "node:events";
+
+/**
+ * Lets any number of waits and calls share a signal. Signals of processes and
+ * listeners have one listener for each call in progress, which is no leak.
+ */
+function shareSignal(signal: AbortSignal): void {
+  setMaxListeners(0, signal);
+}
 
 /** Resolves after `ms`, or at once when `signal` aborts. */
 export function sleep(ms: number, signal?: AbortSignal): Promise<void> {
@@ -14,7 +23,9 @@
       signal?.removeEventListener("abort", done);
       resolve();
     }
-    signal?.addEventListener("abort", done, { once: true });
+    if (!signal) return;
+    shareSignal(signal);
+    signal.addEventListener("abort", done, { once: true });
   });
 }
 
@@ -35,6 +46,7 @@
     return controller;
   }
   const onAbort = () => controller.abort(parent.reason);
+  shareSignal(parent);
   parent.addEventListener("abort", onAbort, { once: true });
   controller.signal.addEventListener(
     "abort",
