fix(entry): model requests refused by a customer's limit are counted

Cause: only plain calls counted such refusals, so requests_total hid them. Before: no line. Conclusion: every refusal after identification is in one counter.

--- a/packages/entry/src/__tests__/bad_input_test.ts
+++ b/packages/entry/src/__tests__/bad_input_test.ts
@@ -221,6 +221,9 @@
     const res = await harness.complete();
     expect(res.status).toBe(429);
     expect(Number(res.headers.get("retry-after"))).toBeGreaterThan(1);
+    const metrics = await fetch(`${harness.entry.callersAddress}/metrics`);
+    expect(await metrics.text())
+      .toMatch(/outcome="not_run",reason="rate_limited"\} 1/);
     await harness.close();
   });
 });
--- a/packages/entry/src/callers/model_routes.ts
+++ b/packages/entry/src/callers/model_routes.ts
@@ -135,7 +135,10 @@
       pieceHashes: pieceHashes(body.prompt),
       signal: callerSignal(reply),
     });
-    if (!result.admitted) return sendError(req, reply, errorOf(result.refused));
+    if (!result.admitted) {
+      this.#listener.countOutcome(service.name, result.refused);
+      return sendError(req, reply, errorOf(result.refused));
+    }
     const { admission } = result;
     const head = {
       api: body.api,
