refactor(daemon): control parts and options of an entry in files of their own

Change: control_parts.ts and entry_process_options.ts; the entry id carries a random part; imports from one package stand together.

--- a/packages/daemon/src/entry_process.ts
+++ b/packages/daemon/src/entry_process.ts
@@ -2,34 +2,23 @@
  * One entry process: configuration replica and relay, host view, and the
  * callers' listener. Requests wait for none of the control tasks.
  */
-import { deadlineSignal } from "@sassafrascleat/runtime";
-import {
-  type ChangeLog,
-  createChangeLog,
-  createConfigReplica,
-  type MemoryReplica,
-} from "@sassafrascleat/config";
+import type { ChangeLog, MemoryReplica } from "@sassafrascleat/config";
 import { createEntry, type Entry } from "@sassafrascleat/entry";
-import {
-  createChangeLogFollower,
-  createHostView,
-  createOrderIssuer,
-  createRelay,
-  createStaticPeers,
-  createStorePresence,
-  type HostSource,
-  joinPeerSources,
-  type OrderIssuer,
-  type Relay,
-  type RelayPeer,
-  type RunningHostView,
+import type {
+  OrderIssuer,
+  Relay,
+  RunningHostView,
 } from "@sassafrascleat/membership";
+import { createPlacementPolicy } from "@sassafrascleat/routing";
+import { deadlineSignal } from "@sassafrascleat/runtime";
+import { randomUUID } from "node:crypto";
 import {
-  createPlacementPolicy,
-  type PolicyName,
-} from "@sassafrascleat/routing";
-import type { Secret } from "@sassafrascleat/runtime";
-import type { ObjectStore } from "@sassafrascleat/store";
+  type ControlParts,
+  createControlParts,
+  createIssuer,
+  createProcessRelay,
+} from "./control_parts.ts";
+import type { EntryProcessOptions } from "./entry_process_options.ts";
 import {
   createOperatorListener,
   type OperatorListener,
@@ -45,32 +34,6 @@
   type SystemListener,
 } from "./system_listener.ts";
 
-/** An address to bind. */
-export interface ListenAddress {
-  host: string;
-  port: number;
-}
-
-/** Everything that an entry process is made of. */
-export interface EntryProcessOptions {
-  id: string;
-  office: string;
-  availabilityZone: string;
-  callers: ListenAddress;
-  operators: ListenAddress;
-  system: ListenAddress;
-  operatorSecrets: readonly Secret[];
-  /** The first is sent, all are accepted. */
-  systemSecrets: readonly [Secret, ...Secret[]];
-  store: ObjectStore;
-  hostSource: HostSource;
-  peers: readonly RelayPeer[];
-  hostRefreshMs: number;
-  subsetSize: number;
-  placement: PolicyName;
-  drainTimeoutMs: number;
-}
-
 /** A started entry process and the parts that operators' calls use. */
 export interface EntryProcess extends RunningDaemon {
   readonly availabilityZone: string;
@@ -81,67 +44,12 @@
   readonly hosts: RunningHostView;
 }
 
-/** The parts that don't depend on a bound address. */
-interface ControlParts {
-  replica: MemoryReplica;
-  changeLog: ChangeLog;
-  hosts: RunningHostView;
-}
-
-function createControlParts(options: EntryProcessOptions): ControlParts {
-  const replica = createConfigReplica();
-  const { store, office, availabilityZone } = options;
-  const changeLog = createChangeLog({
-    store,
-    replica,
-    office,
-    writer: options.id,
-  });
-  const hosts = createHostView({
-    source: options.hostSource,
-    office,
-    availabilityZone,
-    entryId: options.id,
-    subsetSize: options.subsetSize,
-    refreshMs: options.hostRefreshMs,
-  });
-  return { replica, changeLog, hosts };
-}
-
-function createProcessRelay(
-  options: EntryProcessOptions,
-  parts: ControlParts,
-  address: string,
-): Relay {
-  const { id: daemonId, office, availabilityZone, store } = options;
-  const presence = createStorePresence({
-    store,
-    daemonId,
-    office,
-    availabilityZone,
-  });
-  return createRelay({
-    daemonId,
-    office,
-    availabilityZone,
-    address,
-    replica: parts.replica,
-    changeLogFollower: createChangeLogFollower({
-      store,
-      changeLog: parts.changeLog,
-    }),
-    peers: joinPeerSources(presence, createStaticPeers(options.peers)),
-    secret: options.systemSecrets[0],
-    presence,
-  });
-}
-
 function createCallersEntry(
   options: EntryProcessOptions,
   parts: ControlParts,
 ): Promise<Entry> {
   return createEntry({
-    entryId: options.id,
+    entryId: `${options.id}-${randomUUID()}`,
     office: options.office,
     availabilityZone: options.availabilityZone,
     host: options.callers.host,
@@ -155,21 +63,6 @@
   });
 }
 
-function createIssuer(
-  options: EntryProcessOptions,
-  parts: ControlParts,
-  relay: Relay,
-  control: SidecarControlClient,
-): OrderIssuer {
-  return createOrderIssuer({
-    config: parts.replica,
-    hosts: parts.hosts,
-    office: options.office,
-    send: (server, req, signal) => control.order(server, req, signal),
-    isActive: () => relay.isHead(),
-  });
-}
-
 /** Opens the operators' listener over the parts that serve its calls. */
 function openOperators(
   options: EntryProcessOptions,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -2,11 +2,8 @@
 export { ExitCode } from "./constants.ts";
 export { DEV_OPERATOR_SECRET } from "./dev/constants.ts";
 export { type DevDeployment, startDevDeployment } from "./dev/dev_role.ts";
-export {
-  type EntryProcess,
-  type EntryProcessOptions,
-  startEntryProcess,
-} from "./entry_process.ts";
+export { type EntryProcess, startEntryProcess } from "./entry_process.ts";
+export type { EntryProcessOptions } from "./entry_process_options.ts";
 export {
   formatIssue,
   type LoadedSettings,
--- a/packages/routing/src/retry_budget.ts
+++ b/packages/routing/src/retry_budget.ts
@@ -3,8 +3,7 @@
  * takes out a whole one, so that retries stay a bounded share of the work
  * however many requests fail at once.
  */
-import type { Random } from "@sassafrascleat/runtime";
-import { jitter } from "@sassafrascleat/runtime";
+import { jitter, type Random } from "@sassafrascleat/runtime";
 import {
   MAX_RETRY_BACKOFF_MS,
   RETRY_BACKOFF_MS,
