refactor: one wait for conditions, one address of a listener

Cause: a read of the whole change found code written twice: until() in the rig and in the fuzzer, portOf() in both rig parts, a look for reservations by role, the address of a bound listener in the daemon and in the entry; and the fuzzed world waited for a sequence written as the number 6. Change: playground/src/until.ts, Rig.isReserved(role), portOf beside the process that it describes, baseAddressOf in runtime; the seeding returns its sequence. The sidecar's address keeps the configured host and stays its own. Conclusion: same behaviour from fewer places.

--- a/packages/daemon/src/operator_listener.ts
+++ b/packages/daemon/src/operator_listener.ts
@@ -3,8 +3,8 @@
   createOperatorRoutes,
   type OperatorRouteOptions,
 } from "@sassafrascleat/entry";
+import { baseAddressOf } from "@sassafrascleat/runtime";
 import Fastify from "fastify";
-import { addressOf } from "./listener_address.ts";
 
 /** An open listener. */
 export interface OperatorListener {
@@ -20,5 +20,5 @@
   const app = Fastify({ logger: false, forceCloseConnections: true });
   await app.register(createOperatorRoutes(routes));
   await app.listen(listen);
-  return { address: addressOf(app), close: () => app.close() };
+  return { address: baseAddressOf(app.server), close: () => app.close() };
 }
--- a/packages/daemon/src/system_listener.ts
+++ b/packages/daemon/src/system_listener.ts
@@ -8,10 +8,13 @@
   type RelayControl,
   SYSTEM_SECRET_HEADER,
 } from "@sassafrascleat/protocol";
-import { matchSecret, type Secret } from "@sassafrascleat/runtime";
+import {
+  baseAddressOf,
+  matchSecret,
+  type Secret,
+} from "@sassafrascleat/runtime";
 import { fastifyTRPCPlugin } from "@trpc/server/adapters/fastify";
 import Fastify, { type FastifyInstance } from "fastify";
-import { addressOf } from "./listener_address.ts";
 
 /** Where to listen and whom to let in. */
 export interface SystemListenerOptions {
@@ -64,7 +67,7 @@
   });
   await app.listen({ host: options.host, port: options.port });
   return {
-    address: addressOf(app),
+    address: baseAddressOf(app.server),
     serve: (control) => {
       relay.target = control;
     },
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,6 +1,7 @@
 /** An entry: takes callers' requests and answers them by way of sidecars. */
 import { createHintBook, createRateLimiter } from "@sassafrascleat/routing";
 import {
+  baseAddressOf,
   createLogger,
   errorMessage,
   sleep,
@@ -125,7 +126,7 @@
     this.#listener = listener;
     this.#controller = controller;
     this.metrics = listener.ctx.metrics;
-    this.callersAddress = addressOf(app);
+    this.callersAddress = baseAddressOf(app.server);
   }
 
   get inFlight(): number {
@@ -167,14 +168,3 @@
     });
   }
 }
-
-function addressOf(app: FastifyInstance): string {
-  const address = app.server.address();
-  if (!address || typeof address === "string") {
-    throw new VError("the callers' listener has no address");
-  }
-  const host = address.family === "IPv6"
-    ? `[${address.address}]`
-    : address.address;
-  return `http://${host}:${address.port}`;
-}
--- a/packages/daemon/src/listener_address.ts
+++ b/packages/runtime/src/listener_address.ts
@@ -1,10 +1,10 @@
 /** Addresses of bound listeners. */
-import { invariant } from "@sassafrascleat/runtime";
-import type { FastifyInstance } from "fastify";
+import type { Server } from "node:net";
+import { invariant } from "./error.ts";
 
 /** Base address of a listening server, `http://ip:port`. */
-export function addressOf(app: FastifyInstance): string {
-  const address = app.server.address();
+export function baseAddressOf(server: Server): string {
+  const address = server.address();
   invariant(
     typeof address === "object" && address !== null,
     "the listener is not bound",
--- a/playground/src/bench/overhead/throughput.ts
+++ b/playground/src/bench/overhead/throughput.ts
@@ -2,7 +2,8 @@
 import { BackendRole, HostState } from "@sassafrascleat/protocol";
 import { sleep } from "@sassafrascleat/runtime";
 import { callModel } from "../../caller/model_caller.ts";
-import { type Rig, RIG_MODEL, RIG_OFFICE, until } from "../../rig/rig.ts";
+import { type Rig, RIG_MODEL, RIG_OFFICE } from "../../rig/rig.ts";
+import { until } from "../../until.ts";
 import { readProcessCost } from "../measure/process_cost.ts";
 import type { LoadCounts, LoadOrder } from "./load_worker.ts";
 import {
--- a/playground/src/bench/recovery/main.ts
+++ b/playground/src/bench/recovery/main.ts
@@ -5,7 +5,8 @@
  */
 import { callModel, type ModelAnswer } from "../../caller/model_caller.ts";
 import { Fault, heal, strike } from "../../faults/faults.ts";
-import { type Rig, RIG_MODEL, startRig, until } from "../../rig/index.ts";
+import { type Rig, RIG_MODEL, startRig } from "../../rig/index.ts";
+import { until } from "../../until.ts";
 
 /** Repeats of each case. */
 const REPEATS = 3;
--- a/playground/src/faults/model_case.ts
+++ b/playground/src/faults/model_case.ts
@@ -2,7 +2,8 @@
 import { deadlineSignal } from "@sassafrascleat/runtime";
 import { expectedText } from "@sassafrascleat/testing";
 import { callModel, type ModelAnswer } from "../caller/model_caller.ts";
-import { type Rig, RIG_MODEL, until } from "../rig/index.ts";
+import { type Rig, RIG_MODEL } from "../rig/index.ts";
+import { until } from "../until.ts";
 import { Fault, heal, strike } from "./faults.ts";
 import {
   type CallProgress,
--- a/playground/src/faults/moments.ts
+++ b/playground/src/faults/moments.ts
@@ -4,7 +4,8 @@
  */
 import { BackendRole } from "@sassafrascleat/protocol";
 import { ProxyMode } from "@sassafrascleat/testing";
-import { type Rig, until } from "../rig/index.ts";
+import { type Rig } from "../rig/index.ts";
+import { until } from "../until.ts";
 
 /** When a fault strikes. */
 export enum Moment {
@@ -76,15 +77,6 @@
   }
 }
 
-/** True when a decode sidecar holds a reservation that was not started. */
-async function isReserved(rig: Rig): Promise<boolean> {
-  for (const backend of rig.byRole(BackendRole.Decode)) {
-    const status = await rig.sidecarStatus(backend);
-    if (status && status.hint.reserved > 0) return true;
-  }
-  return false;
-}
-
 async function holds(
   rig: Rig,
   moment: Moment,
@@ -96,7 +88,7 @@
     case Moment.BeforeDispatch:
       return true;
     case Moment.DecodeReserved:
-      return await isReserved(rig);
+      return await rig.isReserved(BackendRole.Decode);
     case Moment.InPrefill:
       return engineBooks(rig, BackendRole.Prefill)
         .some((book) => book.heldIds.length > 0);
--- a/playground/src/faults/plain_moments.ts
+++ b/playground/src/faults/plain_moments.ts
@@ -1,7 +1,8 @@
 /** Moments in the life of a keyed call to a plain service. */
 import { BackendRole } from "@sassafrascleat/protocol";
 import { StoreStatus } from "@sassafrascleat/store";
-import { type Rig, until } from "../rig/index.ts";
+import { type Rig } from "../rig/index.ts";
+import { until } from "../until.ts";
 
 /** When a fault strikes a keyed call. */
 export enum PlainMoment {
@@ -73,14 +74,6 @@
   }
 }
 
-async function isPlainReserved(rig: Rig): Promise<boolean> {
-  for (const backend of rig.byRole(BackendRole.Plain)) {
-    const status = await rig.sidecarStatus(backend);
-    if (status && status.hint.reserved > 0) return true;
-  }
-  return false;
-}
-
 async function holds(
   rig: Rig,
   moment: PlainMoment,
@@ -91,7 +84,7 @@
     case PlainMoment.BeforeDispatch:
       return true;
     case PlainMoment.BeforeClaim:
-      return await isPlainReserved(rig);
+      return await rig.isReserved(BackendRole.Plain);
     case PlainMoment.AfterClaim:
       return await claimRevision(rig) > before.claimRevision;
     case PlainMoment.Executing:
--- a/playground/src/fuzz/oracle.ts
+++ b/playground/src/fuzz/oracle.ts
@@ -4,8 +4,9 @@
  */
 import { BackendRole } from "@sassafrascleat/protocol";
 import { expectedText } from "@sassafrascleat/testing";
+import { until } from "../until.ts";
 import type { CallRecords, ModelRecord, PlainRecord } from "./records.ts";
-import { until, type World } from "./world.ts";
+import type { World } from "./world.ts";
 
 /** Bound on engine memory held after the last caller is gone, in milliseconds. */
 const MEMORY_BOUND_MS = 8_000;
--- a/playground/src/fuzz/world.ts
+++ b/playground/src/fuzz/world.ts
@@ -6,7 +6,7 @@
 import { type EntryProcess, startEntryProcess } from "@sassafrascleat/daemon";
 import { BackendRole } from "@sassafrascleat/protocol";
 import { PolicyName } from "@sassafrascleat/routing";
-import { invariant, Secret, sleep } from "@sassafrascleat/runtime";
+import { invariant, Secret } from "@sassafrascleat/runtime";
 import { createHttpStore } from "@sassafrascleat/store";
 import {
   createStoreServer,
@@ -15,6 +15,7 @@
   type StoreServer,
 } from "@sassafrascleat/testing";
 import { randomUUID } from "node:crypto";
+import { until } from "../until.ts";
 import type { Break } from "./breaks.ts";
 import { createMessageBox, type MessageBox } from "./message_box.ts";
 import { type FuzzNode, startFuzzNode } from "./node.ts";
@@ -26,8 +27,8 @@
 /** Time for one store call, in milliseconds. */
 const STORE_TIMEOUT_MS = 300;
 
-/** Interval between two looks at a condition, in milliseconds. */
-const POLL_MS = 10;
+/** Longest wait for the configuration to be in force, in milliseconds. */
+const READY_TIMEOUT_MS = 10_000;
 
 /** An entry with its boxes; a killed one has no process. */
 export interface FuzzEntry {
@@ -45,6 +46,8 @@
   readonly entries: FuzzEntry[];
   /** Secret of calls to sidecars. */
   readonly secret: Secret;
+  /** Sequence of the world's last change of configuration. */
+  readonly #sequence: number;
   #starts = 0;
 
   constructor(
@@ -52,11 +55,13 @@
     store: StoreServer,
     entries: FuzzEntry[],
     secret: Secret,
+    sequence: number,
   ) {
     this.nodes = nodes;
     this.store = store;
     this.entries = entries;
     this.secret = secret;
+    this.#sequence = sequence;
   }
 
   byRole(role: BackendRole): FuzzNode[] {
@@ -106,11 +111,11 @@
   /** Waits until every entry that runs has the configuration in force. */
   async ready(): Promise<void> {
     const running = () => this.entries.flatMap(({ process }) => process ?? []);
-    await until(() => running().every(({ replica }) => replica.sequence >= 6));
-    invariant(
-      running().every(({ replica }) => replica.sequence >= 6),
-      "an entry did not get the world's configuration",
+    const ready = await until(
+      () => running().every((it) => it.replica.sequence >= this.#sequence),
+      READY_TIMEOUT_MS,
     );
+    invariant(ready, "an entry did not get the world's configuration");
   }
 
   /** Takes all faults back and starts what is down. */
@@ -137,16 +142,6 @@
   }
 }
 
-/** Waits until `holds` is true; false when it was not in time. */
-export async function until(
-  holds: () => boolean,
-  timeoutMs = 10_000,
-): Promise<boolean> {
-  const endMs = performance.now() + timeoutMs;
-  while (!holds() && performance.now() < endMs) await sleep(POLL_MS);
-  return holds();
-}
-
 async function createEntry(
   index: number,
   nodes: readonly FuzzNode[],
@@ -170,11 +165,11 @@
     ),
   );
   const store = await createStoreServer({});
-  await seedWorldConfiguration(store);
+  const sequence = await seedWorldConfiguration(store);
   const entries = await Promise.all(
     [0, 1].map((index) => createEntry(index, nodes, rule)),
   );
-  const world = new World(nodes, store, entries, secret);
+  const world = new World(nodes, store, entries, secret, sequence);
   for (const entry of entries) await world.startEntry(entry);
   await world.ready();
   return world;
--- a/playground/src/fuzz/world_config.ts
+++ b/playground/src/fuzz/world_config.ts
@@ -63,10 +63,13 @@
   ];
 }
 
-/** Writes the configuration straight into the store behind the stand-in. */
+/**
+ * Writes the configuration straight into the store behind the stand-in;
+ * returns the sequence of its last change.
+ */
 export async function seedWorldConfiguration(
   server: StoreServer,
-): Promise<void> {
+): Promise<number> {
   const replica = createConfigReplica();
   const changeLog = createChangeLog({
     store: server.store,
@@ -89,4 +92,5 @@
       `the world's configuration was refused: ${JSON.stringify(outcome)}`,
     );
   }
+  return replica.sequence;
 }
--- a/playground/src/rig/index.ts
+++ b/playground/src/rig/index.ts
@@ -7,7 +7,6 @@
   RIG_PLAIN_SERVICE,
   type RigOptions,
   startRig,
-  until,
 } from "./rig.ts";
 export { RigBackend } from "./rig_backend.ts";
 export { RigEntry } from "./rig_entry.ts";
--- a/playground/src/rig/rig.ts
+++ b/playground/src/rig/rig.ts
@@ -16,10 +16,11 @@
   type SidecarStatus,
   SYSTEM_SECRET_HEADER,
 } from "@sassafrascleat/protocol";
-import { invariant, Secret, sleep } from "@sassafrascleat/runtime";
+import { invariant, Secret } from "@sassafrascleat/runtime";
 import { createStoreServer, type StoreServer } from "@sassafrascleat/testing";
 import { randomUUID } from "node:crypto";
 import { applyChange } from "../caller/operator_caller.ts";
+import { until } from "../until.ts";
 import {
   type BackendPlan,
   RigBackend,
@@ -107,6 +108,15 @@
     return body.result.data;
   }
 
+  /** Whether a sidecar of this role holds a reservation that was not started. */
+  async isReserved(role: BackendRole): Promise<boolean> {
+    for (const backend of this.byRole(role)) {
+      const status = await this.sidecarStatus(backend);
+      if (status && status.hint.reserved > 0) return true;
+    }
+    return false;
+  }
+
   /** Waits until every entry has the rig's configuration in force. */
   async ready(): Promise<void> {
     for (const entry of this.entries) {
@@ -176,25 +186,6 @@
   ];
 }
 
-/** Interval between two looks at a condition, in milliseconds. */
-const POLL_MS = 5;
-
-/** Longest wait for a condition, in milliseconds. */
-const CONDITION_TIMEOUT_MS = 15_000;
-
-/** Waits until `holds` is true; false when it was not in time. */
-export async function until(
-  holds: () => boolean | Promise<boolean>,
-  timeoutMs = CONDITION_TIMEOUT_MS,
-): Promise<boolean> {
-  const endMs = performance.now() + timeoutMs;
-  while (performance.now() < endMs) {
-    if (await holds()) return true;
-    await sleep(POLL_MS);
-  }
-  return await holds();
-}
-
 async function isReady(entry: RigEntry): Promise<boolean> {
   const res = await fetch(`${entry.address}/v1/models`).catch(() => undefined);
   const body = await res?.text().catch(() => "");
--- a/playground/src/rig/rig_backend.ts
+++ b/playground/src/rig/rig_backend.ts
@@ -14,6 +14,7 @@
 } from "@sassafrascleat/testing";
 import {
   type DaemonProcess,
+  portOf,
   type SettingsDocument,
   startDaemonProcess,
 } from "./daemon_process.ts";
@@ -120,10 +121,6 @@
   };
 }
 
-function portOf(address: string | undefined): number {
-  return Number(new URL(address ?? "").port);
-}
-
 /** Starts stand-in, sidecar process and proxy. */
 export async function startRigBackend(
   plan: BackendPlan,
--- a/playground/src/rig/rig_entry.ts
+++ b/playground/src/rig/rig_entry.ts
@@ -2,6 +2,7 @@
 import { createFaultProxy, type FaultProxy } from "@sassafrascleat/testing";
 import {
   type DaemonProcess,
+  portOf,
   type SettingsDocument,
   startDaemonProcess,
 } from "./daemon_process.ts";
@@ -88,10 +89,6 @@
   };
 }
 
-function portOf(address: string | undefined): number {
-  return Number(new URL(address ?? "").port);
-}
-
 /** Starts the entry and its proxies; a restart keeps all ports. */
 export async function startRigEntry(
   plan: EntryPlan,
