--- /dev/null
+++ b/packages/gateway/src/decide/retry_allowance.ts
@@ -0,0 +1,64 @@
+/**
+ * The entry's share of the calls that a service may get beyond the first of
+ * each request. All entries share one allowance without talking to each other:
+ * each spends a ratio of its own traffic and an equal share of the fixed part.
+ */
+import type { Clock } from "@sassafrascleat/runtime";
+
+/** Limits of repeated calls over all entries. */
+export interface RetryAllowanceOptions {
+  clock: Clock;
+  /** Repeated calls for each request. */
+  ratio: number;
+  /** Repeated calls in each window beyond the ratio, over all entries. */
+  slack: number;
+  windowMs: number;
+  /** Entries that share the slack. */
+  entries: number;
+}
+
+/** Part of the allowance that is spent, as windows of entries don't align. */
+const SPENT_SHARE = 0.8;
+
+/** Counts requests and repeated calls of one service. */
+export class RetryAllowance {
+  readonly #options: RetryAllowanceOptions;
+  readonly #requests: number[] = [];
+  readonly #repeats: number[] = [];
+
+  constructor(options: RetryAllowanceOptions) {
+    this.#options = options;
+  }
+
+  /** Counts a request of a caller. */
+  countRequest(): void {
+    this.#requests.push(this.#options.clock.now());
+  }
+
+  /** Repeated calls that are allowed now. */
+  get available(): number {
+    const { ratio, slack, entries } = this.#options;
+    this.#trim();
+    const allowed = ratio * this.#requests.length + slack / entries;
+    return Math.floor(allowed * SPENT_SHARE) - this.#repeats.length;
+  }
+
+  /** Takes one repeated call; false when none is left. */
+  take(): boolean {
+    if (this.available < 1) return false;
+    this.#repeats.push(this.#options.clock.now());
+    return true;
+  }
+
+  #trim(): void {
+    const startMs = this.#options.clock.now() - this.#options.windowMs;
+    dropBefore(this.#requests, startMs);
+    dropBefore(this.#repeats, startMs);
+  }
+}
+
+function dropBefore(times: number[], startMs: number): void {
+  let old = 0;
+  while (old < times.length && (times[old] as number) < startMs) old += 1;
+  if (old > 0) times.splice(0, old);
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,245 @@
+/**
+ * The gateway: takes requests of callers, finds their route in the
+ * configuration in force, and runs them at backend servers that it calls
+ * itself. It owns the beliefs that its decisions are made by; what it learns
+ * about backend servers and configuration is posted to it by the deployment's
+ * adapter.
+ */
+import type { Clock, Logger, Random } from "@sassafrascleat/runtime";
+import { BackendDirectory, DirectoryChange } from "./backends/directory.ts";
+import { incarnationOf } from "./backends/backend.ts";
+import { ConfigHolder } from "./config/config_holder.ts";
+import { pickService } from "./config/route_index.ts";
+import { RouteKind } from "./config/routing_table.ts";
+import { HealthBook } from "./decide/backend_health.ts";
+import { EngineBook } from "./decide/engine_book.ts";
+import { OutputEstimate } from "./decide/output_estimate.ts";
+import { RetryAllowance } from "./decide/retry_allowance.ts";
+import { Ingress, type IngressRequest } from "./http/ingress.ts";
+import { Upstream } from "./http/upstream.ts";
+import type { WireCodec } from "./http/wire_codec.ts";
+import { createGatewayMetrics, type GatewayMetrics } from "./metrics.ts";
+import { type GatewayPolicyOptions, resolveGatewayPolicy } from "./policy.ts";
+import { DecodeRooms } from "./runs/decode_room.ts";
+import { runPlain } from "./runs/plain_run.ts";
+import {
+  type CallerRequest,
+  type EngineControl,
+  type RunContext,
+  RunEnd,
+  type RunOutcome,
+  RunReason,
+} from "./runs/run_context.ts";
+import { runStream } from "./runs/stream_run.ts";
+import { refuse } from "./runs/refuse.ts";
+
+/** Options of a gateway. */
+export interface GatewayOptions {
+  clock: Clock;
+  log: Logger;
+  random: Random;
+  /** Availability zone of this host. */
+  zone: string;
+  codec: WireCodec;
+  /** Calls to engines, made over the gateway's connections. */
+  createEngineControl: (upstream: Upstream) => EngineControl;
+  policy?: GatewayPolicyOptions;
+}
+
+const STATUS_NOT_FOUND = 404;
+const STATUS_UNAVAILABLE = 503;
+/** Time that a caller is told to wait for a first configuration, in ms. */
+const NOT_READY_BACK_MS = 300;
+/** After this time of leaving no new stream is begun, in milliseconds. */
+const LAST_STREAM_AFTER_MS = 2_500;
+
+/** Serves callers from one process. */
+export class Gateway {
+  readonly config: ConfigHolder;
+  readonly directory: BackendDirectory;
+  readonly metrics: GatewayMetrics;
+  readonly ingress: Ingress;
+  readonly upstream: Upstream;
+  readonly #ctx: RunContext;
+  readonly #rooms = new Map<string, DecodeRooms>();
+  readonly #allowances = new Map<string, RetryAllowance>();
+  readonly #estimates = new Map<string, OutputEstimate>();
+  #leavingSinceMs: number | undefined;
+
+  constructor(options: GatewayOptions) {
+    const { clock, log, random } = options;
+    const policy = resolveGatewayPolicy(options.policy);
+    this.config = new ConfigHolder(clock, log);
+    this.directory = new BackendDirectory({ clock, log });
+    this.metrics = createGatewayMetrics();
+    this.upstream = new Upstream({ log });
+    this.#ctx = {
+      clock,
+      log,
+      random,
+      zone: options.zone,
+      codec: options.codec,
+      engines: options.createEngineControl(this.upstream),
+      upstream: this.upstream,
+      directory: this.directory,
+      health: new HealthBook(clock),
+      book: new EngineBook(clock),
+      metrics: this.metrics,
+      policy,
+      inProgress: new Map(),
+      allowanceOf: (service) => this.#allowanceOf(service),
+      estimateOf: (route) => this.#estimateOf(route),
+    };
+    this.ingress = new Ingress({
+      log,
+      now: () => clock.now(),
+      handler: (req) => this.#serve(req),
+      closing: () => this.#leavingSinceMs !== undefined,
+    });
+    this.config.onChange((table) => {
+      this.ingress.setLimits(table.limits);
+      this.metrics.configVersion.set(table.version);
+      this.#rooms.clear();
+    });
+    this.directory.onChange((change, backend) => {
+      if (change === DirectoryChange.Removed) this.#forget(backend);
+    });
+  }
+
+  /** True when requests can be served and the process isn't leaving. */
+  get ready(): boolean {
+    return this.config.current !== undefined && this.directory.loaded &&
+      this.#leavingSinceMs === undefined;
+  }
+
+  /** From now on connections end with their next answer. */
+  leave(): void {
+    this.#leavingSinceMs ??= this.#ctx.clock.now();
+  }
+
+  #forget(backend: Parameters<typeof incarnationOf>[0]): void {
+    const key = incarnationOf(backend);
+    this.#ctx.health.forget(key);
+    this.#ctx.book.forget(key);
+    this.upstream.retire(backend);
+  }
+
+  #allowanceOf(service: string): RetryAllowance {
+    const known = this.#allowances.get(service);
+    if (known) return known;
+    const { clock, policy } = this.#ctx;
+    const fresh = new RetryAllowance({
+      clock,
+      ratio: policy.retryRatio,
+      slack: policy.retrySlack,
+      windowMs: policy.retryWindowMs,
+      entries: policy.entries,
+    });
+    this.#allowances.set(service, fresh);
+    return fresh;
+  }
+
+  #estimateOf(route: string): OutputEstimate {
+    const known = this.#estimates.get(route);
+    if (known) return known;
+    const fresh = new OutputEstimate();
+    this.#estimates.set(route, fresh);
+    return fresh;
+  }
+
+  #roomsOf(service: CallerRequest["service"]): DecodeRooms {
+    const known = this.#rooms.get(service.name);
+    if (known) return known;
+    const fresh = new DecodeRooms(this.#ctx, service);
+    this.#rooms.set(service.name, fresh);
+    return fresh;
+  }
+
+  async #serve(req: IngressRequest): Promise<void> {
+    const inForce = this.config.current;
+    const facts = this.#ctx.codec.readCaller(req.headers);
+    if (!inForce) {
+      const headers = this.#ctx.codec.ownReply(
+        facts.requestId,
+        NOT_READY_BACK_MS,
+      );
+      this.#ctx.log("refused", { req: facts.requestId, reason: "no_config" });
+      req.responder.reply(STATUS_UNAVAILABLE, headers);
+      return;
+    }
+    const route = inForce.routes.find(req.host, req.target);
+    if (!route) {
+      this.#ctx.log("no_route", {
+        req: facts.requestId,
+        host: req.host,
+        config: inForce.table.version,
+      });
+      const headers = this.#ctx.codec.ownReply(facts.requestId);
+      req.responder.reply(STATUS_NOT_FOUND, headers);
+      return;
+    }
+    const name = pickService(route, this.#ctx.random) ?? "";
+    const service = inForce.table.services.get(name) ??
+      { name, healthCheckPath: "", maxConnections: 0 };
+    const waitMs = Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs);
+    await this.#run({
+      ...req,
+      facts,
+      route,
+      service,
+      configVersion: inForce.table.version,
+      deadlineAtMs: req.arrivedMs + waitMs,
+    });
+  }
+
+  async #run(req: CallerRequest): Promise<void> {
+    const { metrics, log, clock } = this.#ctx;
+    metrics.inProgress.inc();
+    const outcome = await this.#runKind(req);
+    metrics.inProgress.dec();
+    const { kind, name } = req.route;
+    metrics.requests.inc({ kind, end: outcome.end, reason: outcome.reason });
+    if (outcome.firstByteMs !== undefined) {
+      metrics.firstByte.observe({ kind }, outcome.firstByteMs / 1000);
+    }
+    log("request_end", {
+      req: req.facts.requestId,
+      route: name,
+      service: req.service.name,
+      end: outcome.end,
+      reason: outcome.reason,
+      status: outcome.status,
+      backend: outcome.backendId,
+      attempts: outcome.attempts,
+      events: outcome.events,
+      first_ms: round(outcome.firstByteMs),
+      total_ms: round(clock.now() - req.arrivedMs),
+      target_ms: req.route.targetLatencyMs,
+      config: req.configVersion,
+    });
+  }
+
+  #runKind(req: CallerRequest): Promise<RunOutcome> {
+    if (req.route.kind !== RouteKind.Stream) return runPlain(this.#ctx, req);
+    if (this.#tooLateForStream()) {
+      const reason = RunReason.Leaving;
+      return Promise.resolve(refuse(this.#ctx, req, reason, 0));
+    }
+    return runStream(this.#ctx, req, this.#roomsOf(req.service));
+  }
+
+  #tooLateForStream(): boolean {
+    const sinceMs = this.#leavingSinceMs;
+    return sinceMs !== undefined &&
+      this.#ctx.clock.now() - sinceMs > LAST_STREAM_AFTER_MS;
+  }
+}
+
+function round(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
+
+/** True when the request was answered with success. */
+export function isAnswered(outcome: RunOutcome): boolean {
+  return outcome.end === RunEnd.Answered;
+}
--- /dev/null
+++ b/packages/gateway/src/http/ingress.ts
@@ -0,0 +1,184 @@
+/**
+ * The callers' listener. A request is read as a whole before it is run, within
+ * the limits of the configuration in force. `node:http` rejects requests whose
+ * length is ambiguous; bodies go on with a length of their own, so nothing can
+ * be hidden behind one.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import type { Logger } from "@sassafrascleat/runtime";
+import type { CallerLimits } from "../config/routing_table.ts";
+import { HttpResponder } from "./responder.ts";
+import type { RawHeaders } from "./wire_codec.ts";
+
+/** A request as it was read. */
+export interface IngressRequest {
+  method: string;
+  target: string;
+  host: string;
+  headers: RawHeaders;
+  body: Buffer;
+  arrivedMs: number;
+  /** Aborts when the caller's connection is gone. */
+  signal: AbortSignal;
+  responder: HttpResponder;
+}
+
+/** Serves one request to its end. */
+export type IngressHandler = (req: IngressRequest) => Promise<void>;
+
+/** Options of the callers' listener. */
+export interface IngressOptions {
+  log: Logger;
+  now: () => number;
+  handler: IngressHandler;
+  /** True when connections end with their next answer. */
+  closing: () => boolean;
+}
+
+/** Header bytes that are read at most, whatever the configuration says. */
+const MAX_HEADER_BYTES = 64 * 1024;
+const DEFAULT_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16 * 1024,
+  maxBodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMs: 5_000,
+  idleTimeoutMs: 15_000,
+};
+/** Idle connections stay open this much longer than callers use them. */
+const IDLE_MARGIN_MS = 1_000;
+const BODY_TIMEOUT_MS = 20_000;
+const STATUS_TOO_LARGE = 413;
+const STATUS_HEADERS_TOO_LARGE = 431;
+
+/** Owner of the callers' listener. */
+export class Ingress {
+  readonly #options: IngressOptions;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  #limits = DEFAULT_LIMITS;
+  #inProgress = 0;
+
+  constructor(options: IngressOptions) {
+    this.#options = options;
+    this.#server = createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        requestTimeout: BODY_TIMEOUT_MS,
+        keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
+        connectionsCheckingInterval: 2_000,
+        noDelay: true,
+      },
+      (req, res) => void this.#serve(req, res),
+    );
+    this.#server.on("connection", (socket: Socket) => {
+      this.#sockets.add(socket);
+      socket.once("close", () => this.#sockets.delete(socket));
+    });
+  }
+
+  /** Requests that are not answered yet. */
+  get inProgress(): number {
+    return this.#inProgress;
+  }
+
+  /** Open connections of callers. */
+  get connections(): number {
+    return this.#sockets.size;
+  }
+
+  /** Takes over the limits of a configuration. */
+  setLimits(limits: CallerLimits): void {
+    this.#limits = limits;
+    this.#server.headersTimeout = limits.headerTimeoutMs;
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+  }
+
+  /** Starts to listen. */
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => resolve());
+    });
+  }
+
+  /** The bound port. */
+  get port(): number {
+    const address = this.#server.address();
+    return typeof address === "object" && address ? address.port : 0;
+  }
+
+  /** Takes no new connections; idle ones end now. */
+  stopListening(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  /** Ends idle connections; those with a request in progress stay. */
+  closeIdle(): void {
+    this.#server.closeIdleConnections();
+  }
+
+  /** Ends every connection. */
+  destroy(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const arrivedMs = this.#options.now();
+    const controller = new AbortController();
+    const responder = new HttpResponder(res, this.#options.closing);
+    this.#inProgress += 1;
+    res.once("close", () => {
+      this.#inProgress -= 1;
+      controller.abort();
+    });
+    const headers = req.rawHeaders;
+    if (headerBytes(headers) > this.#limits.maxHeaderBytes) {
+      responder.reply(STATUS_HEADERS_TOO_LARGE, ["Connection", "close"]);
+      return;
+    }
+    const body = await this.#readBody(req);
+    if (controller.signal.aborted) return;
+    if (!body) {
+      responder.reply(STATUS_TOO_LARGE, ["Connection", "close"]);
+      return;
+    }
+    await this.#options.handler({
+      method: req.method ?? "GET",
+      target: req.url ?? "/",
+      host: req.headers.host ?? "",
+      headers,
+      body,
+      arrivedMs,
+      signal: controller.signal,
+      responder,
+    });
+  }
+
+  /** The whole body; undefined when it is too large. */
+  #readBody(req: IncomingMessage): Promise<Buffer | undefined> {
+    const limit = this.#limits.maxBodyBytes;
+    const chunks: Buffer[] = [];
+    let size = 0;
+    return new Promise((resolve) => {
+      req.on("data", (chunk: Buffer) => {
+        size += chunk.length;
+        if (size > limit) resolve(undefined);
+        else chunks.push(chunk);
+      });
+      req.once("end", () => resolve(Buffer.concat(chunks, size)));
+      req.once("close", () => resolve(undefined));
+      req.once("error", () => resolve(undefined));
+    });
+  }
+}
+
+function headerBytes(headers: RawHeaders): number {
+  return headers.reduce((sum, text) => sum + text.length + 2, 0);
+}
--- /dev/null
+++ b/packages/gateway/src/http/responder.ts
@@ -0,0 +1,60 @@
+/** Writes one answer to a caller's connection. */
+import type { ServerResponse } from "node:http";
+import type { Responder } from "../runs/run_context.ts";
+import type { RawHeaders } from "./wire_codec.ts";
+
+/** Answers on one connection of `node:http`. */
+export class HttpResponder implements Responder {
+  readonly #res: ServerResponse;
+  readonly #closing: () => boolean;
+  #started = false;
+
+  /** `closing` tells whether the connection has to end with this answer. */
+  constructor(res: ServerResponse, closing: () => boolean) {
+    this.#res = res;
+    this.#closing = closing;
+  }
+
+  get started(): boolean {
+    return this.#started;
+  }
+
+  reply(status: number, headers: RawHeaders, body?: Buffer | string): void {
+    if (this.#started || this.#res.destroyed) return;
+    this.#started = true;
+    const bytes = Buffer.from(body ?? "");
+    const all = [...headers, "Content-Length", String(bytes.length)];
+    this.#writeHead(status, all);
+    this.#res.end(bytes);
+  }
+
+  startStream(status: number, headers: RawHeaders): void {
+    if (this.#started || this.#res.destroyed) return;
+    this.#started = true;
+    this.#writeHead(status, headers);
+  }
+
+  write(bytes: Buffer): boolean {
+    if (this.#res.destroyed) return true;
+    return this.#res.write(bytes);
+  }
+
+  onceDrained(listener: () => void): void {
+    this.#res.once("drain", listener);
+  }
+
+  endStream(): void {
+    this.#res.end();
+  }
+
+  breakOff(): void {
+    this.#res.destroy();
+  }
+
+  #writeHead(status: number, headers: RawHeaders): void {
+    const all = this.#closing()
+      ? [...headers, "Connection", "close"]
+      : [...headers];
+    this.#res.writeHead(status, all);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,17 @@
+/** The direct data path: an entry that calls backend servers itself. */
+export * from "./backends/index.ts";
+export * from "./config/index.ts";
+export { Gateway, type GatewayOptions } from "./gateway.ts";
+export * from "./http/index.ts";
+export { createGatewayMetrics, type GatewayMetrics } from "./metrics.ts";
+export {
+  type GatewayPolicy,
+  type GatewayPolicyOptions,
+  resolveGatewayPolicy,
+} from "./policy.ts";
+export {
+  type EngineControl,
+  HoldEnd,
+  type HoldResult,
+  type PrefillReply,
+} from "./runs/run_context.ts";
--- /dev/null
+++ b/packages/gateway/src/metrics.ts
@@ -0,0 +1,97 @@
+/** Counters and latency histograms of one gateway. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const LATENCY_BUCKETS_S = [
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.15,
+  0.2,
+  0.3,
+  0.45,
+  0.6,
+  0.9,
+  1.5,
+  3,
+  6,
+  14,
+];
+
+/** Creates the metrics, in a registry of their own. */
+export function createGatewayMetrics() {
+  const registry = new Registry();
+  const registers = [registry];
+  return {
+    registry,
+    requests: new Counter({
+      name: "sassafrascleat_gateway_requests_total",
+      help: "Requests by route kind, end and reason.",
+      labelNames: ["kind", "end", "reason"],
+      registers,
+    }),
+    firstByte: new Histogram({
+      name: "sassafrascleat_gateway_first_byte_seconds",
+      help: "Time to the answer, or to the first event of a stream.",
+      labelNames: ["kind"],
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    }),
+    roomWait: new Histogram({
+      name: "sassafrascleat_gateway_room_wait_seconds",
+      help: "Wait for memory of a decode engine.",
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    }),
+    prefill: new Histogram({
+      name: "sassafrascleat_gateway_prefill_seconds",
+      help: "Time that prefill calls took.",
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    }),
+    holds: new Counter({
+      name: "sassafrascleat_gateway_holds_total",
+      help: "Reservations asked of engines, by result.",
+      labelNames: ["result"],
+      registers,
+    }),
+    prefillsWasted: new Counter({
+      name: "sassafrascleat_gateway_prefills_wasted_total",
+      help: "Prompts that were read and whose result was not used.",
+      registers,
+    }),
+    repeats: new Counter({
+      name: "sassafrascleat_gateway_repeats_total",
+      help: "Calls beyond the first of a request, by cause.",
+      labelNames: ["cause"],
+      registers,
+    }),
+    ejections: new Counter({
+      name: "sassafrascleat_gateway_ejections_total",
+      help: "Backend servers that were given no work for a while.",
+      registers,
+    }),
+    inProgress: new Gauge({
+      name: "sassafrascleat_gateway_requests_in_progress",
+      help: "Requests that are not answered yet.",
+      registers,
+    }),
+    connections: new Gauge({
+      name: "sassafrascleat_gateway_upstream_connections_opened",
+      help: "Connections opened to backend servers.",
+      registers,
+    }),
+    configVersion: new Gauge({
+      name: "sassafrascleat_gateway_config_version",
+      help: "Version of the configuration in force.",
+      registers,
+    }),
+    logSuppressed: new Gauge({
+      name: "sassafrascleat_gateway_log_lines_suppressed",
+      help: "Log lines left out to bound their volume.",
+      registers,
+    }),
+  };
+}
+
+export type GatewayMetrics = ReturnType<typeof createGatewayMetrics>;
--- /dev/null
+++ b/packages/gateway/src/runs/prompt_read.ts
@@ -0,0 +1,192 @@
+/**
+ * The reading of a prompt at a prefill engine. The call may be repeated, so a
+ * slow or silent engine costs only time: the next one is asked within the retry
+ * allowance.
+ */
+import {
+  type Backend,
+  EngineStage,
+  incarnationOf,
+} from "../backends/backend.ts";
+import { CallVerdict } from "../decide/backend_health.ts";
+import { pickPrefillEngine, readWaitMs } from "../decide/engine_placement.ts";
+import { exchange, ExchangeEnd } from "../http/exchange.ts";
+import type { KvSource, PromptShape } from "../http/wire_codec.ts";
+import { judgeReply, ReplyVerdict } from "./reply_verdict.ts";
+import {
+  type CallerRequest,
+  remainingMs,
+  type RunContext,
+} from "./run_context.ts";
+
+/** A prompt that was read and whose result can be taken. */
+export interface ReadPrompt {
+  engine: Backend;
+  source: KvSource;
+  /** Frees the result if it was not taken. */
+  drop(): void;
+}
+
+/** Time of a prefill call beside reading, in milliseconds. */
+const READ_OVERHEAD_MS = 40;
+/** A call that takes this many times as long as expected is given up. */
+const TIMEOUT_FACTOR = 3;
+const SHORTEST_TIMEOUT_MS = 350;
+
+/** Reads prompts of one request; remembers which engines failed. */
+export class PromptReader {
+  readonly #ctx: RunContext;
+  readonly #req: CallerRequest;
+  readonly #prompt: PromptShape;
+  readonly #failed = new Set<string>();
+  #calls = 0;
+
+  constructor(ctx: RunContext, req: CallerRequest, prompt: PromptShape) {
+    this.#ctx = ctx;
+    this.#req = req;
+    this.#prompt = prompt;
+  }
+
+  /** Reads the prompt; undefined when no prefill engine did in time. */
+  async read(
+    lastEventId: string | undefined,
+    extraTokens: number,
+    signal: AbortSignal,
+  ): Promise<ReadPrompt | undefined> {
+    while (!signal.aborted && remainingMs(this.#ctx, this.#req) > 0) {
+      const engine = this.#pick();
+      if (!engine) return undefined;
+      if (this.#calls > 0 && !this.#takeRepeat()) return undefined;
+      this.#calls += 1;
+      const tokens = this.#prompt.promptTokens + extraTokens;
+      const read = await this.#call(engine, tokens, lastEventId, signal);
+      if (read) return read;
+      this.#failed.add(incarnationOf(engine));
+    }
+    return undefined;
+  }
+
+  /** An engine whose result could not be taken isn't asked again. */
+  exclude(engine: Backend): void {
+    this.#failed.add(incarnationOf(engine));
+  }
+
+  /** Expected time until the prompt is read, in milliseconds. */
+  expectedMs(): number {
+    const engine = this.#pick();
+    const speed = this.#ctx.policy.readTokensPerMs;
+    const ownMs = this.#prompt.promptTokens / speed + READ_OVERHEAD_MS;
+    if (!engine) return 2 * ownMs;
+    return ownMs + readWaitMs(engine, speed, this.#inputs());
+  }
+
+  #inputs() {
+    return { ...this.#ctx, nowMs: this.#ctx.clock.now() };
+  }
+
+  #pick(): Backend | undefined {
+    const engines = this.#ctx.directory.ready(this.#req.service.name)
+      .filter((engine) => engine.stage === EngineStage.Prefill);
+    const speed = this.#ctx.policy.readTokensPerMs;
+    return pickPrefillEngine(engines, speed, this.#inputs(), this.#failed);
+  }
+
+  #takeRepeat(): boolean {
+    const allowed = this.#ctx.allowanceOf(this.#req.service.name).take();
+    if (allowed) this.#ctx.metrics.repeats.inc({ cause: "prefill" });
+    return allowed;
+  }
+
+  async #call(
+    engine: Backend,
+    tokens: number,
+    lastEventId: string | undefined,
+    signal: AbortSignal,
+  ): Promise<ReadPrompt | undefined> {
+    const ctx = this.#ctx;
+    const req = this.#req;
+    const key = incarnationOf(engine);
+    const speed = ctx.policy.readTokensPerMs;
+    const waitMs = readWaitMs(engine, speed, this.#inputs());
+    const ownMs = tokens / speed + READ_OVERHEAD_MS;
+    const timeoutMs = Math.min(
+      remainingMs(ctx, req),
+      Math.max(SHORTEST_TIMEOUT_MS, (waitMs + ownMs) * TIMEOUT_FACTOR),
+    );
+    const finish = ctx.book.startReading(key, tokens);
+    const result = await exchange(
+      ctx.upstream,
+      {
+        backend: engine,
+        method: req.method,
+        path: req.target,
+        headers: ctx.codec.toBackend(req.headers, {
+          remainingMs: remainingMs(ctx, req),
+          backendId: engine.id,
+          priority: req.route.priority,
+          prefillOnly: true,
+          lastEventId,
+        }),
+        body: req.body,
+      },
+      timeoutMs,
+      signal,
+    );
+    finish();
+    ctx.metrics.prefill.observe(result.elapsedMs / 1000);
+    if (result.end === ExchangeEnd.Answered) {
+      const facts = ctx.codec.readReply(result.status, result.headers);
+      const reply = result.status === 200 &&
+          judgeReply(result.status, facts, req.facts.requestId) ===
+            ReplyVerdict.Good
+        ? ctx.engines.readPrefill(engine, result.body)
+        : undefined;
+      if (reply) {
+        this.#good(key, result.elapsedMs, ownMs);
+        return this.#readPrompt(engine, reply.source);
+      }
+    }
+    if (!signal.aborted) this.#bad(engine, result);
+    return undefined;
+  }
+
+  #good(key: string, elapsedMs: number, ownMs: number): void {
+    const ctx = this.#ctx;
+    ctx.health.record(key, CallVerdict.Good, elapsedMs, []);
+    const ownQueueMs = ctx.book.of(key).readingTokens /
+      ctx.policy.readTokensPerMs;
+    ctx.book.recordReadDelay(key, elapsedMs - ownMs - ownQueueMs);
+  }
+
+  #bad(engine: Backend, result: Awaited<ReturnType<typeof exchange>>): void {
+    const ctx = this.#ctx;
+    const answered = result.end === ExchangeEnd.Answered;
+    ctx.log("prefill_failed", {
+      req: this.#req.facts.requestId,
+      backend: engine.id,
+      ...(answered
+        ? { status: result.status }
+        : { failure: result.failure, timed_out: result.timedOut }),
+      elapsed_ms: Math.round(result.elapsedMs),
+    });
+    const key = incarnationOf(engine);
+    if (answered) {
+      ctx.book.recordReadDelay(key, result.elapsedMs);
+      return;
+    }
+    ctx.health.eject(key);
+    ctx.upstream.retire(engine);
+  }
+
+  #readPrompt(engine: Backend, source: KvSource): ReadPrompt {
+    const ctx = this.#ctx;
+    return {
+      engine,
+      source,
+      drop: () => {
+        ctx.metrics.prefillsWasted.inc();
+        ctx.engines.dropHandle(engine, source.handle);
+      },
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/runs/refuse.ts
@@ -0,0 +1,58 @@
+/** Final answers that the gateway gives itself. */
+import { returnAfterMs } from "../decide/return_time.ts";
+import {
+  type CallerRequest,
+  remainingMs,
+  type RunContext,
+  RunEnd,
+  type RunOutcome,
+  RunReason,
+} from "./run_context.ts";
+
+const STATUS_UNAVAILABLE = 503;
+const STATUS_BAD_GATEWAY = 502;
+const STATUS_GATEWAY_TIMEOUT = 504;
+
+/** Tells the caller that its request did not run, and when to come back. */
+export function refuse(
+  ctx: RunContext,
+  req: CallerRequest,
+  reason: RunReason,
+  expectedBusyMs: number,
+  attempts = 0,
+): RunOutcome {
+  const backMs = returnAfterMs(
+    expectedBusyMs,
+    remainingMs(ctx, req),
+    ctx.random,
+  );
+  ctx.log("refused", {
+    req: req.facts.requestId,
+    route: req.route.name,
+    reason,
+    back_ms: Math.round(backMs),
+    remaining_ms: Math.round(remainingMs(ctx, req)),
+  });
+  req.responder.reply(
+    STATUS_UNAVAILABLE,
+    ctx.codec.ownReply(req.facts.requestId, backMs),
+  );
+  const end = RunEnd.Refused;
+  return { end, reason, status: STATUS_UNAVAILABLE, attempts };
+}
+
+/** Tells the caller that nobody knows whether its request ran. */
+export function fail(
+  ctx: RunContext,
+  req: CallerRequest,
+  reason: RunReason,
+  attempts: number,
+  backendId?: string,
+): RunOutcome {
+  const end = RunEnd.Failed;
+  const timedOut = reason === RunReason.TimedOut;
+  const status = timedOut ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
+  if (req.responder.started) req.responder.breakOff();
+  else req.responder.reply(status, ctx.codec.ownReply(req.facts.requestId));
+  return { end, reason, status, attempts, backendId };
+}
--- /dev/null
+++ b/packages/gateway/src/runs/run_context.ts
@@ -0,0 +1,164 @@
+/** What the runs of requests share: inputs, owners of state, outcomes. */
+import type { Clock, Logger, Random } from "@sassafrascleat/runtime";
+import type { BackendDirectory } from "../backends/directory.ts";
+import type { Backend } from "../backends/backend.ts";
+import type { Route, Service } from "../config/routing_table.ts";
+import type { EngineBook } from "../decide/engine_book.ts";
+import type { HealthBook } from "../decide/backend_health.ts";
+import type { OutputEstimate } from "../decide/output_estimate.ts";
+import type { RetryAllowance } from "../decide/retry_allowance.ts";
+import type {
+  CallerFacts,
+  KvSource,
+  RawHeaders,
+  WireCodec,
+} from "../http/wire_codec.ts";
+import type { Upstream } from "../http/upstream.ts";
+import type { GatewayMetrics } from "../metrics.ts";
+import type { GatewayPolicy } from "../policy.ts";
+
+/** One request of a caller, read as a whole. */
+export interface CallerRequest {
+  facts: CallerFacts;
+  method: string;
+  /** Path and query. */
+  target: string;
+  headers: RawHeaders;
+  body: Buffer;
+  route: Route;
+  service: Service;
+  /** Version of the configuration that it was routed by. */
+  configVersion: number;
+  /** When its head arrived, in milliseconds of the process clock. */
+  arrivedMs: number;
+  /** When it has to be answered at the latest. */
+  deadlineAtMs: number;
+  /** Aborts when the caller is gone. */
+  signal: AbortSignal;
+  responder: Responder;
+}
+
+/** The caller's side of an answer. */
+export interface Responder {
+  /** True once any part of an answer was written. */
+  readonly started: boolean;
+  /** Answers as a whole. */
+  reply(status: number, headers: RawHeaders, body?: Buffer | string): void;
+  startStream(status: number, headers: RawHeaders): void;
+  /** Writes bytes of a stream; false when the caller reads too slowly. */
+  write(bytes: Buffer): boolean;
+  /** Calls `listener` once when the caller has read on. */
+  onceDrained(listener: () => void): void;
+  endStream(): void;
+  /** Ends the connection so that the answer doesn't look whole. */
+  breakOff(): void;
+}
+
+/** How a request ended. */
+export enum RunEnd {
+  Answered = "answered",
+  /** The backend server's own error was passed on. */
+  BackendError = "backend_error",
+  /** Not run, and the caller was told so. */
+  Refused = "refused",
+  /** No whole answer; it may have run. */
+  Failed = "failed",
+  CallerLeft = "caller_left",
+}
+
+/** Why a request was not answered with success. */
+export enum RunReason {
+  None = "none",
+  NoBackend = "no_backend",
+  NoRoom = "no_room",
+  TooLate = "too_late",
+  TooLarge = "too_large",
+  NotExecuted = "not_executed",
+  NoAnswer = "no_answer",
+  Spoiled = "spoiled_answer",
+  StreamCut = "stream_cut",
+  TimedOut = "timed_out",
+  Leaving = "entry_leaving",
+}
+
+/** The end of one request, for its log line and the counters. */
+export interface RunOutcome {
+  end: RunEnd;
+  reason: RunReason;
+  status: number;
+  /** Calls to backend servers that may have run it. */
+  attempts: number;
+  /** The last backend server that was asked to run it. */
+  backendId?: string;
+  /** Until the first event, or the whole answer of a plain call. */
+  firstByteMs?: number;
+  events?: number;
+}
+
+/** How the request for a reservation ended. */
+export enum HoldEnd {
+  Granted = "granted",
+  /** The engine has no room for it. */
+  NoRoom = "no_room",
+  /** No answer, or not from this incarnation. */
+  Unreachable = "unreachable",
+}
+
+export interface HoldResult {
+  end: HoldEnd;
+  holdId?: string;
+  message?: string;
+}
+
+/** How the reading of a prompt ended. */
+export interface PrefillReply {
+  source: KvSource;
+  tokens: number;
+}
+
+/** Calls to a model engine that are no requests of callers. */
+export interface EngineControl {
+  /** Reserves a slot and memory for `ttlMs`. */
+  takeHold(
+    engine: Backend,
+    tokens: number,
+    ttlMs: number,
+    signal: AbortSignal,
+  ): Promise<HoldResult>;
+  /** Gives a reservation back that was not used. */
+  dropHold(engine: Backend, holdId: string): void;
+  /** The result of a prefill call, or undefined when it can't be read. */
+  readPrefill(engine: Backend, body: Buffer): PrefillReply | undefined;
+  /** Frees a prefill result that is not used. */
+  dropHandle(engine: Backend, handle: string): void;
+}
+
+/** Owners of state and interfaces that runs use. */
+export interface RunContext {
+  clock: Clock;
+  log: Logger;
+  random: Random;
+  zone: string;
+  codec: WireCodec;
+  engines: EngineControl;
+  upstream: Upstream;
+  directory: BackendDirectory;
+  health: HealthBook;
+  book: EngineBook;
+  metrics: GatewayMetrics;
+  policy: GatewayPolicy;
+  /** Calls in progress to plain backend servers, by incarnation. */
+  inProgress: Map<string, number>;
+  allowanceOf(service: string): RetryAllowance;
+  estimateOf(route: string): OutputEstimate;
+}
+
+/** Time left for a request, in milliseconds. */
+export function remainingMs(ctx: RunContext, req: CallerRequest): number {
+  return req.deadlineAtMs - ctx.clock.now();
+}
+
+/** Time since the request arrived, in milliseconds. */
+export function ageMs(ctx: RunContext, req: CallerRequest): number {
+  return ctx.clock.now() - req.arrivedMs;
+}
--- /dev/null
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -0,0 +1,386 @@
+/**
+ * One generation: memory at a decode engine is reserved first, then the prompt
+ * is read at a prefill engine, then the decode engine takes both and streams.
+ * Until the decode engine got the request nothing has run, and each step may be
+ * repeated elsewhere. After that only a resumable stream goes on at another
+ * engine, and only when the one before was cut off.
+ */
+import { EngineStage, incarnationOf } from "../backends/backend.ts";
+import type { EngineCapacity } from "../config/routing_table.ts";
+import { CallVerdict } from "../decide/backend_health.ts";
+import type { PromptShape } from "../http/wire_codec.ts";
+import type { DecodeRooms, Room } from "./decode_room.ts";
+import {
+  runDecodeStream,
+  StreamEnd,
+  type StreamProgress,
+  type StreamResult,
+} from "./decode_stream.ts";
+import { PromptReader, type ReadPrompt } from "./prompt_read.ts";
+import { fail, refuse } from "./refuse.ts";
+import {
+  ageMs,
+  type CallerRequest,
+  remainingMs,
+  type RunContext,
+  RunEnd,
+  type RunOutcome,
+  RunReason,
+} from "./run_context.ts";
+
+/** Time from the end of reading to the first event, in milliseconds. */
+const FIRST_EVENT_MS = 90;
+/** Pauses of a resumable stream after which its engine is taken for dead. */
+const SILENCE_GAPS = 2;
+/** Longest wait for the first event of a resumable stream, in milliseconds. */
+const FIRST_EVENT_SILENCE_MS = 700;
+/** Engines that one request is placed at in turn. */
+const MAX_PLACEMENTS = 4;
+/** Wait that a rejected caller is told, on average, in milliseconds. */
+const BUSY_MS = 2_000;
+const NO_ENGINE_BUSY_MS = 1_000;
+
+/** Runs one generation to its end. */
+export function runStream(
+  ctx: RunContext,
+  req: CallerRequest,
+  rooms: DecodeRooms,
+): Promise<RunOutcome> {
+  const capacity = req.service.engine;
+  const prompt = req.facts.prompt;
+  if (!capacity || !prompt) {
+    return Promise.resolve(refuse(ctx, req, RunReason.NoBackend, BUSY_MS));
+  }
+  return new StreamRun(ctx, req, rooms, capacity, prompt).run();
+}
+
+class StreamRun {
+  readonly #ctx: RunContext;
+  readonly #req: CallerRequest;
+  readonly #rooms: DecodeRooms;
+  readonly #capacity: EngineCapacity;
+  readonly #prompt: PromptShape;
+  readonly #reader: PromptReader;
+  readonly #expectedOutput: number;
+  readonly #excluded = new Set<string>();
+  readonly #progress: StreamProgress;
+  #attempts = 0;
+  #sends = 0;
+  #lastBackend: string | undefined;
+
+  constructor(
+    ctx: RunContext,
+    req: CallerRequest,
+    rooms: DecodeRooms,
+    capacity: EngineCapacity,
+    prompt: PromptShape,
+  ) {
+    this.#ctx = ctx;
+    this.#req = req;
+    this.#rooms = rooms;
+    this.#capacity = capacity;
+    this.#prompt = prompt;
+    this.#reader = new PromptReader(ctx, req, prompt);
+    this.#expectedOutput = ctx.estimateOf(req.route.name).expect(prompt);
+    this.#progress = {
+      events: 0,
+      lastEventId: req.facts.lastEventId,
+      firstEventAtMs: undefined,
+      lastEventAtMs: undefined,
+    };
+  }
+
+  async run(): Promise<RunOutcome> {
+    const ctx = this.#ctx;
+    ctx.allowanceOf(this.#req.service.name).countRequest();
+    if (this.#prompt.promptTokens > this.#capacity.kvTokens) {
+      return refuse(ctx, this.#req, RunReason.TooLarge, BUSY_MS);
+    }
+    const deadline = new AbortController();
+    const timer = setTimeout(
+      () => deadline.abort(),
+      Math.max(1, remainingMs(ctx, this.#req)),
+    );
+    const signal = AbortSignal.any([this.#req.signal, deadline.signal]);
+    try {
+      return await this.#place(signal);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  async #place(signal: AbortSignal): Promise<RunOutcome> {
+    for (let placement = 0; placement < MAX_PLACEMENTS; placement += 1) {
+      const room = await this.#findRoom(signal);
+      if (signal.aborted) return this.#ended(room);
+      if (!room) return this.#noRoom();
+      const read = await this.#readPrompt(signal);
+      if (signal.aborted) return this.#ended(room, read);
+      if (!read && this.#hasPrefillEngine()) {
+        this.#rooms.giveBack(room);
+        return this.#stop(RunReason.NoRoom);
+      }
+      if (this.#sends > 0 && !this.#takeRepeat()) {
+        read?.drop();
+        this.#rooms.giveBack(room);
+        return this.#stop(RunReason.NotExecuted);
+      }
+      const result = await this.#stream(room, read, signal);
+      room.release();
+      const outcome = this.#take(result, room, read, signal);
+      if (outcome) return outcome;
+    }
+    return this.#stop(RunReason.NotExecuted);
+  }
+
+  #findRoom(signal: AbortSignal): Promise<Room | undefined> {
+    const { req, ctx } = { req: this.#req, ctx: this.#ctx };
+    const stepsMs = this.#reader.expectedMs() + FIRST_EVENT_MS;
+    const onTimeUntilMs = req.arrivedMs + req.route.targetLatencyMs - stepsMs;
+    const untilMs = Math.min(
+      onTimeUntilMs,
+      req.arrivedMs + ctx.policy.maxRoomWaitMs,
+    );
+    return this.#rooms.acquire({
+      requestId: req.facts.requestId,
+      priority: req.route.priority,
+      tokens: this.#tokensToReserve(),
+      onTimeUntilMs,
+      untilMs,
+      signal,
+      excluded: this.#excluded,
+    });
+  }
+
+  #tokensToReserve(): number {
+    const made = this.#progress.events * this.#capacity.tokensPerEvent;
+    const output = Math.max(made, this.#expectedOutput) *
+      this.#ctx.policy.outputReserveRatio;
+    const tokens = this.#prompt.promptTokens + output;
+    return Math.min(this.#capacity.kvTokens, Math.ceil(tokens));
+  }
+
+  #readPrompt(signal: AbortSignal): Promise<ReadPrompt | undefined> {
+    const made = this.#progress.events * this.#capacity.tokensPerEvent;
+    return this.#reader.read(this.#progress.lastEventId, made, signal);
+  }
+
+  #hasPrefillEngine(): boolean {
+    return this.#ctx.directory.ready(this.#req.service.name)
+      .some((engine) => engine.stage === EngineStage.Prefill);
+  }
+
+  #takeRepeat(): boolean {
+    const allowed = this.#ctx.allowanceOf(this.#req.service.name).take();
+    if (allowed) this.#ctx.metrics.repeats.inc({ cause: "decode" });
+    return allowed;
+  }
+
+  async #stream(
+    room: Room,
+    read: ReadPrompt | undefined,
+    signal: AbortSignal,
+  ): Promise<StreamResult> {
+    const ctx = this.#ctx;
+    const req = this.#req;
+    this.#sends += 1;
+    this.#attempts += 1;
+    this.#lastBackend = room.engine.id;
+    ctx.log("decode_send", {
+      req: req.facts.requestId,
+      backend: room.engine.id,
+      prefill: read?.engine.id,
+      prompt_tokens: this.#prompt.promptTokens,
+      reserved_tokens: room.tokens,
+      age_ms: Math.round(ageMs(ctx, req)),
+      hold_age_ms: Math.round(ctx.clock.now() - room.grantedAtMs),
+      after: this.#progress.lastEventId,
+      config: req.configVersion,
+    });
+    return await runDecodeStream(ctx, req, {
+      engine: room.engine,
+      progress: this.#progress,
+      signal,
+      silenceMs: this.#silenceMs(),
+      directives: {
+        remainingMs: remainingMs(ctx, req),
+        backendId: room.engine.id,
+        priority: req.route.priority,
+        holdId: room.holdId,
+        kvSource: read?.source,
+        lastEventId: this.#progress.lastEventId,
+      },
+    });
+  }
+
+  #silenceMs(): number {
+    const { resumable, maxEventGapMs } = this.#req.route;
+    if (!resumable) return 0;
+    const gapMs = SILENCE_GAPS * (maxEventGapMs || FIRST_EVENT_SILENCE_MS);
+    return Math.max(FIRST_EVENT_SILENCE_MS, gapMs);
+  }
+
+  /** Takes in one stream's end; undefined when another engine is to be tried. */
+  #take(
+    result: StreamResult,
+    room: Room,
+    read: ReadPrompt | undefined,
+    signal: AbortSignal,
+  ): RunOutcome | undefined {
+    this.#recordHealth(result, room);
+    if (result.end === StreamEnd.Complete) return this.#complete();
+    if (signal.aborted) return this.#ended();
+    this.#ctx.log("decode_ended", {
+      req: this.#req.facts.requestId,
+      backend: room.engine.id,
+      end: result.end,
+      status: result.status,
+      events: this.#progress.events,
+      message: result.message,
+    });
+    if (result.end === StreamEnd.NotExecuted) {
+      this.#attempts -= 1;
+      this.#notExecuted(result, room, read);
+      return undefined;
+    }
+    if (result.end === StreamEnd.EngineError) {
+      return this.#passError(result);
+    }
+    return this.#mayResume() ? undefined : this.#failed(result);
+  }
+
+  #notExecuted(
+    result: StreamResult,
+    room: Room,
+    read: ReadPrompt | undefined,
+  ): void {
+    if (read) {
+      read.drop();
+      this.#reader.exclude(read.engine);
+    }
+    if (result.status === 0) this.#excluded.add(incarnationOf(room.engine));
+    if (room.holdId) this.#ctx.engines.dropHold(room.engine, room.holdId);
+  }
+
+  #mayResume(): boolean {
+    return this.#req.route.resumable &&
+      this.#attempts < this.#req.route.maxAttempts;
+  }
+
+  #recordHealth(result: StreamResult, room: Room): void {
+    const ctx = this.#ctx;
+    const key = incarnationOf(room.engine);
+    const peers = ctx.directory.ready(this.#req.service.name)
+      .map(incarnationOf);
+    const verdict = healthVerdictOf(result.end);
+    if (!verdict) return;
+    if (!ctx.health.record(key, verdict, 0, peers)) return;
+    ctx.metrics.ejections.inc();
+    ctx.log("backend_ejected", { backend: room.engine.id });
+    ctx.upstream.retire(room.engine);
+  }
+
+  #complete(): RunOutcome {
+    const made = this.#progress.events * this.#capacity.tokensPerEvent;
+    if (!this.#req.facts.lastEventId) {
+      this.#ctx.estimateOf(this.#req.route.name).learn(this.#prompt, made);
+    }
+    if (!this.#req.responder.started) {
+      // A stream without events is still a whole answer.
+      this.#req.responder.startStream(200, []);
+    }
+    this.#req.responder.endStream();
+    return this.#outcome(RunEnd.Answered, RunReason.None, 200);
+  }
+
+  #passError(result: StreamResult): RunOutcome {
+    const { responder } = this.#req;
+    const promised = [408, 421, 429, 503].includes(result.status);
+    if (responder.started || promised) return this.#failed(result);
+    const headers = this.#ctx.codec.toCaller(result.headers);
+    responder.reply(result.status, headers, result.body);
+    return this.#outcome(RunEnd.BackendError, RunReason.None, result.status);
+  }
+
+  #failed(result: StreamResult): RunOutcome {
+    const reason = result.end === StreamEnd.Cut
+      ? RunReason.StreamCut
+      : RunReason.NoAnswer;
+    return {
+      ...fail(this.#ctx, this.#req, reason, this.#attempts, this.#lastBackend),
+      events: this.#progress.events,
+    };
+  }
+
+  /** No engine is tried any more; what was not run is refused. */
+  #stop(reason: RunReason): RunOutcome {
+    if (this.#attempts > 0) {
+      return fail(
+        this.#ctx,
+        this.#req,
+        RunReason.StreamCut,
+        this.#attempts,
+        this.#lastBackend,
+      );
+    }
+    return refuse(this.#ctx, this.#req, reason, BUSY_MS, this.#sends);
+  }
+
+  #noRoom(): RunOutcome {
+    const engines = this.#ctx.directory.ready(this.#req.service.name);
+    const none = !engines.some((item) => item.stage === EngineStage.Decode);
+    if (none && this.#attempts === 0) {
+      const reason = RunReason.NoBackend;
+      return refuse(this.#ctx, this.#req, reason, NO_ENGINE_BUSY_MS);
+    }
+    return this.#stop(RunReason.NoRoom);
+  }
+
+  /** The caller has left or the time is over. */
+  #ended(room?: Room, read?: ReadPrompt): RunOutcome {
+    read?.drop();
+    if (room) this.#rooms.giveBack(room);
+    if (this.#req.signal.aborted) {
+      return this.#outcome(RunEnd.CallerLeft, RunReason.None, 0);
+    }
+    if (this.#attempts === 0) {
+      return refuse(this.#ctx, this.#req, RunReason.TooLate, BUSY_MS);
+    }
+    return fail(
+      this.#ctx,
+      this.#req,
+      RunReason.TimedOut,
+      this.#attempts,
+      this.#lastBackend,
+    );
+  }
+
+  #outcome(end: RunEnd, reason: RunReason, status: number): RunOutcome {
+    const { firstEventAtMs, events } = this.#progress;
+    return {
+      end,
+      reason,
+      status,
+      attempts: this.#attempts,
+      backendId: this.#lastBackend,
+      events,
+      firstByteMs: firstEventAtMs === undefined
+        ? undefined
+        : firstEventAtMs - this.#req.arrivedMs,
+    };
+  }
+}
+
+function healthVerdictOf(end: StreamEnd): CallVerdict | undefined {
+  switch (end) {
+    case StreamEnd.Complete:
+      return CallVerdict.Good;
+    case StreamEnd.EngineError:
+      return CallVerdict.Error;
+    case StreamEnd.Cut:
+    case StreamEnd.Silent:
+      return CallVerdict.Silent;
+    default:
+      return undefined;
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/event_log.ts
@@ -0,0 +1,118 @@
+/**
+ * Structured logs on standard output: one line of key=value pairs for each
+ * event. Lines are written in the background by `sonic-boom`; a reader that
+ * doesn't keep up costs lines, never time. Each kind of event has its own bound
+ * a second, and what it leaves out is counted and told.
+ */
+import { SonicBoom } from "sonic-boom";
+import { systemClock } from "./clock.ts";
+import { formatEvent, type LogFields, type Logger } from "./log.ts";
+
+/** Options of an event log. */
+export interface EventLogOptions {
+  /** File descriptor to write to. @default 1 */
+  fd?: number;
+  /** Lines a second of each kind of event. @default 150 */
+  linesPerSecond?: number;
+  /** Bytes that may wait to be written. @default 262144 */
+  maxPendingBytes?: number;
+  /** Fields of every line. */
+  base?: LogFields;
+}
+
+/** A log and its end. */
+export interface EventLog {
+  readonly log: Logger;
+  /** Lines left out so far. */
+  readonly suppressed: number;
+  /** Writes what waits and ends the log. */
+  close(): void;
+}
+
+const LINES_PER_SECOND = 150;
+const MAX_PENDING_BYTES = 256 * 1024;
+const FLUSH_BYTES = 2_048;
+const FLUSH_INTERVAL_MS = 250;
+const WINDOW_MS = 1_000;
+
+interface EventWindow {
+  startMs: number;
+  lines: number;
+  left: number;
+}
+
+/** Creates a log on a file descriptor. */
+export function createEventLog(options: EventLogOptions = {}): EventLog {
+  return new BackgroundLog(options);
+}
+
+class BackgroundLog implements EventLog {
+  readonly #out: SonicBoom;
+  readonly #limit: number;
+  readonly #base: LogFields;
+  readonly #windows = new Map<string, EventWindow>();
+  #suppressed = 0;
+
+  constructor(options: EventLogOptions) {
+    this.#limit = options.linesPerSecond ?? LINES_PER_SECOND;
+    this.#base = options.base ?? {};
+    this.#out = new SonicBoom({
+      fd: options.fd ?? 1,
+      sync: false,
+      minLength: FLUSH_BYTES,
+      maxLength: options.maxPendingBytes ?? MAX_PENDING_BYTES,
+      periodicFlush: FLUSH_INTERVAL_MS,
+    });
+    this.#out.on("drop", () => {
+      this.#suppressed += 1;
+    });
+    // A reader that is gone costs the lines; there is nowhere to report it.
+    this.#out.on("error", () => {
+      this.#suppressed += 1;
+    });
+  }
+
+  get suppressed(): number {
+    return this.#suppressed;
+  }
+
+  readonly log: Logger = (event, fields = {}) => {
+    const window = this.#window(event);
+    window.lines += 1;
+    if (window.lines > this.#limit) {
+      window.left += 1;
+      this.#suppressed += 1;
+      return;
+    }
+    this.#write(event, fields);
+  };
+
+  close(): void {
+    try {
+      this.#out.flushSync();
+    } catch (_err) {
+      // The reader is gone, or the log has not opened: nobody can be told.
+      this.#suppressed += 1;
+    }
+    this.#out.end();
+  }
+
+  #window(event: string): EventWindow {
+    const nowMs = systemClock.now();
+    const window = this.#windows.get(event);
+    if (window && nowMs - window.startMs < WINDOW_MS) return window;
+    const fresh = { startMs: nowMs, lines: 0, left: 0 };
+    this.#windows.set(event, fresh);
+    if (window && window.left > 0) {
+      this.#write("log_suppressed", { of: event, lines: window.left });
+    }
+    return fresh;
+  }
+
+  #write(event: string, fields: LogFields): void {
+    const time = new Date().toISOString();
+    this.#out.write(
+      `time=${time} ${formatEvent(event, { ...this.#base, ...fields })}\n`,
+    );
+  }
+}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,11 @@
 /** Small building blocks that every package shares. */
 export { type Clock, ManualClock, systemClock } from "./clock.ts";
 export { errorMessage, invariant, VError } from "./error.ts";
+export {
+  createEventLog,
+  type EventLog,
+  type EventLogOptions,
+} from "./event_log.ts";
 export { baseAddressOf } from "./listener_address.ts";
 export { rankNodes, rendezvousRank } from "./hash.ts";
 export {
