--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import { HealthBook } from "./decide/backend_health.ts";
 import { EngineBook } from "./decide/engine_book.ts";
 import { OutputEstimate } from "./decide/output_estimate.ts";
+import type { StageWork } from "./decide/stage_plan.ts";
 import { RetryAllowance } from "./decide/retry_allowance.ts";
 import { Ingress, type IngressRequest } from "./http/ingress.ts";
 import { Upstream } from "./http/upstream.ts";
@@ -64,6 +65,7 @@
   readonly #rooms = new Map<string, DecodeRooms>();
   readonly #allowances = new Map<string, RetryAllowance>();
   readonly #estimates = new Map<string, OutputEstimate>();
+  readonly #work = new Map<string, StageWork>();
   #leavingSinceMs: number | undefined;
 
   constructor(options: GatewayOptions) {
@@ -89,6 +91,7 @@
       inProgress: new Map(),
       allowanceOf: (service) => this.#allowanceOf(service),
       estimateOf: (route) => this.#estimateOf(route),
+      workOf: (service) => this.workOf(service),
     };
     this.ingress = new Ingress({
       log,
@@ -117,6 +120,15 @@
     this.#leavingSinceMs ??= this.#ctx.clock.now();
   }
 
+  /** Work of the generations of one service that this entry has finished. */
+  workOf(service: string): StageWork {
+    const known = this.#work.get(service);
+    if (known) return known;
+    const fresh = { readMs: 0, decodeMs: 0 };
+    this.#work.set(service, fresh);
+    return fresh;
+  }
+
   #forget(backend: Parameters<typeof incarnationOf>[0]): void {
     const key = incarnationOf(backend);
     this.#ctx.health.forget(key);
--- a/packages/gateway/src/http/upstream.ts
+++ b/packages/gateway/src/http/upstream.ts
@@ -5,7 +5,8 @@
  * end with it.
  */
 import type { Logger } from "@sassafrascleat/runtime";
-import { type Dispatcher, Pool } from "undici";
+import type { Socket } from "node:net";
+import { buildConnector, type Dispatcher, Pool } from "undici";
 import { type Backend, incarnationOf } from "../backends/backend.ts";
 import type { RawHeaders } from "./wire_codec.ts";
 
@@ -71,6 +72,8 @@
   readonly #options: Required<UpstreamOptions>;
   readonly #pools = new Map<string, Pool>();
   #opened = 0;
+  /** A connection is being reset while its listeners run. */
+  #resetting = false;
 
   constructor(options: UpstreamOptions) {
     this.#options = {
@@ -92,7 +95,7 @@
       sink.onFailure(CallFailure.Aborted, false, "aborted before sending");
       return;
     }
-    const handler = new CallHandler(sink, signal);
+    const handler = new CallHandler(sink, signal, () => this.#resetting);
     this.#pool(req.backend).dispatch(
       {
         method: req.method as Dispatcher.HttpMethod,
@@ -125,6 +128,33 @@
     await Promise.all(pools.map((pool) => pool.destroy()));
   }
 
+  /**
+   * Connects, and notes when a connection is reset: `undici` takes an answer
+   * without a length as whole also when its connection was reset.
+   */
+  #connector(): buildConnector.connector {
+    const connect = buildConnector({
+      timeout: this.#options.connectTimeoutMs,
+      keepAlive: true,
+      keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
+    });
+    return (options, callback) => {
+      const onConnected: buildConnector.Callback = (...args) => {
+        const socket = args[1] as Socket | null;
+        socket?.prependListener("error", () => this.#noteReset());
+        callback(...args);
+      };
+      connect(options, onConnected);
+    };
+  }
+
+  #noteReset(): void {
+    this.#resetting = true;
+    process.nextTick(() => {
+      this.#resetting = false;
+    });
+  }
+
   #pool(backend: Backend): Pool {
     const key = incarnationOf(backend);
     const known = this.#pools.get(key);
@@ -138,11 +168,7 @@
       keepAliveTimeout: options.idleMs,
       keepAliveMaxTimeout: options.idleMs,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      connect: {
-        timeout: options.connectTimeoutMs,
-        keepAlive: true,
-        keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
-      },
+      connect: this.#connector(),
     });
     pool.on("connect", () => {
       this.#opened += 1;
@@ -156,14 +182,20 @@
 class CallHandler implements Dispatcher.DispatchHandler {
   readonly #sink: UpstreamSink;
   readonly #signal: AbortSignal;
+  readonly #resetting: () => boolean;
   readonly #onAbort = () => this.#abort();
   #controller: Dispatcher.DispatchController | undefined;
   #sent = false;
   #over = false;
 
-  constructor(sink: UpstreamSink, signal: AbortSignal) {
+  constructor(
+    sink: UpstreamSink,
+    signal: AbortSignal,
+    resetting: () => boolean,
+  ) {
     this.#sink = sink;
     this.#signal = signal;
+    this.#resetting = resetting;
     signal.addEventListener("abort", this.#onAbort, { once: true });
   }
 
@@ -197,7 +229,9 @@
   }
 
   onResponseEnd(): void {
-    if (this.#finish()) this.#sink.onEnd();
+    if (!this.#finish()) return;
+    if (!this.#resetting()) this.#sink.onEnd();
+    else this.#sink.onFailure(CallFailure.Broken, true, "connection reset");
   }
 
   onResponseError(
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,14 @@
 /** The direct data path: an entry that calls backend servers itself. */
 export * from "./backends/index.ts";
+export {
+  OrderEnd,
+  type OrderLease,
+  type OrderLeases,
+  type OrderPurpose,
+  StageBalancer,
+  type StageBalancerOptions,
+  type StageOrders,
+} from "./balance/stage_balancer.ts";
 export * from "./config/index.ts";
 export { Gateway, type GatewayOptions } from "./gateway.ts";
 export * from "./http/index.ts";
--- a/packages/gateway/src/runs/prompt_read.ts
+++ b/packages/gateway/src/runs/prompt_read.ts
@@ -28,7 +28,7 @@
 }
 
 /** Time of a prefill call beside reading, in milliseconds. */
-const READ_OVERHEAD_MS = 40;
+export const READ_OVERHEAD_MS = 40;
 /** A call that takes this many times as long as expected is given up. */
 const TIMEOUT_FACTOR = 3;
 const SHORTEST_TIMEOUT_MS = 350;
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -6,6 +6,7 @@
 import type { EngineBook } from "../decide/engine_book.ts";
 import type { HealthBook } from "../decide/backend_health.ts";
 import type { OutputEstimate } from "../decide/output_estimate.ts";
+import type { StageWork } from "../decide/stage_plan.ts";
 import type { RetryAllowance } from "../decide/retry_allowance.ts";
 import type {
   CallerFacts,
@@ -151,6 +152,7 @@
   inProgress: Map<string, number>;
   allowanceOf(service: string): RetryAllowance;
   estimateOf(route: string): OutputEstimate;
+  workOf(service: string): StageWork;
 }
 
 /** Time left for a request, in milliseconds. */
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -16,7 +16,11 @@
   type StreamProgress,
   type StreamResult,
 } from "./decode_stream.ts";
-import { PromptReader, type ReadPrompt } from "./prompt_read.ts";
+import {
+  PromptReader,
+  READ_OVERHEAD_MS,
+  type ReadPrompt,
+} from "./prompt_read.ts";
 import { fail, refuse } from "./refuse.ts";
 import {
   ageMs,
@@ -285,6 +289,7 @@
     if (!this.#req.facts.lastEventId) {
       this.#ctx.estimateOf(this.#req.route.name).learn(this.#prompt, made);
     }
+    this.#countWork(made);
     if (!this.#req.responder.started) {
       // A stream without events is still a whole answer.
       this.#req.responder.startStream(200, []);
@@ -293,6 +298,18 @@
     return this.#outcome(RunEnd.Answered, RunReason.None, 200);
   }
 
+  /** Engine time of this generation, as shares of whole engines. */
+  #countWork(madeTokens: number): void {
+    const { ctx, req } = { ctx: this.#ctx, req: this.#req };
+    const work = ctx.workOf(req.service.name);
+    const tokens = this.#prompt.promptTokens;
+    work.readMs += tokens / ctx.policy.readTokensPerMs + READ_OVERHEAD_MS;
+    const memory = (tokens + madeTokens / 2) / this.#capacity.kvTokens;
+    const share = Math.max(memory, 1 / this.#capacity.slots);
+    const { firstEventAtMs = 0, lastEventAtMs = 0 } = this.#progress;
+    work.decodeMs += share * (lastEventAtMs - firstEventAtMs);
+  }
+
   #passError(result: StreamResult): RunOutcome {
     const { responder } = this.#req;
     const promised = [408, 421, 429, 503].includes(result.status);
