fix(gateway): a reset that arrives together with data is no end of an answer

When data and a reset arrive together, libuv reports a partial read and then an ordinary end. Change: at the end of a connection with such an answer an empty line is written; the write fails on a reset connection. Test fails without it.

--- /dev/null
+++ b/packages/gateway/src/http/__tests__/raw_server.ts
@@ -0,0 +1,66 @@
+/** A server that answers with given bytes, for tests of what a peer may send. */
+import { createServer, type Socket } from "node:net";
+import { type Backend, BackendState } from "../../backends/backend.ts";
+
+/** A running raw server. */
+export interface RawServer {
+  backend: Backend;
+  /** Requests received, one text for each. */
+  requests: string[];
+  /** Number of the connection that each request came on. */
+  connectionOf: number[];
+  close(): Promise<void>;
+}
+
+/** Answers the n-th request of the server with `answer(socket, n)`. */
+export async function startRawServer(
+  answer: (socket: Socket, n: number) => void,
+): Promise<RawServer> {
+  const requests: string[] = [];
+  const sockets = new Set<Socket>();
+  const connectionOf: number[] = [];
+  let opened = 0;
+  const server = createServer((socket) => {
+    const connection = opened;
+    opened += 1;
+    sockets.add(socket);
+    let text = "";
+    socket.on("error", () => {});
+    socket.on("data", (chunk) => {
+      text += chunk.toString("latin1");
+      if (!isWhole(text)) return;
+      requests.push(text);
+      connectionOf.push(connection);
+      text = "";
+      answer(socket, requests.length);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", () => resolve());
+  });
+  const address = server.address();
+  const port = typeof address === "object" && address ? address.port : 0;
+  return {
+    backend: {
+      id: "b1",
+      service: "s",
+      address: `127.0.0.1:${port}`,
+      zone: "z1",
+      slots: 4,
+      state: BackendState.Ready,
+    },
+    requests,
+    connectionOf,
+    close: () => {
+      for (const socket of sockets) socket.destroy();
+      return new Promise((resolve) => server.close(() => resolve()));
+    },
+  };
+}
+
+function isWhole(text: string): boolean {
+  const end = text.indexOf("\r\n\r\n");
+  if (end < 0) return false;
+  const length = /content-length: (\d+)/i.exec(text);
+  return text.length >= end + 4 + Number(length?.[1] ?? 0);
+}
--- /dev/null
+++ b/packages/gateway/src/http/__tests__/upstream_test.ts
@@ -0,0 +1,145 @@
+import { afterEach, describe, expect, test } from "@jest/globals";
+import type { Socket } from "node:net";
+import { exchange, ExchangeEnd } from "../exchange.ts";
+import { CallFailure, Upstream } from "../upstream.ts";
+import { type RawServer, startRawServer } from "./raw_server.ts";
+
+let server: RawServer | undefined;
+let upstream = new Upstream({ log: () => {} });
+
+afterEach(async () => {
+  await upstream.close();
+  await server?.close();
+  upstream = new Upstream({ log: () => {} });
+});
+
+function call(timeoutMs = 2_000, accept?: () => boolean) {
+  if (!server) throw new Error("start a server first");
+  return exchange(
+    upstream,
+    {
+      backend: server.backend,
+      method: "POST",
+      path: "/a/b",
+      headers: ["X-Request-Id", "r1"],
+      body: Buffer.from("hello"),
+    },
+    timeoutMs,
+    new AbortController().signal,
+    accept,
+  );
+}
+
+const WHOLE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+describe("whole answers", () => {
+  const answers: [string, (socket: Socket) => void][] = [
+    ["with a length", (socket) => socket.write(WHOLE)],
+    [
+      "in chunks",
+      (socket) =>
+        socket.write(
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        ),
+    ],
+    [
+      "without a length, ended by the connection",
+      (socket) => socket.end("HTTP/1.1 200 OK\r\n\r\nok"),
+    ],
+  ];
+  test.each(answers)("%s", async (_name, answer) => {
+    server = await startRawServer(answer);
+    const result = await call();
+    expect(result.end).toBe(ExchangeEnd.Answered);
+    if (result.end === ExchangeEnd.Answered) {
+      expect(result.body.toString()).toBe("ok");
+    }
+    expect(server.requests[0]).toMatch(/^POST \/a\/b HTTP\/1\.1\r\n/);
+    expect(server.requests[0]).toMatch(/\r\n\r\nhello$/);
+  });
+});
+
+describe("answers that are not whole", () => {
+  const answers: [string, (socket: Socket) => void][] = [
+    [
+      "shorter than their length",
+      (socket) => socket.end("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok"),
+    ],
+    [
+      "without the last chunk",
+      (socket) =>
+        socket.end(
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+        ),
+    ],
+    [
+      "without a length and reset after their head",
+      (socket) => {
+        socket.write("HTTP/1.1 200 OK\r\n\r\nok");
+        setTimeout(() => socket.resetAndDestroy(), 30);
+      },
+    ],
+    [
+      "without a length and reset together with their head",
+      (socket) => {
+        socket.write("HTTP/1.1 200 OK\r\n\r\nok");
+        socket.resetAndDestroy();
+      },
+    ],
+    ["that are no HTTP", (socket) => socket.end("\0\0garbage\r\n\r\n")],
+  ];
+  test.each(answers)("%s", async (_name, answer) => {
+    server = await startRawServer(answer);
+    const result = await call();
+    expect(result).toMatchObject({
+      end: ExchangeEnd.Failed,
+      failure: CallFailure.Broken,
+      sent: true,
+    });
+  });
+});
+
+test("bytes after an answer never reach the next request", async () => {
+  server = await startRawServer((socket, n) => {
+    socket.write(n === 1 ? WHOLE + WHOLE.replace("ok", "no") : WHOLE);
+  });
+  await call();
+  await new Promise((resolve) => setTimeout(resolve, 30));
+  const second = await call();
+  expect(second).toMatchObject({ end: ExchangeEnd.Answered });
+  if (second.end === ExchangeEnd.Answered) {
+    expect(second.body.toString()).toBe("ok");
+  }
+  expect(new Set(server.connectionOf).size).toBe(2);
+});
+
+test("an answer that is turned down takes its connection along", async () => {
+  server = await startRawServer((socket) => socket.write(WHOLE));
+  const first = await call(2_000, () => false);
+  expect(first).toMatchObject({
+    end: ExchangeEnd.Failed,
+    failure: CallFailure.Foreign,
+  });
+  await call();
+  expect(new Set(server.connectionOf).size).toBe(2);
+});
+
+test("a silent peer costs the time-out, and was sent the request", async () => {
+  server = await startRawServer(() => {});
+  const result = await call(60);
+  expect(result).toMatchObject({
+    end: ExchangeEnd.Failed,
+    timedOut: true,
+    sent: true,
+  });
+});
+
+test("a peer that can't be reached was never sent the request", async () => {
+  server = await startRawServer(() => {});
+  await server.close();
+  const result = await call();
+  expect(result).toMatchObject({
+    failure: CallFailure.Unreachable,
+    sent: false,
+  });
+});
--- a/packages/gateway/src/http/upstream.ts
+++ b/packages/gateway/src/http/upstream.ts
@@ -74,6 +74,8 @@
   #opened = 0;
   /** A connection is being reset while its listeners run. */
   #resetting = false;
+  /** Answers in progress that end with their connection. */
+  #unframed = 0;
 
   constructor(options: UpstreamOptions) {
     this.#options = {
@@ -95,7 +97,12 @@
       sink.onFailure(CallFailure.Aborted, false, "aborted before sending");
       return;
     }
-    const handler = new CallHandler(sink, signal, () => this.#resetting);
+    const handler = new CallHandler(sink, signal, {
+      resetting: () => this.#resetting,
+      countUnframed: (change) => {
+        this.#unframed += change;
+      },
+    });
     this.#pool(req.backend).dispatch(
       {
         method: req.method as Dispatcher.HttpMethod,
@@ -142,12 +149,23 @@
       const onConnected: buildConnector.Callback = (...args) => {
         const socket = args[1] as Socket | null;
         socket?.prependListener("error", () => this.#noteReset());
+        socket?.prependListener("end", () => this.#checkEnd(socket));
         callback(...args);
       };
       connect(options, onConnected);
     };
   }
 
+  /**
+   * A reset that arrives together with data is read as an ordinary end. Only a
+   * write tells them apart; a peer ignores an empty line between requests.
+   */
+  #checkEnd(socket: Socket): void {
+    if (this.#unframed === 0 || !socket.writable) return;
+    socket.write("\r\n");
+    if (socket.errored) this.#noteReset();
+  }
+
   #noteReset(): void {
     this.#resetting = true;
     process.nextTick(() => {
@@ -178,24 +196,33 @@
   }
 }
 
+/** What a call shares with the connections. */
+interface ConnectionWatch {
+  /** True while a connection's reset is being told. */
+  resetting: () => boolean;
+  /** Counts answers that end with their connection. */
+  countUnframed: (change: 1 | -1) => void;
+}
+
 /** Turns the events of one dispatched request into calls of its sink. */
 class CallHandler implements Dispatcher.DispatchHandler {
   readonly #sink: UpstreamSink;
   readonly #signal: AbortSignal;
-  readonly #resetting: () => boolean;
+  readonly #connection: ConnectionWatch;
   readonly #onAbort = () => this.#abort();
   #controller: Dispatcher.DispatchController | undefined;
   #sent = false;
+  #unframed = false;
   #over = false;
 
   constructor(
     sink: UpstreamSink,
     signal: AbortSignal,
-    resetting: () => boolean,
+    connection: ConnectionWatch,
   ) {
     this.#sink = sink;
     this.#signal = signal;
-    this.#resetting = resetting;
+    this.#connection = connection;
     signal.addEventListener("abort", this.#onAbort, { once: true });
   }
 
@@ -218,6 +245,10 @@
     const headers = raw.map((item) =>
       typeof item === "string" ? item : item.toString("latin1")
     );
+    if (!isFramed(headers)) {
+      this.#unframed = true;
+      this.#connection.countUnframed(1);
+    }
     this.#sink.onHead(status, headers, controller);
   }
 
@@ -230,7 +261,8 @@
 
   onResponseEnd(): void {
     if (!this.#finish()) return;
-    if (!this.#resetting()) this.#sink.onEnd();
+    const reset = this.#unframed && this.#connection.resetting();
+    if (!reset) this.#sink.onEnd();
     else this.#sink.onFailure(CallFailure.Broken, true, "connection reset");
   }
 
@@ -252,7 +284,15 @@
   #finish(): boolean {
     if (this.#over) return false;
     this.#over = true;
+    if (this.#unframed) this.#connection.countUnframed(-1);
     this.#signal.removeEventListener("abort", this.#onAbort);
     return true;
   }
 }
+
+/** True when an answer tells where it ends. */
+function isFramed(headers: RawHeaders): boolean {
+  return headers.some((item, index) =>
+    index % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(item)
+  );
+}
--- a/packages/runtime/src/event_log.ts
+++ b/packages/runtime/src/event_log.ts
@@ -4,7 +4,7 @@
  * doesn't keep up costs lines, never time. Each kind of event has its own bound
  * a second, and what it leaves out is counted and told.
  */
-import { SonicBoom } from "sonic-boom";
+import sonicBoom from "sonic-boom";
 import { systemClock } from "./clock.ts";
 import { formatEvent, type LogFields, type Logger } from "./log.ts";
 
@@ -47,7 +47,7 @@
 }
 
 class BackgroundLog implements EventLog {
-  readonly #out: SonicBoom;
+  readonly #out: InstanceType<typeof sonicBoom.SonicBoom>;
   readonly #limit: number;
   readonly #base: LogFields;
   readonly #windows = new Map<string, EventWindow>();
@@ -56,7 +56,7 @@
   constructor(options: EventLogOptions) {
     this.#limit = options.linesPerSecond ?? LINES_PER_SECOND;
     this.#base = options.base ?? {};
-    this.#out = new SonicBoom({
+    this.#out = new sonicBoom.SonicBoom({
       fd: options.fd ?? 1,
       sync: false,
       minLength: FLUSH_BYTES,
