--- a/packages/gateway/src/runs/prompt_read.ts
+++ b/packages/gateway/src/runs/prompt_read.ts
@@ -10,6 +10,7 @@
 } from "../backends/backend.ts";
 import { CallVerdict } from "../decide/backend_health.ts";
 import { pickPrefillEngine, readWaitMs } from "../decide/engine_placement.ts";
+import { planRead, type ReadPlan } from "../decide/read_plan.ts";
 import { exchange, ExchangeEnd } from "../http/exchange.ts";
 import type { KvSource, PromptShape } from "../http/wire_codec.ts";
 import { judgeReply, ReplyVerdict } from "./reply_verdict.ts";
@@ -39,7 +40,8 @@
   readonly #req: CallerRequest;
   readonly #prompt: PromptShape;
   readonly #failed = new Set<string>();
-  #calls = 0;
+  /** Calls that may have reached an engine. */
+  #arrived = 0;
 
   constructor(ctx: RunContext, req: CallerRequest, prompt: PromptShape) {
     this.#ctx = ctx;
@@ -56,8 +58,7 @@
     while (!signal.aborted && remainingMs(this.#ctx, this.#req) > 0) {
       const engine = this.#pick();
       if (!engine) return undefined;
-      if (this.#calls > 0 && !this.#takeRepeat()) return undefined;
-      this.#calls += 1;
+      if (this.#arrived > 0 && !this.#takeRepeat()) return undefined;
       const tokens = this.#prompt.promptTokens + extraTokens;
       const read = await this.#call(engine, tokens, lastEventId, signal);
       if (read) return read;
@@ -71,13 +72,14 @@
     this.#failed.add(incarnationOf(engine));
   }
 
-  /** Expected time until the prompt is read, in milliseconds. */
-  expectedMs(): number {
+  /** Who should read the prompt now, and how long it would take. */
+  plan(): ReadPlan {
     const engine = this.#pick();
     const speed = this.#ctx.policy.readTokensPerMs;
-    const ownMs = this.#prompt.promptTokens / speed + READ_OVERHEAD_MS;
-    if (!engine) return 2 * ownMs;
-    return ownMs + readWaitMs(engine, speed, this.#inputs());
+    return planRead({
+      readMs: this.#prompt.promptTokens / speed + READ_OVERHEAD_MS,
+      prefillWaitMs: engine && readWaitMs(engine, speed, this.#inputs()),
+    });
   }
 
   #inputs() {
@@ -133,6 +135,7 @@
       signal,
     );
     finish();
+    if (result.end === ExchangeEnd.Answered || result.sent) this.#arrived += 1;
     ctx.metrics.prefill.observe(result.elapsedMs / 1000);
     if (result.end === ExchangeEnd.Answered) {
       const facts = ctx.codec.readReply(result.status, result.headers);
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -8,6 +8,7 @@
 import { EngineStage, incarnationOf } from "../backends/backend.ts";
 import type { EngineCapacity } from "../config/routing_table.ts";
 import { CallVerdict } from "../decide/backend_health.ts";
+import { ReadPlace } from "../decide/read_plan.ts";
 import type { PromptShape } from "../http/wire_codec.ts";
 import type { DecodeRooms, Room } from "./decode_room.ts";
 import {
@@ -120,10 +121,6 @@
       if (!room) return this.#noRoom();
       const read = await this.#readPrompt(signal);
       if (signal.aborted) return this.#ended(room, read);
-      if (!read && this.#hasPrefillEngine()) {
-        this.#rooms.giveBack(room);
-        return this.#stop(RunReason.NoRoom);
-      }
       if (this.#sends > 0 && !this.#takeRepeat()) {
         read?.drop();
         this.#rooms.giveBack(room);
@@ -139,7 +136,7 @@
 
   #findRoom(signal: AbortSignal): Promise<Room | undefined> {
     const { req, ctx } = { req: this.#req, ctx: this.#ctx };
-    const stepsMs = this.#reader.expectedMs() + FIRST_EVENT_MS;
+    const stepsMs = this.#reader.plan().expectedMs + FIRST_EVENT_MS;
     const onTimeUntilMs = req.arrivedMs + req.route.targetLatencyMs - stepsMs;
     const untilMs = Math.min(
       onTimeUntilMs,
@@ -164,14 +161,18 @@
     return Math.min(this.#capacity.kvTokens, Math.ceil(tokens));
   }
 
-  #readPrompt(signal: AbortSignal): Promise<ReadPrompt | undefined> {
+  /** The read prompt; undefined when the decode engine has to read it. */
+  async #readPrompt(signal: AbortSignal): Promise<ReadPrompt | undefined> {
+    const plan = this.#reader.plan();
+    if (plan.place === ReadPlace.Decode) {
+      this.#ctx.log("decode_reads", {
+        req: this.#req.facts.requestId,
+        expected_ms: Math.round(plan.expectedMs),
+      });
+      return undefined;
+    }
     const made = this.#progress.events * this.#capacity.tokensPerEvent;
-    return this.#reader.read(this.#progress.lastEventId, made, signal);
-  }
-
-  #hasPrefillEngine(): boolean {
-    return this.#ctx.directory.ready(this.#req.service.name)
-      .some((engine) => engine.stage === EngineStage.Prefill);
+    return await this.#reader.read(this.#progress.lastEventId, made, signal);
   }
 
   #takeRepeat(): boolean {
