feat(gateway): runs move away from leaving engines; silence alone ends no stream

Change: kv moves with the memory, on any route; a silent stream is given up only when its engine can't be reached anew and a place elsewhere was found.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -89,6 +89,7 @@
       metrics: this.metrics,
       policy,
       inProgress: new Map(),
+      activeStreams: new Map(),
       allowanceOf: (service) => this.#allowanceOf(service),
       estimateOf: (route) => this.#estimateOf(route),
       workOf: (service) => this.workOf(service),
@@ -105,7 +106,12 @@
       this.#rooms.clear();
     });
     this.directory.onChange((change, backend) => {
+      const key = incarnationOf(backend);
       if (change === DirectoryChange.Removed) this.#forget(backend);
+      if (change === DirectoryChange.Joined) return;
+      if (change === DirectoryChange.Changed) return;
+      const streams = this.#ctx.activeStreams.get(key) ?? [];
+      for (const stream of streams) stream.engineLeaves();
     });
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -22,5 +22,7 @@
   type EngineControl,
   HoldEnd,
   type HoldResult,
+  MoveEnd,
+  type MoveResult,
   type PrefillReply,
 } from "./runs/run_context.ts";
--- a/packages/gateway/src/runs/decode_stream.ts
+++ b/packages/gateway/src/runs/decode_stream.ts
@@ -55,10 +55,12 @@
   progress: StreamProgress;
   signal: AbortSignal;
   /**
-   * Longest time without an event before the stream is given up, in
-   * milliseconds; 0 waits for as long as the caller does.
+   * Time without an event after which `isLost` is asked, in milliseconds; 0
+   * waits for as long as the caller does.
    */
   silenceMs: number;
+  /** True when the stream is to be given up. */
+  isLost: () => Promise<boolean>;
 }
 
 /** Largest error answer that is kept, in bytes. */
@@ -85,6 +87,7 @@
   #status = 0;
   #headers: RawHeaders = [];
   #events = 0;
+  #settled = false;
   #silent = false;
   #foreign = false;
   #watch: ReturnType<typeof setTimeout> | undefined;
@@ -106,6 +109,7 @@
     const req = this.#req;
     return new Promise((resolve) => {
       const settle = (end: StreamEnd, message = "") => {
+        this.#settled = true;
         clearTimeout(this.#watch);
         resolve(this.#result(end, message));
       };
@@ -175,10 +179,19 @@
     const { silenceMs } = this.#options;
     if (silenceMs <= 0) return;
     clearTimeout(this.#watch);
-    this.#watch = setTimeout(() => {
-      this.#silent = true;
-      this.#controller.abort();
-    }, silenceMs);
+    this.#watch = setTimeout(() => void this.#checkSilence(), silenceMs);
+  }
+
+  async #checkSilence(): Promise<void> {
+    const before = this.#events;
+    const lost = await this.#options.isLost();
+    if (this.#settled) return;
+    if (!lost || this.#events > before) {
+      this.#expectProgress();
+      return;
+    }
+    this.#silent = true;
+    this.#controller.abort();
   }
 
   #endOfAnswer(): StreamEnd {
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -117,6 +117,25 @@
   tokens: number;
 }
 
+/** How the move of a running generation ended. */
+export enum MoveEnd {
+  /** The run has stopped and its memory lies at the target. */
+  Moved = "moved",
+  /** The run has stopped, and its memory stayed where it was. */
+  Stayed = "stayed",
+  /** The run goes on where it is, or has ended. */
+  NotMoved = "not_moved",
+  /** No answer: the run may have stopped. */
+  Unknown = "unknown",
+}
+
+export interface MoveResult {
+  end: MoveEnd;
+  /** Where the memory of a stopped run can be taken. */
+  source?: KvSource;
+  message?: string;
+}
+
 /** Calls to a model engine that are no requests of callers. */
 export interface EngineControl {
   /** Reserves a slot and memory for `ttlMs`. */
@@ -132,6 +151,21 @@
   readPrefill(engine: Backend, body: Buffer): PrefillReply | undefined;
   /** Frees a prefill result that is not used. */
   dropHandle(engine: Backend, handle: string): void;
+  /** Stops a running generation and sends its memory to `target`. */
+  moveRun(
+    engine: Backend,
+    requestId: string,
+    target: Backend,
+    signal: AbortSignal,
+  ): Promise<MoveResult>;
+  /** True when the engine answers on a new connection. */
+  isAlive(engine: Backend, signal: AbortSignal): Promise<boolean>;
+}
+
+/** A generation that runs at an engine, for those who watch engines. */
+export interface ActiveStream {
+  /** The engine is leaving: goes on elsewhere if it would not end in time. */
+  engineLeaves(): void;
 }
 
 /** Owners of state and interfaces that runs use. */
@@ -150,6 +184,8 @@
   policy: GatewayPolicy;
   /** Calls in progress to plain backend servers, by incarnation. */
   inProgress: Map<string, number>;
+  /** Running generations, by the incarnation of their engine. */
+  activeStreams: Map<string, Set<ActiveStream>>;
   allowanceOf(service: string): RetryAllowance;
   estimateOf(route: string): OutputEstimate;
   workOf(service: string): StageWork;
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -5,11 +5,16 @@
  * repeated elsewhere. After that only a resumable stream goes on at another
  * engine, and only when the one before was cut off.
  */
-import { EngineStage, incarnationOf } from "../backends/backend.ts";
+import {
+  type Backend,
+  EngineStage,
+  incarnationOf,
+} from "../backends/backend.ts";
 import type { EngineCapacity } from "../config/routing_table.ts";
 import { CallVerdict } from "../decide/backend_health.ts";
+import { orderDecodeEngines } from "../decide/engine_placement.ts";
 import { ReadPlace } from "../decide/read_plan.ts";
-import type { PromptShape } from "../http/wire_codec.ts";
+import type { KvSource, PromptShape } from "../http/wire_codec.ts";
 import type { DecodeRooms, Room } from "./decode_room.ts";
 import {
   runDecodeStream,
@@ -26,6 +31,7 @@
 import {
   ageMs,
   type CallerRequest,
+  MoveEnd,
   remainingMs,
   type RunContext,
   RunEnd,
@@ -43,8 +49,18 @@
 const MAX_PLACEMENTS = 4;
 /** Wait that a rejected caller is told, on average, in milliseconds. */
 const BUSY_MS = 2_000;
+/** A run that ends within this time stays at an engine that leaves, in ms. */
+const LEAVING_ENGINE_MS = 1_200;
 const NO_ENGINE_BUSY_MS = 1_000;
 
+/** Where a generation runs next, and where its memory lies. */
+interface Placement {
+  room: Room;
+  /** The prompt that was read for this placement. */
+  read?: ReadPrompt;
+  source?: KvSource;
+}
+
 /** Runs one generation to its end. */
 export function runStream(
   ctx: RunContext,
@@ -72,6 +88,12 @@
   #attempts = 0;
   #sends = 0;
   #lastBackend: string | undefined;
+  /** A move to another engine that is under way. */
+  #move: Promise<Placement | undefined> | undefined;
+  /** Where a moved run goes on. */
+  #continuation: Placement | undefined;
+  /** A place found for a stream whose engine fell silent. */
+  #spareRoom: Room | undefined;
 
   constructor(
     ctx: RunContext,
@@ -111,29 +133,39 @@
       return await this.#place(signal);
     } finally {
       clearTimeout(timer);
+      if (this.#spareRoom) this.#rooms.giveBack(this.#spareRoom);
     }
   }
 
   async #place(signal: AbortSignal): Promise<RunOutcome> {
     for (let placement = 0; placement < MAX_PLACEMENTS; placement += 1) {
-      const room = await this.#findRoom(signal);
-      if (signal.aborted) return this.#ended(room);
-      if (!room) return this.#noRoom();
-      const read = await this.#readPrompt(signal);
-      if (signal.aborted) return this.#ended(room, read);
-      if (this.#sends > 0 && !this.#takeRepeat()) {
-        read?.drop();
-        this.#rooms.giveBack(room);
-        return this.#stop(RunReason.NotExecuted);
-      }
-      const result = await this.#stream(room, read, signal);
-      room.release();
-      const outcome = this.#take(result, room, read, signal);
+      const next = this.#continuation ?? await this.#prepare(signal);
+      this.#continuation = undefined;
+      if ("end" in next) return next;
+      const result = await this.#stream(next, signal);
+      next.room.release();
+      const outcome = await this.#take(result, next, signal);
       if (outcome) return outcome;
     }
     return this.#stop(RunReason.NotExecuted);
   }
 
+  /** Reserves memory and has the prompt read, or ends the request. */
+  async #prepare(signal: AbortSignal): Promise<Placement | RunOutcome> {
+    const room = this.#spareRoom ?? await this.#findRoom(signal);
+    this.#spareRoom = undefined;
+    if (signal.aborted) return this.#ended(room);
+    if (!room) return this.#noRoom();
+    const read = await this.#readPrompt(signal);
+    if (signal.aborted) return this.#ended(room, read);
+    if (this.#sends > 0 && !this.#takeRepeat("decode")) {
+      read?.drop();
+      this.#rooms.giveBack(room);
+      return this.#stop(RunReason.NotExecuted);
+    }
+    return { room, read, source: read?.source };
+  }
+
   #findRoom(signal: AbortSignal): Promise<Room | undefined> {
     const { req, ctx } = { req: this.#req, ctx: this.#ctx };
     const stepsMs = this.#reader.plan().expectedMs + FIRST_EVENT_MS;
@@ -175,15 +207,14 @@
     return await this.#reader.read(this.#progress.lastEventId, made, signal);
   }
 
-  #takeRepeat(): boolean {
+  #takeRepeat(cause: string): boolean {
     const allowed = this.#ctx.allowanceOf(this.#req.service.name).take();
-    if (allowed) this.#ctx.metrics.repeats.inc({ cause: "decode" });
+    if (allowed) this.#ctx.metrics.repeats.inc({ cause });
     return allowed;
   }
 
   async #stream(
-    room: Room,
-    read: ReadPrompt | undefined,
+    { room, read, source }: Placement,
     signal: AbortSignal,
   ): Promise<StreamResult> {
     const ctx = this.#ctx;
@@ -202,20 +233,129 @@
       after: this.#progress.lastEventId,
       config: req.configVersion,
     });
-    return await runDecodeStream(ctx, req, {
+    const leave = this.#joinEngine(room.engine, signal);
+    const result = await runDecodeStream(ctx, req, {
       engine: room.engine,
       progress: this.#progress,
       signal,
       silenceMs: this.#silenceMs(),
+      isLost: () => this.#isLost(room.engine, signal),
       directives: {
         remainingMs: remainingMs(ctx, req),
         backendId: room.engine.id,
         priority: req.route.priority,
         holdId: room.holdId,
-        kvSource: read?.source,
+        kvSource: source,
         lastEventId: this.#progress.lastEventId,
       },
     });
+    leave();
+    return result;
+  }
+
+  /** Is told when the engine leaves, until the returned function is called. */
+  #joinEngine(engine: Backend, signal: AbortSignal): () => void {
+    const { activeStreams } = this.#ctx;
+    const key = incarnationOf(engine);
+    const streams = activeStreams.get(key) ?? new Set();
+    activeStreams.set(key, streams);
+    const stream = {
+      engineLeaves: () => {
+        this.#move ??= this.#moveAway(engine, signal);
+      },
+    };
+    streams.add(stream);
+    return () => {
+      streams.delete(stream);
+      if (streams.size === 0) activeStreams.delete(key);
+    };
+  }
+
+  /** Moves the run to another engine when it would outlast this one. */
+  async #moveAway(
+    engine: Backend,
+    signal: AbortSignal,
+  ): Promise<Placement | undefined> {
+    const ctx = this.#ctx;
+    const req = this.#req;
+    if (this.#remainingRunMs() < LEAVING_ENGINE_MS) return undefined;
+    const target = this.#pickTarget();
+    if (!target || !this.#takeRepeat("move")) return undefined;
+    const release = ctx.book.place(incarnationOf(target), this.#tokensNow());
+    const id = req.facts.requestId;
+    const result = await ctx.engines.moveRun(engine, id, target, signal);
+    ctx.log("run_moved", {
+      req: id,
+      from: engine.id,
+      to: target.id,
+      end: result.end,
+      message: result.message,
+      events: this.#progress.events,
+    });
+    const stopped = result.end === MoveEnd.Moved ||
+      result.end === MoveEnd.Stayed;
+    if (!stopped) {
+      release();
+      return undefined;
+    }
+    const room = {
+      engine: result.end === MoveEnd.Moved ? target : engine,
+      tokens: this.#tokensNow(),
+      grantedAtMs: ctx.clock.now(),
+      release,
+    };
+    return { room, source: result.source };
+  }
+
+  /** Expected time until the run ends by itself, in milliseconds. */
+  #remainingRunMs(): number {
+    const { events, firstEventAtMs, lastEventAtMs } = this.#progress;
+    if (firstEventAtMs === undefined || lastEventAtMs === undefined) {
+      return Infinity;
+    }
+    const gapMs = events > 1
+      ? (lastEventAtMs - firstEventAtMs) / (events - 1)
+      : 0;
+    const wanted = this.#expectedOutput / this.#capacity.tokensPerEvent;
+    // What runs longer than expected may go on for as long again.
+    const left = Math.max(wanted - events, events / 2);
+    return left * gapMs;
+  }
+
+  #tokensNow(): number {
+    const made = this.#progress.events * this.#capacity.tokensPerEvent;
+    return this.#prompt.promptTokens + Math.max(made, this.#expectedOutput);
+  }
+
+  #pickTarget(): Backend | undefined {
+    const ctx = this.#ctx;
+    const engines = ctx.directory.ready(this.#req.service.name)
+      .filter((engine) => engine.stage === EngineStage.Decode);
+    const inputs = { ...ctx, nowMs: ctx.clock.now() };
+    const { kvTokens } = this.#capacity;
+    return orderDecodeEngines(engines, this.#tokensNow(), kvTokens, inputs)[0];
+  }
+
+  /**
+   * True when the engine of a silent stream is gone and the stream can go on
+   * elsewhere. Silence alone is no reason: the engine may have put the run off.
+   */
+  async #isLost(engine: Backend, signal: AbortSignal): Promise<boolean> {
+    const ctx = this.#ctx;
+    if (!this.#mayResume()) return false;
+    if (await ctx.engines.isAlive(engine, signal)) return false;
+    ctx.log("engine_unreachable", {
+      req: this.#req.facts.requestId,
+      backend: engine.id,
+    });
+    ctx.health.eject(incarnationOf(engine));
+    if (
+      signal.aborted || ctx.allowanceOf(this.#req.service.name).available < 2
+    ) {
+      return false;
+    }
+    this.#spareRoom ??= await this.#findRoom(signal);
+    return this.#spareRoom !== undefined;
   }
 
   #silenceMs(): number {
@@ -226,15 +366,27 @@
   }
 
   /** Takes in one stream's end; undefined when another engine is to be tried. */
-  #take(
+  async #take(
     result: StreamResult,
-    room: Room,
-    read: ReadPrompt | undefined,
+    placement: Placement,
     signal: AbortSignal,
-  ): RunOutcome | undefined {
+  ): Promise<RunOutcome | undefined> {
+    const { room } = placement;
+    if (result.end === StreamEnd.Complete) {
+      this.#recordHealth(result, room);
+      return this.#complete();
+    }
+    if (signal.aborted) {
+      return this.#ended(undefined, unused(result, placement));
+    }
+    const continuation = await this.#move;
+    this.#move = undefined;
+    if (continuation && result.end === StreamEnd.Cut) {
+      this.#attempts -= 1;
+      this.#continuation = continuation;
+      return undefined;
+    }
     this.#recordHealth(result, room);
-    if (result.end === StreamEnd.Complete) return this.#complete();
-    if (signal.aborted) return this.#ended();
     this.#ctx.log("decode_ended", {
       req: this.#req.facts.requestId,
       backend: room.engine.id,
@@ -245,8 +397,7 @@
     });
     if (result.end === StreamEnd.NotExecuted) {
       this.#attempts -= 1;
-      this.#notExecuted(result, room, read);
-      return undefined;
+      return this.#notExecuted(result, placement);
     }
     if (result.end === StreamEnd.EngineError) {
       return this.#passError(result);
@@ -256,15 +407,19 @@
 
   #notExecuted(
     result: StreamResult,
-    room: Room,
-    read: ReadPrompt | undefined,
-  ): void {
+    { room, read, source }: Placement,
+  ): RunOutcome | undefined {
     if (read) {
       read.drop();
       this.#reader.exclude(read.engine);
     }
     if (result.status === 0) this.#excluded.add(incarnationOf(room.engine));
     if (room.holdId) this.#ctx.engines.dropHold(room.engine, room.holdId);
+    // A run that was moved can't begin again unless it may be resumed.
+    const moved = source !== undefined && read === undefined;
+    return moved && !this.#req.route.resumable
+      ? this.#failed(result)
+      : undefined;
   }
 
   #mayResume(): boolean {
@@ -389,6 +544,14 @@
   }
 }
 
+/** The prompt that the decode engine did not take, if any. */
+function unused(
+  result: StreamResult,
+  placement: Placement,
+): ReadPrompt | undefined {
+  return result.status === 0 ? placement.read : undefined;
+}
+
 function healthVerdictOf(end: StreamEnd): CallVerdict | undefined {
   switch (end) {
     case StreamEnd.Complete:
