fix(gateway): an address that another engine took gets no more work

Each failure also threw the read prompt away. Change: a 421 from another id ejects the incarnation until the store lists it anew, one from the same id (stage just changed) for a second; a read prompt that was not touched goes to the next engine.

--- a/packages/gateway/src/decide/backend_health.ts
+++ b/packages/gateway/src/decide/backend_health.ts
@@ -99,7 +99,16 @@
 
   /** Ejects a backend server that is known to be out of reach. */
   eject(key: string): void {
-    this.#eject(this.of(key));
+    const record = this.of(key);
+    if (record.ejectedUntilMs <= this.#clock.now()) this.#eject(record);
+  }
+
+  /**
+   * Another backend server answers at the address of this one: it gets no work
+   * until the store lists it anew.
+   */
+  replaced(key: string): void {
+    this.of(key).ejectedUntilMs = Infinity;
   }
 
   /** Forgets an incarnation that is gone. */
--- a/packages/gateway/src/http/wire_codec.ts
+++ b/packages/gateway/src/http/wire_codec.ts
@@ -62,6 +62,8 @@
   requestId?: string;
   /** The backend server proves that it did not run the request. */
   notExecuted: boolean;
+  /** The backend server that answered, where it says so. */
+  backendId?: string;
   /** The body is not the backend server's own bytes. */
   encoded: boolean;
 }
--- a/packages/gateway/src/runs/plain_run.ts
+++ b/packages/gateway/src/runs/plain_run.ts
@@ -20,6 +20,7 @@
 import {
   ageMs,
   type CallerRequest,
+  noteMisdirected,
   remainingMs,
   type RunContext,
   RunEnd,
@@ -206,6 +207,11 @@
     verdict: ReplyVerdict | undefined,
   ): void {
     if (this.#calls.signal.aborted) return;
+    if (result.end === ExchangeEnd.Answered && result.status === 421) {
+      const facts = this.#ctx.codec.readReply(421, result.headers);
+      noteMisdirected(this.#ctx, backend, facts.backendId);
+      return;
+    }
     const call = callVerdictOf(verdict);
     const ctx = this.#ctx;
     const peers = ctx.directory.ready(this.#req.service.name)
--- a/packages/gateway/src/runs/prompt_read.ts
+++ b/packages/gateway/src/runs/prompt_read.ts
@@ -16,6 +16,7 @@
 import { judgeReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
   type CallerRequest,
+  noteMisdirected,
   remainingMs,
   type RunContext,
 } from "./run_context.ts";
@@ -24,6 +25,8 @@
 export interface ReadPrompt {
   engine: Backend;
   source: KvSource;
+  /** When the result was made, in milliseconds of the process clock. */
+  readAtMs: number;
   /** Frees the result if it was not taken. */
   drop(): void;
 }
@@ -69,7 +72,9 @@
 
   /** An engine whose result could not be taken isn't asked again. */
   exclude(engine: Backend): void {
-    this.#failed.add(incarnationOf(engine));
+    const key = incarnationOf(engine);
+    this.#failed.add(key);
+    this.#ctx.health.record(key, CallVerdict.Silent, 0, []);
   }
 
   /** Who should read the prompt now, and how long it would take. */
@@ -173,6 +178,11 @@
       elapsed_ms: Math.round(result.elapsedMs),
     });
     const key = incarnationOf(engine);
+    if (answered && result.status === 421) {
+      const facts = ctx.codec.readReply(421, result.headers);
+      noteMisdirected(ctx, engine, facts.backendId);
+      return;
+    }
     if (answered) {
       ctx.book.recordReadDelay(key, result.elapsedMs);
       return;
@@ -186,6 +196,7 @@
     return {
       engine,
       source,
+      readAtMs: ctx.clock.now(),
       drop: () => {
         ctx.metrics.prefillsWasted.inc();
         ctx.engines.dropHandle(engine, source.handle);
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -1,7 +1,7 @@
 /** What the runs of requests share: inputs, owners of state, outcomes. */
 import type { Clock, Logger, Random } from "@sassafrascleat/runtime";
 import type { BackendDirectory } from "../backends/directory.ts";
-import type { Backend } from "../backends/backend.ts";
+import { type Backend, incarnationOf } from "../backends/backend.ts";
 import type { Route, Service } from "../config/routing_table.ts";
 import type { EngineBook } from "../decide/engine_book.ts";
 import type { HealthBook } from "../decide/backend_health.ts";
@@ -200,3 +200,22 @@
 export function ageMs(ctx: RunContext, req: CallerRequest): number {
   return ctx.clock.now() - req.arrivedMs;
 }
+
+/**
+ * Takes in that a backend server turned a request down as not meant for it:
+ * another one has its address, or it has just changed its stage.
+ */
+export function noteMisdirected(
+  ctx: RunContext,
+  backend: Backend,
+  answeredBy: string | undefined,
+): void {
+  const key = incarnationOf(backend);
+  const replaced = answeredBy !== undefined && answeredBy !== backend.id;
+  ctx.log("backend_misdirected", {
+    backend: backend.id,
+    answered_by: answeredBy,
+  });
+  if (replaced) ctx.health.replaced(key);
+  else ctx.health.eject(key);
+}
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -32,6 +32,7 @@
   ageMs,
   type CallerRequest,
   MoveEnd,
+  noteMisdirected,
   remainingMs,
   type RunContext,
   RunEnd,
@@ -51,6 +52,9 @@
 const BUSY_MS = 2_000;
 /** A run that ends within this time stays at an engine that leaves, in ms. */
 const LEAVING_ENGINE_MS = 1_200;
+/** Part of a read prompt's life in which another engine may still take it. */
+const REUSABLE_SHARE = 0.7;
+const STATUS_MISDIRECTED = 421;
 const NO_ENGINE_BUSY_MS = 1_000;
 
 /** Where a generation runs next, and where its memory lies. */
@@ -92,6 +96,8 @@
   #move: Promise<Placement | undefined> | undefined;
   /** Where a moved run goes on. */
   #continuation: Placement | undefined;
+  /** A read prompt that the last engine did not take. */
+  #unusedRead: ReadPrompt | undefined;
   /** A place found for a stream whose engine fell silent. */
   #spareRoom: Room | undefined;
 
@@ -133,6 +139,7 @@
       return await this.#place(signal);
     } finally {
       clearTimeout(timer);
+      this.#unusedRead?.drop();
       if (this.#spareRoom) this.#rooms.giveBack(this.#spareRoom);
     }
   }
@@ -156,7 +163,8 @@
     this.#spareRoom = undefined;
     if (signal.aborted) return this.#ended(room);
     if (!room) return this.#noRoom();
-    const read = await this.#readPrompt(signal);
+    const read = this.#unusedRead ?? await this.#readPrompt(signal);
+    this.#unusedRead = undefined;
     if (signal.aborted) return this.#ended(room, read);
     if (this.#sends > 0 && !this.#takeRepeat("decode")) {
       read?.drop();
@@ -409,11 +417,14 @@
     result: StreamResult,
     { room, read, source }: Placement,
   ): RunOutcome | undefined {
-    if (read) {
-      read.drop();
-      this.#reader.exclude(read.engine);
+    const misdirected = result.status === STATUS_MISDIRECTED;
+    if (misdirected) {
+      const facts = this.#ctx.codec.readReply(result.status, result.headers);
+      noteMisdirected(this.#ctx, room.engine, facts.backendId);
     }
-    if (result.status === 0) this.#excluded.add(incarnationOf(room.engine));
+    const untouched = misdirected || result.status === 0;
+    if (untouched) this.#excluded.add(incarnationOf(room.engine));
+    if (read) this.#keepOrDrop(read, untouched);
     if (room.holdId) this.#ctx.engines.dropHold(room.engine, room.holdId);
     // A run that was moved can't begin again unless it may be resumed.
     const moved = source !== undefined && read === undefined;
@@ -422,6 +433,18 @@
       : undefined;
   }
 
+  /** Keeps a read prompt for the next engine while it can still be taken. */
+  #keepOrDrop(read: ReadPrompt, untouched: boolean): void {
+    const ageMs = this.#ctx.clock.now() - read.readAtMs;
+    const lives = ageMs < this.#capacity.handleLifeMs * REUSABLE_SHARE;
+    if (untouched && lives) {
+      this.#unusedRead = read;
+      return;
+    }
+    read.drop();
+    if (!untouched) this.#reader.exclude(read.engine);
+  }
+
   #mayResume(): boolean {
     return this.#req.route.resumable &&
       this.#attempts < this.#req.route.maxAttempts;
