--- /dev/null
+++ b/packages/gateway/src/backends/__tests__/directory_test.ts
@@ -0,0 +1,81 @@
+import { describe, expect, test } from "@jest/globals";
+import { ManualClock } from "@sassafrascleat/runtime";
+import { type Backend, BackendState } from "../backend.ts";
+import { BackendDirectory, DirectoryChange } from "../directory.ts";
+
+function backend(id: string, more: Partial<Backend> = {}): Backend {
+  return {
+    id,
+    service: "s",
+    address: "127.0.0.1:1",
+    zone: "z1",
+    slots: 4,
+    state: BackendState.Ready,
+    bornMs: 1,
+    ...more,
+  };
+}
+
+function create() {
+  const clock = new ManualClock(10_000);
+  const directory = new BackendDirectory({ clock, log: () => {} });
+  const changes: string[] = [];
+  directory.onChange((change, item) => changes.push(`${change} ${item.id}`));
+  directory.reset([backend("a"), backend("b")]);
+  const ready = () => directory.ready("s").map((item) => item.id);
+  return { clock, directory, changes, ready };
+}
+
+test("a draining one takes no new work at once", () => {
+  const { directory, ready, changes } = create();
+  directory.put(backend("a", { state: BackendState.Draining }));
+  expect(ready()).toEqual(["b"]);
+  expect(changes).toContain(`${DirectoryChange.Draining} a`);
+});
+
+test("an entry that vanishes while the store is in reach is gone", () => {
+  const { directory, ready } = create();
+  directory.remove("a");
+  expect(ready()).toEqual(["b"]);
+});
+
+describe("an entry that vanishes around an outage", () => {
+  test("stays usable while the store is away and shortly after", () => {
+    const { clock, directory, ready } = create();
+    directory.storeLost();
+    clock.advance(5_000);
+    directory.storeRegained();
+    directory.reset([backend("b")]);
+    expect(ready().sort()).toEqual(["a", "b"]);
+    clock.advance(1_000);
+    directory.put(backend("a"));
+    clock.advance(5_000);
+    expect(ready().sort()).toEqual(["a", "b"]);
+  });
+
+  test("is gone when it isn't back after the grace", () => {
+    const { clock, directory, ready } = create();
+    directory.storeLost();
+    directory.storeRegained();
+    directory.reset([backend("b")]);
+    clock.advance(1_801);
+    expect(ready()).toEqual(["b"]);
+  });
+});
+
+test("a new start under the same id is another incarnation", () => {
+  const { directory, changes } = create();
+  changes.length = 0;
+  directory.put(backend("a", { bornMs: 2 }));
+  expect(changes).toEqual([
+    `${DirectoryChange.Removed} a`,
+    `${DirectoryChange.Changed} a`,
+  ]);
+});
+
+test("an entry that says the same again changes nothing", () => {
+  const { directory, changes } = create();
+  changes.length = 0;
+  directory.put(backend("a"));
+  expect(changes).toEqual([]);
+});
--- /dev/null
+++ b/packages/gateway/src/decide/__tests__/output_estimate_test.ts
@@ -0,0 +1,48 @@
+import { expect, test } from "@jest/globals";
+import { createRandom } from "@sassafrascleat/runtime";
+import { OutputEstimate } from "../output_estimate.ts";
+
+function prompt(hint: number | undefined) {
+  return {
+    model: "m",
+    promptTokens: 3_000,
+    maxOutputTokens: 1_870,
+    expectedOutputTokens: hint,
+    parts: [],
+  };
+}
+
+/** A normal deviate. */
+function normal(random: ReturnType<typeof createRandom>): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random.float()));
+  return radius * Math.cos(2 * Math.PI * random.float());
+}
+
+test("trusts the caller's estimate at first", () => {
+  const estimate = new OutputEstimate();
+  expect(estimate.expect(prompt(800))).toBeCloseTo(800);
+});
+
+test("never expects more than the maximum, nor less than a token", () => {
+  const estimate = new OutputEstimate();
+  expect(estimate.expect(prompt(9_000))).toBeLessThanOrEqual(1_870);
+  expect(estimate.expect(prompt(0))).toBeGreaterThanOrEqual(1);
+});
+
+test("learns to shrink estimates that are often far off", () => {
+  const random = createRandom(11);
+  const estimate = new OutputEstimate();
+  let learned = 0;
+  let trusted = 0;
+  for (let i = 0; i < 600; i += 1) {
+    const made = Math.exp(Math.log(700) + 0.4 * normal(random));
+    const hint = made * Math.exp(0.6 * normal(random));
+    if (i >= 200) {
+      const expected = estimate.expect(prompt(hint));
+      learned += Math.abs(Math.log(expected / made));
+      trusted += Math.abs(Math.log(Math.min(hint, 1_870) / made));
+    }
+    estimate.learn(prompt(hint), made);
+  }
+  expect(learned).toBeLessThan(0.8 * trusted);
+});
--- /dev/null
+++ b/packages/gateway/src/decide/__tests__/placement_test.ts
@@ -0,0 +1,164 @@
+import { describe, expect, test } from "@jest/globals";
+import { createRandom, ManualClock } from "@sassafrascleat/runtime";
+import {
+  type Backend,
+  BackendState,
+  EngineStage,
+  incarnationOf,
+} from "../../backends/backend.ts";
+import { CallVerdict, HealthBook } from "../backend_health.ts";
+import { EngineBook } from "../engine_book.ts";
+import {
+  orderDecodeEngines,
+  pickPrefillEngine,
+  REFUSAL_LIFE_MS,
+} from "../engine_placement.ts";
+import { pickPlainBackend } from "../plain_placement.ts";
+
+const KV_TOKENS = 40_000;
+
+function engine(id: string, zone = "z1", stage = EngineStage.Decode): Backend {
+  return {
+    id,
+    service: "s",
+    address: "127.0.0.1:1",
+    zone,
+    slots: 12,
+    state: BackendState.Ready,
+    stage,
+  };
+}
+
+function create() {
+  const clock = new ManualClock(1_000);
+  const book = new EngineBook(clock);
+  const health = new HealthBook(clock);
+  const inputs = () => ({ book, health, nowMs: clock.now(), zone: "z1" });
+  return { clock, book, health, inputs };
+}
+
+function names(engines: readonly Backend[]): string[] {
+  return engines.map((item) => item.id);
+}
+
+describe("decode engines", () => {
+  const a = engine("a");
+  const b = engine("b");
+  const far = engine("far", "z2");
+
+  test("the one with the least own work comes first", () => {
+    const { book, inputs } = create();
+    book.place(incarnationOf(a), 8_000);
+    const order = orderDecodeEngines([a, b], 4_000, KV_TOKENS, inputs());
+    expect(names(order)).toEqual(["b", "a"]);
+  });
+
+  test("the own availability zone goes first among equals only", () => {
+    const { book, inputs } = create();
+    const equal = orderDecodeEngines([far, a], 4_000, KV_TOKENS, inputs());
+    expect(names(equal)).toEqual(["a", "far"]);
+    book.place(incarnationOf(a), 8_000);
+    const loaded = orderDecodeEngines([far, a], 4_000, KV_TOKENS, inputs());
+    expect(names(loaded)).toEqual(["far", "a"]);
+  });
+
+  test("one that just refused as much is asked last, for a moment", () => {
+    const { clock, book, inputs } = create();
+    book.refused(incarnationOf(a), 4_000);
+    book.place(incarnationOf(b), 8_000);
+    const refused = orderDecodeEngines([a, b], 4_000, KV_TOKENS, inputs());
+    expect(names(refused)).toEqual(["b", "a"]);
+    const smaller = orderDecodeEngines([a, b], 2_000, KV_TOKENS, inputs());
+    expect(names(smaller)).toEqual(["a", "b"]);
+    clock.advance(REFUSAL_LIFE_MS);
+    const later = orderDecodeEngines([a, b], 4_000, KV_TOKENS, inputs());
+    expect(names(later)).toEqual(["a", "b"]);
+  });
+
+  test("an ejected one isn't asked", () => {
+    const { health, inputs } = create();
+    health.eject(incarnationOf(a));
+    const order = orderDecodeEngines([a, b], 4_000, KV_TOKENS, inputs());
+    expect(names(order)).toEqual(["b"]);
+  });
+
+  test("a booking is taken out once", () => {
+    const { book } = create();
+    const release = book.place("a", 500);
+    release();
+    release();
+    expect(book.of("a").tokens).toBe(0);
+    expect(book.of("a").requests).toBe(0);
+  });
+});
+
+describe("prefill engines", () => {
+  const a = engine("a", "z1", EngineStage.Prefill);
+  const b = engine("b", "z1", EngineStage.Prefill);
+
+  test("the one that begins first is taken", () => {
+    const { book, inputs } = create();
+    book.startReading(incarnationOf(a), 3_000);
+    expect(pickPrefillEngine([a, b], 30, inputs())?.id).toBe("b");
+  });
+
+  test("work of other entries shows in the delay, and fades", () => {
+    const { clock, book, inputs } = create();
+    for (let i = 0; i < 8; i += 1) {
+      book.recordReadDelay(incarnationOf(a), 200);
+    }
+    expect(pickPrefillEngine([a, b], 30, inputs())?.id).toBe("b");
+    book.startReading(incarnationOf(b), 300);
+    clock.advance(10_000);
+    expect(pickPrefillEngine([a, b], 30, inputs())?.id).toBe("a");
+  });
+
+  test("none is left when all are excluded", () => {
+    const { inputs } = create();
+    const all = new Set([a, b].map(incarnationOf));
+    expect(pickPrefillEngine([a, b], 30, inputs(), all)).toBeUndefined();
+  });
+});
+
+describe("plain backend servers", () => {
+  const a = engine("a");
+  const b = engine("b");
+
+  test("the less busy one is taken", () => {
+    const { health } = create();
+    const inputs = {
+      health,
+      inProgress: new Map([[incarnationOf(a), 6]]),
+      random: createRandom(1),
+      zone: "z1",
+    };
+    expect(pickPlainBackend([a, b], inputs)?.id).toBe("b");
+  });
+
+  test("one that fails part of its calls gets fewer", () => {
+    const { health } = create();
+    const inputs = {
+      health,
+      inProgress: new Map(),
+      random: createRandom(1),
+      zone: "z1",
+    };
+    const peers = [a, b].map(incarnationOf);
+    for (let i = 0; i < 5; i += 1) {
+      health.record(incarnationOf(a), CallVerdict.Error, 10, peers);
+    }
+    expect(pickPlainBackend([a, b], inputs)?.id).toBe("b");
+  });
+
+  test("an ejected one is better than none", () => {
+    const { health } = create();
+    health.eject(incarnationOf(a));
+    const inputs = {
+      health,
+      inProgress: new Map(),
+      random: createRandom(1),
+      zone: "z1",
+    };
+    expect(pickPlainBackend([a], inputs)?.id).toBe("a");
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/decide/__tests__/plans_test.ts
@@ -0,0 +1,101 @@
+import { describe, expect, test } from "@jest/globals";
+import { createRandom } from "@sassafrascleat/runtime";
+import {
+  type Backend,
+  BackendState,
+  EngineStage,
+} from "../../backends/backend.ts";
+import { planRead, ReadPlace } from "../read_plan.ts";
+import { returnAfterMs } from "../return_time.ts";
+import { nextWaiter } from "../room_order.ts";
+import { planStageChange } from "../stage_plan.ts";
+
+describe("who reads a prompt", () => {
+  test.each([
+    ["an idle prefill engine", 0, ReadPlace.Prefill],
+    ["a short queue", 100, ReadPlace.Prefill],
+    ["a queue longer than reading at the decode engine", 400, ReadPlace.Decode],
+    ["no prefill engine", undefined, ReadPlace.Decode],
+  ])("%s", (_name, prefillWaitMs, place) => {
+    expect(planRead({ readMs: 140, prefillWaitMs }).place).toBe(place);
+  });
+});
+
+describe("which waiting request is placed next", () => {
+  const waiter = (name: string, onTimeUntilMs: number, priority = 1) => ({
+    name,
+    priority,
+    onTimeUntilMs,
+    untilMs: onTimeUntilMs + 1_000,
+  });
+
+  test.each([
+    [
+      "the one whose time runs out first",
+      [waiter("x", 900), waiter("y", 800)],
+      "y",
+    ],
+    ["one that can be on time", [waiter("x", 100), waiter("y", 800)], "y"],
+    ["the more urgent", [waiter("x", 700, 2), waiter("y", 800, 1)], "y"],
+  ])("%s", (_name, waiters, first) => {
+    expect(nextWaiter(waiters, 500)?.name).toBe(first);
+  });
+});
+
+describe("stages of engines", () => {
+  function engines(prefill: number, decode: number): Backend[] {
+    const stages = [
+      ...Array(prefill).fill(EngineStage.Prefill),
+      ...Array(decode).fill(EngineStage.Decode),
+    ];
+    return stages.map((stage, index) => ({
+      id: `e${index}`,
+      service: "s",
+      address: "127.0.0.1:1",
+      zone: `z${index % 3}`,
+      slots: 12,
+      state: BackendState.Ready,
+      stage,
+    }));
+  }
+  const none = { readMs: 0, decodeMs: 0 };
+
+  test.each([
+    ["too many read", 3, 3, none, EngineStage.Decode],
+    ["it fits", 2, 4, none, undefined],
+    ["nobody reads", 0, 6, none, EngineStage.Prefill],
+    ["the last reader stays", 1, 1, none, undefined],
+    [
+      "long prompts, short answers",
+      2,
+      4,
+      { readMs: 400_000, decodeMs: 300_000 },
+      EngineStage.Prefill,
+    ],
+    ["one engine", 1, 0, none, undefined],
+  ])("%s", (_name, prefill, decode, work, stage) => {
+    const change = planStageChange({ engines: engines(prefill, decode), work });
+    expect(change?.stage).toBe(stage);
+  });
+
+  test("repeated changes settle", () => {
+    const all = engines(13, 23);
+    for (let i = 0; i < 40; i += 1) {
+      const change = planStageChange({ engines: all, work: none });
+      if (!change) break;
+      change.engine.stage = change.stage;
+    }
+    expect(planStageChange({ engines: all, work: none })).toBeUndefined();
+  });
+});
+
+test("callers rejected together come back spread out, in time", () => {
+  const random = createRandom(5);
+  const times = Array.from(
+    { length: 200 },
+    () => returnAfterMs(2_000, 14_000, random),
+  );
+  expect(Math.max(...times)).toBeLessThanOrEqual(14_000 / 3);
+  expect(Math.max(...times) - Math.min(...times)).toBeGreaterThan(1_500);
+  expect(returnAfterMs(2_000, 600, random)).toBeLessThanOrEqual(200);
+});
--- /dev/null
+++ b/packages/gateway/src/decide/__tests__/retry_allowance_test.ts
@@ -0,0 +1,33 @@
+import { expect, test } from "@jest/globals";
+import { ManualClock } from "@sassafrascleat/runtime";
+import { RetryAllowance } from "../retry_allowance.ts";
+
+function create(entries: number) {
+  const clock = new ManualClock(0);
+  const options = { ratio: 0.2, slack: 52, windowMs: 10_000, entries, clock };
+  return { clock, allowance: new RetryAllowance(options) };
+}
+
+test("entries together stay within the shared allowance", () => {
+  const entries = 8;
+  const requestsOfEntry = 50;
+  let taken = 0;
+  for (let entry = 0; entry < entries; entry += 1) {
+    const { allowance } = create(entries);
+    for (let i = 0; i < requestsOfEntry; i += 1) allowance.countRequest();
+    while (allowance.take()) taken += 1;
+  }
+  expect(taken).toBeLessThanOrEqual(0.2 * entries * requestsOfEntry + 52);
+  expect(taken).toBeGreaterThan(0.1 * entries * requestsOfEntry);
+});
+
+test("requests and repeats leave the window", () => {
+  const { clock, allowance } = create(1);
+  for (let i = 0; i < 100; i += 1) allowance.countRequest();
+  const first = allowance.available;
+  while (allowance.take()) { /* spends all */ }
+  expect(allowance.available).toBe(0);
+  clock.advance(10_001);
+  expect(allowance.available).toBeGreaterThan(0);
+  expect(allowance.available).toBeLessThan(first);
+});
