--- /dev/null
+++ b/packages/runtime/src/__tests__/event_log_test.ts
@@ -0,0 +1,55 @@
+import { expect, test } from "@jest/globals";
+import { mkdtempSync, openSync, readFileSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createEventLog } from "../event_log.ts";
+import { sleep } from "../wait.ts";
+
+async function written(
+  use: (log: ReturnType<typeof createEventLog>) => Promise<void> | void,
+  linesPerSecond?: number,
+): Promise<string[]> {
+  const folder = mkdtempSync(join(tmpdir(), "event-log-"));
+  const path = join(folder, "log");
+  const log = createEventLog({
+    fd: openSync(path, "w"),
+    linesPerSecond,
+    base: { node: "n1" },
+  });
+  await use(log);
+  log.close();
+  await sleep(50);
+  const lines = readFileSync(path, "utf8").trim().split("\n");
+  rmSync(folder, { recursive: true });
+  return lines;
+}
+
+test("a line names its time, event and fields", async () => {
+  const lines = await written(({ log }) => {
+    log("refused", {
+      req: "r1",
+      reason: "no room",
+      back_ms: 40,
+      none: undefined,
+    });
+  });
+  expect(lines).toHaveLength(1);
+  expect(lines[0]).toMatch(
+    /^time=\S+ event=refused node=n1 req=r1 reason="no room" back_ms=40$/,
+  );
+});
+
+test("each kind of event has its own bound, and what is left out is told", async () => {
+  const lines = await written(async (events) => {
+    for (let i = 0; i < 50; i += 1) events.log("noisy", { i });
+    events.log("rare");
+    expect(events.suppressed).toBe(40);
+    await sleep(1_050);
+    events.log("noisy", { i: 50 });
+  }, 10);
+  expect(lines.filter((line) => line.includes("event=noisy"))).toHaveLength(11);
+  expect(lines.filter((line) => line.includes("event=rare"))).toHaveLength(1);
+  expect(lines.join("\n")).toContain(
+    "event=log_suppressed node=n1 of=noisy lines=40",
+  );
+});
