--- a/packages/gateway/src/decide/__tests__/retry_allowance_test.ts
+++ b/packages/gateway/src/decide/__tests__/retry_allowance_test.ts
@@ -4,7 +4,13 @@
 
 function create(entries: number) {
   const clock = new ManualClock(0);
-  const options = { ratio: 0.2, slack: 52, windowMs: 10_000, entries, clock };
+  const options = {
+    ratio: 0.2,
+    slack: 52,
+    windowMs: 10_000,
+    entries: () => entries,
+    clock,
+  };
   return { clock, allowance: new RetryAllowance(options) };
 }
 
--- a/packages/gateway/src/decide/retry_allowance.ts
+++ b/packages/gateway/src/decide/retry_allowance.ts
@@ -14,7 +14,7 @@
   slack: number;
   windowMs: number;
   /** Entries that share the slack. */
-  entries: number;
+  entries: () => number;
 }
 
 /** Part of the allowance that is spent, as windows of entries don't align. */
@@ -39,7 +39,7 @@
   get available(): number {
     const { ratio, slack, entries } = this.#options;
     this.#trim();
-    const allowed = ratio * this.#requests.length + slack / entries;
+    const allowed = ratio * this.#requests.length + slack / entries();
     return Math.floor(allowed * SPENT_SHARE) - this.#repeats.length;
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 import { pickService } from "./config/route_index.ts";
 import { RouteKind } from "./config/routing_table.ts";
 import { HealthBook } from "./decide/backend_health.ts";
+import { EarlierWait } from "./decide/earlier_wait.ts";
 import { EngineBook } from "./decide/engine_book.ts";
 import { OutputEstimate } from "./decide/output_estimate.ts";
 import type { StageWork } from "./decide/stage_plan.ts";
@@ -27,7 +28,6 @@
   type CallerRequest,
   type EngineControl,
   type RunContext,
-  RunEnd,
   type RunOutcome,
   RunReason,
 } from "./runs/run_context.ts";
@@ -65,12 +65,16 @@
   readonly #rooms = new Map<string, DecodeRooms>();
   readonly #allowances = new Map<string, RetryAllowance>();
   readonly #estimates = new Map<string, OutputEstimate>();
+  readonly #earlierWaits = new Map<string, EarlierWait>();
   readonly #work = new Map<string, StageWork>();
   #leavingSinceMs: number | undefined;
+  /** Entries that share the retry allowance. */
+  #entries: number;
 
   constructor(options: GatewayOptions) {
     const { clock, log, random } = options;
     const policy = resolveGatewayPolicy(options.policy);
+    this.#entries = policy.entries;
     this.config = new ConfigHolder(clock, log);
     this.directory = new BackendDirectory({ clock, log });
     this.metrics = createGatewayMetrics();
@@ -91,7 +95,10 @@
       inProgress: new Map(),
       activeStreams: new Map(),
       allowanceOf: (service) => this.#allowanceOf(service),
-      estimateOf: (route) => this.#estimateOf(route),
+      estimateOf: (route) =>
+        getOrCreate(this.#estimates, route, () => new OutputEstimate()),
+      earlierWaitOf: (route) =>
+        getOrCreate(this.#earlierWaits, route, () => new EarlierWait()),
       workOf: (service) => this.workOf(service),
     };
     this.ingress = new Ingress({
@@ -126,13 +133,17 @@
     this.#leavingSinceMs ??= this.#ctx.clock.now();
   }
 
+  /** Tells how many entries share the retry allowance. */
+  setEntries(entries: number): void {
+    if (entries === this.#entries) return;
+    this.#ctx.log("entries_counted", { entries, before: this.#entries });
+    this.#entries = entries;
+  }
+
   /** Work of the generations of one service that this entry has finished. */
   workOf(service: string): StageWork {
-    const known = this.#work.get(service);
-    if (known) return known;
-    const fresh = { readMs: 0, decodeMs: 0 };
-    this.#work.set(service, fresh);
-    return fresh;
+    const create = () => ({ readMs: 0, decodeMs: 0 });
+    return getOrCreate(this.#work, service, create);
   }
 
   #forget(backend: Parameters<typeof incarnationOf>[0]): void {
@@ -143,34 +154,21 @@
   }
 
   #allowanceOf(service: string): RetryAllowance {
-    const known = this.#allowances.get(service);
-    if (known) return known;
     const { clock, policy } = this.#ctx;
-    const fresh = new RetryAllowance({
-      clock,
-      ratio: policy.retryRatio,
-      slack: policy.retrySlack,
-      windowMs: policy.retryWindowMs,
-      entries: policy.entries,
-    });
-    this.#allowances.set(service, fresh);
-    return fresh;
-  }
-
-  #estimateOf(route: string): OutputEstimate {
-    const known = this.#estimates.get(route);
-    if (known) return known;
-    const fresh = new OutputEstimate();
-    this.#estimates.set(route, fresh);
-    return fresh;
+    const create = () =>
+      new RetryAllowance({
+        clock,
+        ratio: policy.retryRatio,
+        slack: policy.retrySlack,
+        windowMs: policy.retryWindowMs,
+        entries: () => this.#entries,
+      });
+    return getOrCreate(this.#allowances, service, create);
   }
 
   #roomsOf(service: CallerRequest["service"]): DecodeRooms {
-    const known = this.#rooms.get(service.name);
-    if (known) return known;
-    const fresh = new DecodeRooms(this.#ctx, service);
-    this.#rooms.set(service.name, fresh);
-    return fresh;
+    const create = () => new DecodeRooms(this.#ctx, service);
+    return getOrCreate(this.#rooms, service.name, create);
   }
 
   async #serve(req: IngressRequest): Promise<void> {
@@ -253,11 +251,15 @@
   }
 }
 
-function round(ms: number | undefined): number | undefined {
-  return ms === undefined ? undefined : Math.round(ms);
+/** The value of a key; made when there is none. */
+function getOrCreate<K, V>(map: Map<K, V>, key: K, create: () => V): V {
+  const known = map.get(key);
+  if (known !== undefined) return known;
+  const fresh = create();
+  map.set(key, fresh);
+  return fresh;
 }
 
-/** True when the request was answered with success. */
-export function isAnswered(outcome: RunOutcome): boolean {
-  return outcome.end === RunEnd.Answered;
+function round(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
 }
--- a/packages/gateway/src/policy.ts
+++ b/packages/gateway/src/policy.ts
@@ -8,7 +8,7 @@
   retrySlack?: number;
   /** Window of the retry allowance, in milliseconds. @default 10000 */
   retryWindowMs?: number;
-  /** Entries taken to share the retry allowance. @default 8 */
+  /** Entries taken to share the retry allowance until they are counted. @default 16 */
   entries?: number;
   /** Longest wait for memory of a decode engine, in milliseconds. @default 250 */
   maxRoomWaitMs?: number;
@@ -30,7 +30,7 @@
     retryRatio: raw.retryRatio ?? 0.2,
     retrySlack: raw.retrySlack ?? 10,
     retryWindowMs: raw.retryWindowMs ?? 10_000,
-    entries: raw.entries ?? 8,
+    entries: raw.entries ?? 16,
     maxRoomWaitMs: raw.maxRoomWaitMs ?? 250,
     outputReserveRatio: raw.outputReserveRatio ?? 1,
     readTokensPerMs: raw.readTokensPerMs ?? 30,
--- a/packages/gateway/src/runs/plain_run.ts
+++ b/packages/gateway/src/runs/plain_run.ts
@@ -15,6 +15,7 @@
   exchange,
   ExchangeEnd,
 } from "../http/exchange.ts";
+import { CallFailure } from "../http/upstream.ts";
 import { fail, refuse } from "./refuse.ts";
 import { judgeReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
@@ -62,6 +63,8 @@
   #unexecuted = 0;
   #sends = 0;
   #hedged = false;
+  /** An answer came that was not the request's. */
+  #spoiled = false;
   #lastError: Answered | undefined;
   #lastBackend: string | undefined;
 
@@ -237,8 +240,9 @@
       }
       if (result.verdict === ReplyVerdict.Error) this.#lastError = answer;
       if (result.verdict === ReplyVerdict.NotExecuted) this.#countUnexecuted();
-    } else if (!answer.sent) {
-      this.#countUnexecuted();
+    } else {
+      if (!answer.sent) this.#countUnexecuted();
+      this.#spoiled ||= answer.failure === CallFailure.Foreign;
     }
     this.#ctx.log("plain_call_failed", {
       req: this.#req.facts.requestId,
@@ -292,12 +296,17 @@
     if (this.#mayHaveRun === 0) {
       return refuse(ctx, req, RunReason.NotExecuted, BUSY_MS, this.#sends);
     }
-    const reason = remainingMs(ctx, req) < MIN_TIME_MS
-      ? RunReason.TimedOut
-      : RunReason.NoAnswer;
+    const reason = this.#failureReason();
     return fail(ctx, req, reason, this.#mayHaveRun, this.#lastBackend);
   }
 
+  #failureReason(): RunReason {
+    if (remainingMs(this.#ctx, this.#req) < MIN_TIME_MS) {
+      return RunReason.TimedOut;
+    }
+    return this.#spoiled ? RunReason.Spoiled : RunReason.NoAnswer;
+  }
+
   #left(): RunOutcome {
     return this.#outcome(RunEnd.CallerLeft, RunReason.None, 0);
   }
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -49,12 +49,16 @@
 /** Engines that one request is placed at in turn. */
 const MAX_PLACEMENTS = 4;
 /** Wait that a rejected caller is told, on average, in milliseconds. */
-const BUSY_MS = 2_000;
+const BUSY_MS = 3_000;
 /** A run that ends within this time stays at an engine that leaves, in ms. */
 const LEAVING_ENGINE_MS = 1_200;
 /** Part of a read prompt's life in which another engine may still take it. */
 const REUSABLE_SHARE = 0.7;
 const STATUS_MISDIRECTED = 421;
+/** Longest wait for memory of a request that is late anyway, in ms. */
+const LATE_ROOM_WAIT_MS = 2_000;
+/** Part of its remaining time that a request waits for memory. */
+const LONGEST_WAIT_SHARE = 0.25;
 const NO_ENGINE_BUSY_MS = 1_000;
 
 /** Where a generation runs next, and where its memory lies. */
@@ -87,6 +91,8 @@
   readonly #prompt: PromptShape;
   readonly #reader: PromptReader;
   readonly #expectedOutput: number;
+  /** How long the caller has waited for earlier tries, in milliseconds. */
+  readonly #waitedBeforeMs: number;
   readonly #excluded = new Set<string>();
   readonly #progress: StreamProgress;
   #attempts = 0;
@@ -115,6 +121,8 @@
     this.#prompt = prompt;
     this.#reader = new PromptReader(ctx, req, prompt);
     this.#expectedOutput = ctx.estimateOf(req.route.name).expect(prompt);
+    this.#waitedBeforeMs = ctx.earlierWaitOf(req.route.name)
+      .observe(req.facts.deadlineMs);
     this.#progress = {
       events: 0,
       lastEventId: req.facts.lastEventId,
@@ -159,9 +167,13 @@
 
   /** Reserves memory and has the prompt read, or ends the request. */
   async #prepare(signal: AbortSignal): Promise<Placement | RunOutcome> {
+    const startMs = this.#ctx.clock.now();
     const room = this.#spareRoom ?? await this.#findRoom(signal);
     this.#spareRoom = undefined;
     if (signal.aborted) return this.#ended(room);
+    this.#ctx.metrics.roomWait.observe(
+      (this.#ctx.clock.now() - startMs) / 1000,
+    );
     if (!room) return this.#noRoom();
     const read = this.#unusedRead ?? await this.#readPrompt(signal);
     this.#unusedRead = undefined;
@@ -177,11 +189,12 @@
   #findRoom(signal: AbortSignal): Promise<Room | undefined> {
     const { req, ctx } = { req: this.#req, ctx: this.#ctx };
     const stepsMs = this.#reader.plan().expectedMs + FIRST_EVENT_MS;
-    const onTimeUntilMs = req.arrivedMs + req.route.targetLatencyMs - stepsMs;
-    const untilMs = Math.min(
-      onTimeUntilMs,
-      req.arrivedMs + ctx.policy.maxRoomWaitMs,
-    );
+    const onTimeUntilMs = req.arrivedMs - this.#waitedBeforeMs +
+      req.route.targetLatencyMs - stepsMs;
+    const late = onTimeUntilMs < ctx.clock.now();
+    const waitMs = late ? LATE_ROOM_WAIT_MS : ctx.policy.maxRoomWaitMs;
+    const untilMs = req.arrivedMs +
+      Math.min(waitMs, remainingMs(ctx, req) * LONGEST_WAIT_SHARE);
     return this.#rooms.acquire({
       requestId: req.facts.requestId,
       priority: req.route.priority,
