fix(gateway): retry allowance after a restart; engines that turn down what they granted

Change: a first window spends a quarter of the share, later ones 0.7; the engine is excluded for the request and ejected when it does so twice in a row; a prefill engine's result counts as good only when it was taken.

--- a/packages/gateway/src/decide/__tests__/retry_allowance_test.ts
+++ b/packages/gateway/src/decide/__tests__/retry_allowance_test.ts
@@ -10,6 +10,7 @@
     windowMs: 10_000,
     entries: () => entries,
     clock,
+    startMs: -20_000,
   };
   return { clock, allowance: new RetryAllowance(options) };
 }
@@ -37,3 +38,15 @@
   expect(allowance.available).toBeGreaterThan(0);
   expect(allowance.available).toBeLessThan(first);
 });
+
+test("a life that has just begun leaves what the one before may have spent", () => {
+  const clock = new ManualClock(0);
+  const options = { ratio: 0.2, slack: 52, windowMs: 10_000, clock };
+  const entries = () => 1;
+  const before = new RetryAllowance({ ...options, entries, startMs: -20_000 });
+  const after = new RetryAllowance({ ...options, entries, startMs: 0 });
+  let taken = 0;
+  while (before.take()) taken += 1;
+  while (after.take()) taken += 1;
+  expect(taken).toBeLessThanOrEqual(52);
+});
--- a/packages/gateway/src/decide/retry_allowance.ts
+++ b/packages/gateway/src/decide/retry_allowance.ts
@@ -13,21 +13,30 @@
   /** Repeated calls in each window beyond the ratio, over all entries. */
   slack: number;
   windowMs: number;
+  /** Start of the process, in milliseconds of its clock. */
+  startMs: number;
   /** Entries that share the slack. */
   entries: () => number;
 }
 
 /** Part of the allowance that is spent, as windows of entries don't align. */
-const SPENT_SHARE = 0.8;
+const SPENT_SHARE = 0.7;
+/**
+ * The same in a process's first window: the life before it may have spent its
+ * share, and all entries may have started at once.
+ */
+const FIRST_SPENT_SHARE = 0.25;
 
 /** Counts requests and repeated calls of one service. */
 export class RetryAllowance {
   readonly #options: RetryAllowanceOptions;
+  readonly #startMs: number;
   readonly #requests: number[] = [];
   readonly #repeats: number[] = [];
 
   constructor(options: RetryAllowanceOptions) {
     this.#options = options;
+    this.#startMs = options.startMs;
   }
 
   /** Counts a request of a caller. */
@@ -40,7 +49,7 @@
     const { ratio, slack, entries } = this.#options;
     this.#trim();
     const allowed = ratio * this.#requests.length + slack / entries();
-    return Math.floor(allowed * SPENT_SHARE) - this.#repeats.length;
+    return Math.floor(allowed * this.#share()) - this.#repeats.length;
   }
 
   /** Takes one repeated call; false when none is left. */
@@ -50,6 +59,12 @@
     return true;
   }
 
+  #share(): number {
+    const { clock, windowMs } = this.#options;
+    const first = clock.now() - this.#startMs < windowMs;
+    return first ? FIRST_SPENT_SHARE : SPENT_SHARE;
+  }
+
   #trim(): void {
     const startMs = this.#options.clock.now() - this.#options.windowMs;
     dropBefore(this.#requests, startMs);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,6 @@
 import { pickService } from "./config/route_index.ts";
 import { RouteKind } from "./config/routing_table.ts";
 import { HealthBook } from "./decide/backend_health.ts";
-import { EarlierWait } from "./decide/earlier_wait.ts";
 import { EngineBook } from "./decide/engine_book.ts";
 import { OutputEstimate } from "./decide/output_estimate.ts";
 import type { StageWork } from "./decide/stage_plan.ts";
@@ -65,16 +64,17 @@
   readonly #rooms = new Map<string, DecodeRooms>();
   readonly #allowances = new Map<string, RetryAllowance>();
   readonly #estimates = new Map<string, OutputEstimate>();
-  readonly #earlierWaits = new Map<string, EarlierWait>();
   readonly #work = new Map<string, StageWork>();
   #leavingSinceMs: number | undefined;
   /** Entries that share the retry allowance. */
   #entries: number;
+  readonly #startMs: number;
 
   constructor(options: GatewayOptions) {
     const { clock, log, random } = options;
     const policy = resolveGatewayPolicy(options.policy);
     this.#entries = policy.entries;
+    this.#startMs = clock.now();
     this.config = new ConfigHolder(clock, log);
     this.directory = new BackendDirectory({ clock, log });
     this.metrics = createGatewayMetrics();
@@ -97,8 +97,6 @@
       allowanceOf: (service) => this.#allowanceOf(service),
       estimateOf: (route) =>
         getOrCreate(this.#estimates, route, () => new OutputEstimate()),
-      earlierWaitOf: (route) =>
-        getOrCreate(this.#earlierWaits, route, () => new EarlierWait()),
       workOf: (service) => this.workOf(service),
     };
     this.ingress = new Ingress({
@@ -161,6 +159,7 @@
         ratio: policy.retryRatio,
         slack: policy.retrySlack,
         windowMs: policy.retryWindowMs,
+        startMs: this.#startMs,
         entries: () => this.#entries,
       });
     return getOrCreate(this.#allowances, service, create);
--- a/packages/gateway/src/runs/decode_room.ts
+++ b/packages/gateway/src/runs/decode_room.ts
@@ -38,11 +38,6 @@
   settle(room: Room | undefined): void;
 }
 
-/**
- * Time without a refusal before a request that is late anyway is placed, in
- * milliseconds: memory that runs short goes to those that can be on time.
- */
-const CALM_MS = 300;
 /** Pause between two rounds of asking while requests wait, in milliseconds. */
 const ASK_PAUSE_MS = 15;
 /** Life of a reservation, in milliseconds; prompts are read within it. */
@@ -54,7 +49,6 @@
   readonly #service: Service;
   readonly #waiting = new Set<Waiting>();
   #asking = false;
-  #refusedAtMs = -Infinity;
 
   constructor(ctx: RunContext, service: Service) {
     this.#ctx = ctx;
@@ -68,7 +62,7 @@
 
   /** A place, or undefined when there is none in time. */
   async acquire(req: RoomRequest): Promise<Room | undefined> {
-    if (this.#waiting.size === 0 && this.#mayAsk(req)) {
+    if (this.#waiting.size === 0) {
       const room = await this.#ask(req);
       if (room || req.signal.aborted) return room;
     }
@@ -99,7 +93,7 @@
       this.#expire();
       const next = nextWaiter(this.#waiting, this.#ctx.clock.now());
       if (!next) break;
-      const room = this.#mayAsk(next) ? await this.#ask(next) : undefined;
+      const room = await this.#ask(next);
       if (room) {
         if (this.#waiting.has(next)) next.settle(room);
         else this.giveBack(room);
@@ -110,12 +104,6 @@
     this.#asking = false;
   }
 
-  /** False for a late request while engines turn requests away. */
-  #mayAsk(req: RoomRequest): boolean {
-    const nowMs = this.#ctx.clock.now();
-    return req.onTimeUntilMs >= nowMs || nowMs - this.#refusedAtMs >= CALM_MS;
-  }
-
   #expire(): void {
     const nowMs = this.#ctx.clock.now();
     for (const waiting of [...this.#waiting]) {
@@ -174,13 +162,8 @@
       return undefined;
     }
     release();
-    if (result.end === HoldEnd.NoRoom) {
-      this.#refusedAtMs = ctx.clock.now();
-      ctx.book.refused(key, req.tokens);
-    }
-    {
-      this.#unreachable(engine, result.message ?? "");
-    }
+    if (result.end === HoldEnd.NoRoom) ctx.book.refused(key, req.tokens);
+    else this.#unreachable(engine, result.message ?? "");
     return undefined;
   }
 
--- a/packages/gateway/src/runs/prompt_read.ts
+++ b/packages/gateway/src/runs/prompt_read.ts
@@ -70,6 +70,11 @@
     return undefined;
   }
 
+  /** A result counts for its engine only when a decode engine took it. */
+  taken(engine: Backend): void {
+    this.#ctx.health.record(incarnationOf(engine), CallVerdict.Good, 0, []);
+  }
+
   /** An engine whose result could not be taken isn't asked again. */
   exclude(engine: Backend): void {
     const key = incarnationOf(engine);
@@ -160,7 +165,6 @@
 
   #good(key: string, elapsedMs: number, ownMs: number): void {
     const ctx = this.#ctx;
-    ctx.health.record(key, CallVerdict.Good, elapsedMs, []);
     const ownQueueMs = ctx.book.of(key).readingTokens /
       ctx.policy.readTokensPerMs;
     ctx.book.recordReadDelay(key, elapsedMs - ownMs - ownQueueMs);
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -5,7 +5,6 @@
 import type { Route, Service } from "../config/routing_table.ts";
 import type { EngineBook } from "../decide/engine_book.ts";
 import type { HealthBook } from "../decide/backend_health.ts";
-import type { EarlierWait } from "../decide/earlier_wait.ts";
 import type { OutputEstimate } from "../decide/output_estimate.ts";
 import type { StageWork } from "../decide/stage_plan.ts";
 import type { RetryAllowance } from "../decide/retry_allowance.ts";
@@ -189,7 +188,6 @@
   activeStreams: Map<string, Set<ActiveStream>>;
   allowanceOf(service: string): RetryAllowance;
   estimateOf(route: string): OutputEstimate;
-  earlierWaitOf(route: string): EarlierWait;
   workOf(service: string): StageWork;
 }
 
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -49,16 +49,12 @@
 /** Engines that one request is placed at in turn. */
 const MAX_PLACEMENTS = 4;
 /** Wait that a rejected caller is told, on average, in milliseconds. */
-const BUSY_MS = 3_000;
+const BUSY_MS = 3_200;
 /** A run that ends within this time stays at an engine that leaves, in ms. */
 const LEAVING_ENGINE_MS = 1_200;
 /** Part of a read prompt's life in which another engine may still take it. */
 const REUSABLE_SHARE = 0.7;
 const STATUS_MISDIRECTED = 421;
-/** Longest wait for memory of a request that is late anyway, in ms. */
-const LATE_ROOM_WAIT_MS = 2_000;
-/** Part of its remaining time that a request waits for memory. */
-const LONGEST_WAIT_SHARE = 0.25;
 const NO_ENGINE_BUSY_MS = 1_000;
 
 /** Where a generation runs next, and where its memory lies. */
@@ -91,8 +87,6 @@
   readonly #prompt: PromptShape;
   readonly #reader: PromptReader;
   readonly #expectedOutput: number;
-  /** How long the caller has waited for earlier tries, in milliseconds. */
-  readonly #waitedBeforeMs: number;
   readonly #excluded = new Set<string>();
   readonly #progress: StreamProgress;
   #attempts = 0;
@@ -121,8 +115,6 @@
     this.#prompt = prompt;
     this.#reader = new PromptReader(ctx, req, prompt);
     this.#expectedOutput = ctx.estimateOf(req.route.name).expect(prompt);
-    this.#waitedBeforeMs = ctx.earlierWaitOf(req.route.name)
-      .observe(req.facts.deadlineMs);
     this.#progress = {
       events: 0,
       lastEventId: req.facts.lastEventId,
@@ -189,12 +181,11 @@
   #findRoom(signal: AbortSignal): Promise<Room | undefined> {
     const { req, ctx } = { req: this.#req, ctx: this.#ctx };
     const stepsMs = this.#reader.plan().expectedMs + FIRST_EVENT_MS;
-    const onTimeUntilMs = req.arrivedMs - this.#waitedBeforeMs +
-      req.route.targetLatencyMs - stepsMs;
-    const late = onTimeUntilMs < ctx.clock.now();
-    const waitMs = late ? LATE_ROOM_WAIT_MS : ctx.policy.maxRoomWaitMs;
-    const untilMs = req.arrivedMs +
-      Math.min(waitMs, remainingMs(ctx, req) * LONGEST_WAIT_SHARE);
+    const onTimeUntilMs = req.arrivedMs + req.route.targetLatencyMs - stepsMs;
+    const untilMs = Math.min(
+      onTimeUntilMs,
+      req.arrivedMs + ctx.policy.maxRoomWaitMs,
+    );
     return this.#rooms.acquire({
       requestId: req.facts.requestId,
       priority: req.route.priority,
@@ -392,7 +383,8 @@
     placement: Placement,
     signal: AbortSignal,
   ): Promise<RunOutcome | undefined> {
-    const { room } = placement;
+    const { room, read } = placement;
+    if (read && result.events > 0) this.#reader.taken(read.engine);
     if (result.end === StreamEnd.Complete) {
       this.#recordHealth(result, room);
       return this.#complete();
@@ -436,7 +428,8 @@
       noteMisdirected(this.#ctx, room.engine, facts.backendId);
     }
     const untouched = misdirected || result.status === 0;
-    if (untouched) this.#excluded.add(incarnationOf(room.engine));
+    if (untouched || !source) this.#excluded.add(incarnationOf(room.engine));
+    if (!untouched) this.#countTurnedDown(room.engine);
     if (read) this.#keepOrDrop(read, untouched);
     if (room.holdId) this.#ctx.engines.dropHold(room.engine, room.holdId);
     // A run that was moved can't begin again unless it may be resumed.
@@ -446,6 +439,16 @@
       : undefined;
   }
 
+  /**
+   * A decode engine that granted memory and turns the request down may be
+   * changing its stage, or the prompt's memory is gone where it was read. Both
+   * engines are suspected; one that fails with others too is ejected.
+   */
+  #countTurnedDown(engine: Backend): void {
+    const { health } = this.#ctx;
+    health.record(incarnationOf(engine), CallVerdict.Silent, 0, []);
+  }
+
   /** Keeps a read prompt for the next engine while it can still be taken. */
   #keepOrDrop(read: ReadPrompt, untouched: boolean): void {
     const ageMs = this.#ctx.clock.now() - read.readAtMs;
