feat(gateway): several stage changes under one lease

Cause: on the grown sites 13 of 36 engines read prompts and 10 fit the work; one order in nine seconds left four changes for the time of traffic. Change: all changes at once while nothing was served, a tenth of the engines under load.

--- a/packages/gateway/src/balance/stage_balancer.ts
+++ b/packages/gateway/src/balance/stage_balancer.ts
@@ -7,7 +7,11 @@
 import { type Backend, EngineStage } from "../backends/backend.ts";
 import type { BackendDirectory } from "../backends/directory.ts";
 import type { Service } from "../config/routing_table.ts";
-import { planStageChange, type StageWork } from "../decide/stage_plan.ts";
+import {
+  planStageChanges,
+  type StageChange,
+  type StageWork,
+} from "../decide/stage_plan.ts";
 
 /** The right to give orders for a short time. */
 export interface OrderLease {
@@ -17,9 +21,9 @@
   validUntilMs: number;
 }
 
-/** A change that a lease was taken for, as other entries see it. */
+/** Changes that a lease was taken for, as other entries see it. */
 export interface OrderPurpose {
-  engineId: string;
+  engineIds: readonly string[];
   stage: EngineStage;
   /** Nobody else orders for this long, in milliseconds. */
   settleMs: number;
@@ -27,7 +31,7 @@
 
 /** Where leases are kept. */
 export interface OrderLeases {
-  /** Takes the lease for one order; undefined while another one holds. */
+  /** Takes the lease for a few orders; undefined while another one holds. */
   acquire(
     purpose: OrderPurpose,
     signal: AbortSignal,
@@ -70,6 +74,8 @@
 const LASTING_MS = 8_000;
 /** Enough for the store to list every engine after a start, in milliseconds. */
 const FIRST_LASTING_MS = 700;
+/** Share of a service's engines that change at once while it is used. */
+const MOST_SHARE = 0.1;
 /** Time beyond a change of stage until the store lists it, in milliseconds. */
 const LISTING_MS = 3_000;
 
@@ -96,11 +102,13 @@
   async #check(service: Service, signal: AbortSignal): Promise<void> {
     const { clock, directory, workOf } = this.#options;
     const work = workOf(service.name);
-    const change = planStageChange({
-      engines: directory.ready(service.name),
-      work,
-    });
-    if (!change || signal.aborted) {
+    const idle = work.readMs + work.decodeMs === 0;
+    const engines = directory.ready(service.name);
+    const most = idle
+      ? engines.length
+      : Math.max(1, Math.floor(engines.length * MOST_SHARE));
+    const changes = planStageChanges({ engines, work }, most);
+    if (changes.length === 0 || signal.aborted) {
       this.#wantedSince.delete(service.name);
       return;
     }
@@ -108,24 +116,35 @@
     if (nowMs < (this.#settledAt.get(service.name) ?? 0)) return;
     const sinceMs = this.#wantedSince.get(service.name) ?? nowMs;
     this.#wantedSince.set(service.name, sinceMs);
-    const idle = work.readMs + work.decodeMs === 0;
     if (nowMs - sinceMs < (idle ? FIRST_LASTING_MS : LASTING_MS)) return;
-    await this.#order(service, change.engine, change.stage, signal);
+    await this.#order(service, changes, signal);
   }
 
   async #order(
     service: Service,
-    engine: Backend,
-    stage: EngineStage,
+    changes: readonly StageChange[],
     signal: AbortSignal,
   ): Promise<void> {
-    const { clock, leases, log, orders } = this.#options;
+    const { clock, leases } = this.#options;
+    const [first] = changes;
+    if (!first) return;
     const settleMs = (service.engine?.stageSwitchMs ?? 0) + LISTING_MS;
-    const purpose = { engineId: engine.id, stage, settleMs };
+    const engineIds = changes.map((change) => change.engine.id);
+    const purpose = { engineIds, stage: first.stage, settleMs };
     const lease = await leases.acquire(purpose, signal);
     if (!lease || signal.aborted) return;
     this.#settledAt.set(service.name, clock.now() + settleMs);
     this.#wantedSince.delete(service.name);
+    const sent = changes.map((change) => this.#send(change, lease, signal));
+    await Promise.all(sent);
+  }
+
+  async #send(
+    { engine, stage }: StageChange,
+    lease: OrderLease,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock, log, orders } = this.#options;
     if (clock.now() > lease.validUntilMs) {
       log("order_lease_expired", { backend: engine.id });
       return;
@@ -133,7 +152,7 @@
     const end = await orders.order(engine, stage, lease.fencingToken, signal);
     log("stage_order", {
       backend: engine.id,
-      service: service.name,
+      service: engine.service,
       stage,
       end,
       fencing_token: lease.fencingToken,
--- a/packages/gateway/src/decide/__tests__/plans_test.ts
+++ b/packages/gateway/src/decide/__tests__/plans_test.ts
@@ -8,7 +8,7 @@
 import { planRead, ReadPlace } from "../read_plan.ts";
 import { returnAfterMs } from "../return_time.ts";
 import { nextWaiter } from "../room_order.ts";
-import { planStageChange } from "../stage_plan.ts";
+import { planStageChange, planStageChanges } from "../stage_plan.ts";
 
 describe("who reads a prompt", () => {
   test.each([
@@ -78,14 +78,20 @@
     expect(change?.stage).toBe(stage);
   });
 
-  test("repeated changes settle", () => {
+  test("several changes go one way, and settle", () => {
     const all = engines(13, 23);
-    for (let i = 0; i < 40; i += 1) {
-      const change = planStageChange({ engines: all, work: none });
-      if (!change) break;
-      change.engine.stage = change.stage;
-    }
+    const changes = planStageChanges({ engines: all, work: none }, 36);
+    expect(changes.length).toBeGreaterThan(1);
+    expect(new Set(changes.map((it) => it.stage))).toEqual(
+      new Set([EngineStage.Decode]),
+    );
+    expect(new Set(changes.map((it) => it.engine.id)).size).toBe(
+      changes.length,
+    );
+    for (const change of changes) change.engine.stage = change.stage;
     expect(planStageChange({ engines: all, work: none })).toBeUndefined();
+    expect(planStageChanges({ engines: engines(13, 23), work: none }, 2))
+      .toHaveLength(2);
   });
 });
 
--- a/packages/gateway/src/decide/stage_plan.ts
+++ b/packages/gateway/src/decide/stage_plan.ts
@@ -61,6 +61,23 @@
   return undefined;
 }
 
+/** The changes to one stage that are due now, `most` at the most. */
+export function planStageChanges(
+  inputs: StagePlanInputs,
+  most: number,
+): StageChange[] {
+  const changes: StageChange[] = [];
+  let { engines } = inputs;
+  while (changes.length < most) {
+    const next = planStageChange({ ...inputs, engines });
+    if (!next) break;
+    changes.push(next);
+    const { engine, stage } = next;
+    engines = engines.map((it) => it === engine ? { ...it, stage } : it);
+  }
+  return changes;
+}
+
 function ofStage(engines: readonly Backend[], stage: EngineStage): Backend[] {
   return engines.filter((engine) => engine.stage === stage);
 }
