--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -540,7 +540,18 @@
 
   #noRoom(): RunOutcome {
     const engines = this.#ctx.directory.ready(this.#req.service.name);
-    const none = !engines.some((item) => item.stage === EngineStage.Decode);
+    const decoders = engines.filter((item) =>
+      item.stage === EngineStage.Decode
+    );
+    const none = decoders.length === 0;
+    this.#ctx.log("no_room", {
+      req: this.#req.facts.requestId,
+      tokens: this.#tokensToReserve(),
+      decode_engines: decoders.length,
+      waiting: this.#rooms.waiting,
+      age_ms: Math.round(ageMs(this.#ctx, this.#req)),
+      read_ms: Math.round(this.#reader.plan().expectedMs),
+    });
     if (none && this.#attempts === 0) {
       const reason = RunReason.NoBackend;
       return refuse(this.#ctx, this.#req, reason, NO_ENGINE_BUSY_MS);
