--- a/packages/gateway/src/balance/__tests__/stage_balancer_test.ts
+++ b/packages/gateway/src/balance/__tests__/stage_balancer_test.ts
@@ -41,15 +41,17 @@
   stop = new AbortController();
 });
 
-function start(lease: (clock: ManualClock) => OrderLease | undefined) {
+function start(
+  lease: (clock: ManualClock) => OrderLease | undefined,
+  listed = 6,
+) {
   const clock = new ManualClock(0);
   const log = () => {};
   const directory = new BackendDirectory({ clock, log });
-  directory.reset(
-    [0, 1, 2, 3, 4, 5].map((index) =>
-      engine(index, index < 3 ? EngineStage.Prefill : EngineStage.Decode)
-    ),
+  const all = [0, 1, 2, 3, 4, 5].map((index) =>
+    engine(index, index < 3 ? EngineStage.Prefill : EngineStage.Decode)
   );
+  directory.reset(all.slice(0, listed));
   const orders: string[] = [];
   const balancer = new StageBalancer({
     clock,
@@ -67,7 +69,7 @@
     jitterMs: () => -490,
   });
   void balancer.run(stop.signal);
-  return { clock, orders };
+  return { clock, directory, orders };
 }
 
 /** Lets the balancer check several times at each step of the clock. */
@@ -87,6 +89,21 @@
   expect(orders).toEqual(["e0 decode 41"]);
 });
 
+test("nothing is ordered while engines still join", async () => {
+  const { clock, directory, orders } = start((now) => ({
+    fencingToken: 41,
+    validUntilMs: now.now() + 1_500,
+  }), 4);
+  await pass(clock, 1_000);
+  directory.put(engine(4, EngineStage.Decode));
+  await pass(clock, 1_000);
+  directory.put(engine(5, EngineStage.Decode));
+  await pass(clock, 1_000);
+  expect(orders).toEqual([]);
+  await pass(clock, 2_000);
+  expect(orders).toEqual(["e0 decode 41"]);
+});
+
 test("without the lease nothing is ordered", async () => {
   const { clock, orders } = start(() => undefined);
   await pass(clock, 3_000);
--- a/packages/gateway/src/balance/stage_balancer.ts
+++ b/packages/gateway/src/balance/stage_balancer.ts
@@ -72,8 +72,8 @@
 const CHECK_MS = 500;
 /** A difference has to last this long while requests are served, in ms. */
 const LASTING_MS = 8_000;
-/** Enough for the store to list every engine after a start, in milliseconds. */
-const FIRST_LASTING_MS = 700;
+/** No engine has joined for this long after a start, in milliseconds. */
+const FIRST_LASTING_MS = 1_500;
 /** Share of a service's engines that change at once while it is used. */
 const MOST_SHARE = 0.1;
 /** Time beyond a change of stage until the store lists it, in milliseconds. */
@@ -82,7 +82,10 @@
 /** Owner of the decisions about stages. */
 export class StageBalancer {
   readonly #options: StageBalancerOptions;
-  readonly #wantedSince = new Map<string, number>();
+  readonly #wantedSince = new Map<
+    string,
+    { members: string; sinceMs: number }
+  >();
   readonly #settledAt = new Map<string, number>();
 
   constructor(options: StageBalancerOptions) {
@@ -114,12 +117,21 @@
     }
     const nowMs = clock.now();
     if (nowMs < (this.#settledAt.get(service.name) ?? 0)) return;
-    const sinceMs = this.#wantedSince.get(service.name) ?? nowMs;
-    this.#wantedSince.set(service.name, sinceMs);
+    const sinceMs = this.#wantedSinceMs(service.name, engines);
     if (nowMs - sinceMs < (idle ? FIRST_LASTING_MS : LASTING_MS)) return;
     await this.#order(service, changes, signal);
   }
 
+  /** Since when a change is wanted with these very engines. */
+  #wantedSinceMs(service: string, engines: readonly Backend[]): number {
+    const members = engines.map((engine) => engine.id).sort().join();
+    const known = this.#wantedSince.get(service);
+    if (known?.members === members) return known.sinceMs;
+    const sinceMs = this.#options.clock.now();
+    this.#wantedSince.set(service, { members, sinceMs });
+    return sinceMs;
+  }
+
   async #order(
     service: Service,
     changes: readonly StageChange[],
--- a/packages/gateway/src/policy.ts
+++ b/packages/gateway/src/policy.ts
@@ -12,7 +12,7 @@
   entries?: number;
   /** Longest wait for memory of a decode engine, in milliseconds. @default 250 */
   maxRoomWaitMs?: number;
-  /** Expected output for which memory is reserved, as a share. @default 1 */
+  /** Expected output for which memory is reserved, as a share. @default 1.25 */
   outputReserveRatio?: number;
   /** Speed at which a prefill engine reads, in tokens a millisecond. @default 30 */
   readTokensPerMs?: number;
@@ -32,7 +32,7 @@
     retryWindowMs: raw.retryWindowMs ?? 10_000,
     entries: raw.entries ?? 16,
     maxRoomWaitMs: raw.maxRoomWaitMs ?? 250,
-    outputReserveRatio: raw.outputReserveRatio ?? 1,
+    outputReserveRatio: raw.outputReserveRatio ?? 1.25,
     readTokensPerMs: raw.readTokensPerMs ?? 30,
     maxRoomAsks: raw.maxRoomAsks ?? 8,
   };
