refactor(gateway): size, progress and moves of a generation in files of their own

Also: a fault inside a run answers 502 and is logged; before, the request waited for ever (found when an unbound name hung the tests).

--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -11,7 +11,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { Logger } from "@sassafrascleat/runtime";
+import { errorMessage, type Logger } from "@sassafrascleat/runtime";
 import type { CallerLimits } from "../config/routing_table.ts";
 import { HttpResponder } from "./responder.ts";
 import type { RawHeaders } from "./wire_codec.ts";
@@ -52,6 +52,7 @@
 /** Idle connections stay open this much longer than callers use them. */
 const IDLE_MARGIN_MS = 1_000;
 const BODY_TIMEOUT_MS = 20_000;
+const STATUS_BAD_GATEWAY = 502;
 const STATUS_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
 
@@ -149,7 +150,7 @@
       responder.reply(STATUS_TOO_LARGE, ["Connection", "close"]);
       return;
     }
-    await this.#options.handler({
+    const whole = {
       method: req.method ?? "GET",
       target: req.url ?? "/",
       host: req.headers.host ?? "",
@@ -158,7 +159,20 @@
       arrivedMs,
       signal: controller.signal,
       responder,
+    };
+    await this.#options.handler(whole).catch((err) =>
+      this.#crashed(whole, err)
+    );
+  }
+
+  /** A fault of the gateway costs the one request, not the process. */
+  #crashed(req: IngressRequest, err: unknown): void {
+    this.#options.log("request_crashed", {
+      target: req.target,
+      message: errorMessage(err),
     });
+    if (req.responder.started) req.responder.breakOff();
+    else req.responder.reply(STATUS_BAD_GATEWAY, []);
   }
 
   /** The whole body; undefined when it is too large. */
--- a/packages/gateway/src/runs/decode_stream.ts
+++ b/packages/gateway/src/runs/decode_stream.ts
@@ -8,6 +8,7 @@
 import { EventSplitter } from "../http/event_splitter.ts";
 import { CallFailure, type UpstreamFlow } from "../http/upstream.ts";
 import type { Directives, RawHeaders } from "../http/wire_codec.ts";
+import type { StreamProgress } from "./generation.ts";
 import { judgeReply, ReplyVerdict } from "./reply_verdict.ts";
 import type { CallerRequest, RunContext } from "./run_context.ts";
 
@@ -38,16 +39,6 @@
   message: string;
 }
 
-/** State of the answer that outlives one engine. */
-export interface StreamProgress {
-  /** Events passed on to the caller. */
-  events: number;
-  /** Id of the last event passed on. */
-  lastEventId: string | undefined;
-  firstEventAtMs: number | undefined;
-  lastEventAtMs: number | undefined;
-}
-
 /** Options of one stream. */
 export interface DecodeStreamOptions {
   engine: Backend;
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -10,18 +10,17 @@
   EngineStage,
   incarnationOf,
 } from "../backends/backend.ts";
-import type { EngineCapacity } from "../config/routing_table.ts";
 import { CallVerdict } from "../decide/backend_health.ts";
-import { orderDecodeEngines } from "../decide/engine_placement.ts";
 import { ReadPlace } from "../decide/read_plan.ts";
-import type { KvSource, PromptShape } from "../http/wire_codec.ts";
+import type { KvSource } from "../http/wire_codec.ts";
 import type { DecodeRooms, Room } from "./decode_room.ts";
 import {
   runDecodeStream,
   StreamEnd,
-  type StreamProgress,
   type StreamResult,
 } from "./decode_stream.ts";
+import { Generation } from "./generation.ts";
+import { moveAway, watchEngine } from "./run_move.ts";
 import {
   PromptReader,
   READ_OVERHEAD_MS,
@@ -31,7 +30,6 @@
 import {
   ageMs,
   type CallerRequest,
-  MoveEnd,
   noteMisdirected,
   remainingMs,
   type RunContext,
@@ -50,8 +48,6 @@
 const MAX_PLACEMENTS = 4;
 /** Wait that a rejected caller is told, on average, in milliseconds. */
 const BUSY_MS = 3_200;
-/** A run that ends within this time stays at an engine that leaves, in ms. */
-const LEAVING_ENGINE_MS = 1_200;
 /** Part of a read prompt's life in which another engine may still take it. */
 const REUSABLE_SHARE = 0.7;
 const STATUS_MISDIRECTED = 421;
@@ -76,19 +72,19 @@
   if (!capacity || !prompt) {
     return Promise.resolve(refuse(ctx, req, RunReason.NoBackend, BUSY_MS));
   }
-  return new StreamRun(ctx, req, rooms, capacity, prompt).run();
+  const expected = ctx.estimateOf(req.route.name).expect(prompt);
+  const { lastEventId } = req.facts;
+  const generation = new Generation(prompt, capacity, expected, lastEventId);
+  return new StreamRun(ctx, req, rooms, generation).run();
 }
 
 class StreamRun {
   readonly #ctx: RunContext;
   readonly #req: CallerRequest;
   readonly #rooms: DecodeRooms;
-  readonly #capacity: EngineCapacity;
-  readonly #prompt: PromptShape;
   readonly #reader: PromptReader;
-  readonly #expectedOutput: number;
   readonly #excluded = new Set<string>();
-  readonly #progress: StreamProgress;
+  readonly #generation: Generation;
   #attempts = 0;
   #sends = 0;
   #lastBackend: string | undefined;
@@ -105,28 +101,21 @@
     ctx: RunContext,
     req: CallerRequest,
     rooms: DecodeRooms,
-    capacity: EngineCapacity,
-    prompt: PromptShape,
+    generation: Generation,
   ) {
     this.#ctx = ctx;
     this.#req = req;
     this.#rooms = rooms;
-    this.#capacity = capacity;
-    this.#prompt = prompt;
-    this.#reader = new PromptReader(ctx, req, prompt);
-    this.#expectedOutput = ctx.estimateOf(req.route.name).expect(prompt);
-    this.#progress = {
-      events: 0,
-      lastEventId: req.facts.lastEventId,
-      firstEventAtMs: undefined,
-      lastEventAtMs: undefined,
-    };
+    this.#reader = new PromptReader(ctx, req, generation.prompt);
+    this.#generation = generation;
   }
 
   async run(): Promise<RunOutcome> {
     const ctx = this.#ctx;
     ctx.allowanceOf(this.#req.service.name).countRequest();
-    if (this.#prompt.promptTokens > this.#capacity.kvTokens) {
+    if (
+      this.#generation.prompt.promptTokens > this.#generation.capacity.kvTokens
+    ) {
       return refuse(ctx, this.#req, RunReason.TooLarge, BUSY_MS);
     }
     const deadline = new AbortController();
@@ -198,11 +187,8 @@
   }
 
   #tokensToReserve(): number {
-    const made = this.#progress.events * this.#capacity.tokensPerEvent;
-    const output = Math.max(made, this.#expectedOutput) *
-      this.#ctx.policy.outputReserveRatio;
-    const tokens = this.#prompt.promptTokens + output;
-    return Math.min(this.#capacity.kvTokens, Math.ceil(tokens));
+    const ratio = this.#ctx.policy.outputReserveRatio;
+    return this.#generation.tokensToReserve(ratio);
   }
 
   /** The read prompt; undefined when the decode engine has to read it. */
@@ -215,8 +201,8 @@
       });
       return undefined;
     }
-    const made = this.#progress.events * this.#capacity.tokensPerEvent;
-    return await this.#reader.read(this.#progress.lastEventId, made, signal);
+    const { progress, madeTokens } = this.#generation;
+    return await this.#reader.read(progress.lastEventId, madeTokens, signal);
   }
 
   #takeRepeat(cause: string): boolean {
@@ -238,17 +224,19 @@
       req: req.facts.requestId,
       backend: room.engine.id,
       prefill: read?.engine.id,
-      prompt_tokens: this.#prompt.promptTokens,
+      prompt_tokens: this.#generation.prompt.promptTokens,
       reserved_tokens: room.tokens,
       age_ms: Math.round(ageMs(ctx, req)),
       hold_age_ms: Math.round(ctx.clock.now() - room.grantedAtMs),
-      after: this.#progress.lastEventId,
+      after: this.#generation.progress.lastEventId,
       config: req.configVersion,
     });
-    const leave = this.#joinEngine(room.engine, signal);
+    const leave = watchEngine(ctx, room.engine, () => {
+      this.#move ??= moveAway(ctx, req, this.#generation, room.engine, signal);
+    });
     const result = await runDecodeStream(ctx, req, {
       engine: room.engine,
-      progress: this.#progress,
+      progress: this.#generation.progress,
       signal,
       silenceMs: this.#silenceMs(),
       isLost: () => this.#isLost(room.engine, signal),
@@ -258,96 +246,13 @@
         priority: req.route.priority,
         holdId: room.holdId,
         kvSource: source,
-        lastEventId: this.#progress.lastEventId,
+        lastEventId: this.#generation.progress.lastEventId,
       },
     });
     leave();
     return result;
   }
 
-  /** Is told when the engine leaves, until the returned function is called. */
-  #joinEngine(engine: Backend, signal: AbortSignal): () => void {
-    const { activeStreams } = this.#ctx;
-    const key = incarnationOf(engine);
-    const streams = activeStreams.get(key) ?? new Set();
-    activeStreams.set(key, streams);
-    const stream = {
-      engineLeaves: () => {
-        this.#move ??= this.#moveAway(engine, signal);
-      },
-    };
-    streams.add(stream);
-    return () => {
-      streams.delete(stream);
-      if (streams.size === 0) activeStreams.delete(key);
-    };
-  }
-
-  /** Moves the run to another engine when it would outlast this one. */
-  async #moveAway(
-    engine: Backend,
-    signal: AbortSignal,
-  ): Promise<Placement | undefined> {
-    const ctx = this.#ctx;
-    const req = this.#req;
-    if (this.#remainingRunMs() < LEAVING_ENGINE_MS) return undefined;
-    const target = this.#pickTarget();
-    if (!target || !this.#takeRepeat("move")) return undefined;
-    const release = ctx.book.place(incarnationOf(target), this.#tokensNow());
-    const id = req.facts.requestId;
-    const result = await ctx.engines.moveRun(engine, id, target, signal);
-    ctx.log("run_moved", {
-      req: id,
-      from: engine.id,
-      to: target.id,
-      end: result.end,
-      message: result.message,
-      events: this.#progress.events,
-    });
-    const stopped = result.end === MoveEnd.Moved ||
-      result.end === MoveEnd.Stayed;
-    if (!stopped) {
-      release();
-      return undefined;
-    }
-    const room = {
-      engine: result.end === MoveEnd.Moved ? target : engine,
-      tokens: this.#tokensNow(),
-      grantedAtMs: ctx.clock.now(),
-      release,
-    };
-    return { room, source: result.source };
-  }
-
-  /** Expected time until the run ends by itself, in milliseconds. */
-  #remainingRunMs(): number {
-    const { events, firstEventAtMs, lastEventAtMs } = this.#progress;
-    if (firstEventAtMs === undefined || lastEventAtMs === undefined) {
-      return Infinity;
-    }
-    const gapMs = events > 1
-      ? (lastEventAtMs - firstEventAtMs) / (events - 1)
-      : 0;
-    const wanted = this.#expectedOutput / this.#capacity.tokensPerEvent;
-    // What runs longer than expected may go on for as long again.
-    const left = Math.max(wanted - events, events / 2);
-    return left * gapMs;
-  }
-
-  #tokensNow(): number {
-    const made = this.#progress.events * this.#capacity.tokensPerEvent;
-    return this.#prompt.promptTokens + Math.max(made, this.#expectedOutput);
-  }
-
-  #pickTarget(): Backend | undefined {
-    const ctx = this.#ctx;
-    const engines = ctx.directory.ready(this.#req.service.name)
-      .filter((engine) => engine.stage === EngineStage.Decode);
-    const inputs = { ...ctx, nowMs: ctx.clock.now() };
-    const { kvTokens } = this.#capacity;
-    return orderDecodeEngines(engines, this.#tokensNow(), kvTokens, inputs)[0];
-  }
-
   /**
    * True when the engine of a silent stream is gone and the stream can go on
    * elsewhere. Silence alone is no reason: the engine may have put the run off.
@@ -405,7 +310,7 @@
       backend: room.engine.id,
       end: result.end,
       status: result.status,
-      events: this.#progress.events,
+      events: this.#generation.progress.events,
       message: result.message,
     });
     if (result.end === StreamEnd.NotExecuted) {
@@ -452,7 +357,8 @@
   /** Keeps a read prompt for the next engine while it can still be taken. */
   #keepOrDrop(read: ReadPrompt, untouched: boolean): void {
     const ageMs = this.#ctx.clock.now() - read.readAtMs;
-    const lives = ageMs < this.#capacity.handleLifeMs * REUSABLE_SHARE;
+    const lives =
+      ageMs < this.#generation.capacity.handleLifeMs * REUSABLE_SHARE;
     if (untouched && lives) {
       this.#unusedRead = read;
       return;
@@ -480,29 +386,19 @@
   }
 
   #complete(): RunOutcome {
-    const made = this.#progress.events * this.#capacity.tokensPerEvent;
-    if (!this.#req.facts.lastEventId) {
-      this.#ctx.estimateOf(this.#req.route.name).learn(this.#prompt, made);
-    }
-    this.#countWork(made);
-    if (!this.#req.responder.started) {
-      // A stream without events is still a whole answer.
-      this.#req.responder.startStream(200, []);
-    }
-    this.#req.responder.endStream();
-    return this.#outcome(RunEnd.Answered, RunReason.None, 200);
-  }
-
-  /** Engine time of this generation, as shares of whole engines. */
-  #countWork(madeTokens: number): void {
     const { ctx, req } = { ctx: this.#ctx, req: this.#req };
+    const { prompt, madeTokens } = this.#generation;
+    if (!req.facts.lastEventId) {
+      ctx.estimateOf(req.route.name).learn(prompt, madeTokens);
+    }
     const work = ctx.workOf(req.service.name);
-    const tokens = this.#prompt.promptTokens;
-    work.readMs += tokens / ctx.policy.readTokensPerMs + READ_OVERHEAD_MS;
-    const memory = (tokens + madeTokens / 2) / this.#capacity.kvTokens;
-    const share = Math.max(memory, 1 / this.#capacity.slots);
-    const { firstEventAtMs = 0, lastEventAtMs = 0 } = this.#progress;
-    work.decodeMs += share * (lastEventAtMs - firstEventAtMs);
+    work.readMs += prompt.promptTokens / ctx.policy.readTokensPerMs +
+      READ_OVERHEAD_MS;
+    work.decodeMs += this.#generation.decodeWorkMs();
+    // A stream without events is still a whole answer.
+    if (!req.responder.started) req.responder.startStream(200, []);
+    req.responder.endStream();
+    return this.#outcome(RunEnd.Answered, RunReason.None, 200);
   }
 
   #passError(result: StreamResult): RunOutcome {
@@ -520,7 +416,7 @@
       : RunReason.NoAnswer;
     return {
       ...fail(this.#ctx, this.#req, reason, this.#attempts, this.#lastBackend),
-      events: this.#progress.events,
+      events: this.#generation.progress.events,
     };
   }
 
@@ -579,7 +475,7 @@
   }
 
   #outcome(end: RunEnd, reason: RunReason, status: number): RunOutcome {
-    const { firstEventAtMs, events } = this.#progress;
+    const { firstEventAtMs, events } = this.#generation.progress;
     return {
       end,
       reason,
