fix(playground): restarted daemons listen on ports that nobody else is given

Cause: beside load, keyed calls of 'entry killed and store's answer lost' failed with EADDRINUSE: the rig restarted an entry on a port of the kernel's ephemeral range, which an outgoing connection had taken meanwhile. The case after it found no entry and reported struck false, as the issue had seen it. Ruled out: load itself; the pairs before and after it passed in the same run. Change: ports below that range, chosen once; the checks stay as they are.

--- a/playground/src/rig/daemon_process.ts
+++ b/playground/src/rig/daemon_process.ts
@@ -82,11 +82,6 @@
   }
 }
 
-/** The port in a base address. */
-export function portOf(address: string | undefined): number {
-  return Number(new URL(address ?? "").port);
-}
-
 async function writeSettings(settings: SettingsDocument): Promise<string> {
   const folder = await mkdtemp(join(tmpdir(), "sassafrascleat-rig-"));
   const path = join(folder, "settings.json");
--- a/playground/src/rig/rig_backend.ts
+++ b/playground/src/rig/rig_backend.ts
@@ -14,10 +14,10 @@
 } from "@sassafrascleat/testing";
 import {
   type DaemonProcess,
-  portOf,
   type SettingsDocument,
   startDaemonProcess,
 } from "./daemon_process.ts";
+import { fixedPort } from "./fixed_port.ts";
 
 /** The plan of one backend server. */
 export interface BackendPlan {
@@ -127,11 +127,10 @@
   ctx: BackendContext,
 ): Promise<RigBackend> {
   const standIn = await startStandIn(plan, ctx);
-  const first = sidecarSettings(plan, ctx, standIn.address, 0);
-  const process = await startDaemonProcess(first, ctx.env);
-  const targetPort = portOf(process.addresses.system);
-  const proxy = await createFaultProxy({ targetPort });
+  const targetPort = await fixedPort();
   const settings = sidecarSettings(plan, ctx, standIn.address, targetPort);
+  const process = await startDaemonProcess(settings, ctx.env);
+  const proxy = await createFaultProxy({ targetPort });
   const listed = {
     ...plan,
     office: ctx.office,
--- a/playground/src/rig/rig_entry.ts
+++ b/playground/src/rig/rig_entry.ts
@@ -2,10 +2,10 @@
 import { createFaultProxy, type FaultProxy } from "@sassafrascleat/testing";
 import {
   type DaemonProcess,
-  portOf,
   type SettingsDocument,
   startDaemonProcess,
 } from "./daemon_process.ts";
+import { fixedPort } from "./fixed_port.ts";
 
 /** The plan of one entry. */
 export interface EntryPlan {
@@ -95,16 +95,14 @@
   env: Record<string, string>,
 ): Promise<RigEntry> {
   const storeProxy = await createFaultProxy({ targetPort: plan.storePort });
-  const anyPort = { callers: 0, operators: 0, system: 0 };
-  const first = entrySettings(plan, storeProxy.address, anyPort);
-  const process = await startDaemonProcess(first, env);
   const ports = {
-    callers: portOf(process.addresses.callers),
-    operators: portOf(process.addresses.operators),
-    system: portOf(process.addresses.system),
+    callers: await fixedPort(),
+    operators: await fixedPort(),
+    system: await fixedPort(),
   };
-  const callerProxy = await createFaultProxy({ targetPort: ports.callers });
   const settings = entrySettings(plan, storeProxy.address, ports);
+  const process = await startDaemonProcess(settings, env);
+  const callerProxy = await createFaultProxy({ targetPort: ports.callers });
   const parts = { storeProxy, callerProxy, process };
   return new RigEntry(plan, parts, settings, env);
 }
