refactor(gateway): one copy of four things that stood two to four times

Cause: a read of the whole change. Statuses that promise 'not run' stood in the verdict and in the stream's run; taking a repeated call with its counter in four runs; engines of one stage were filtered in four places. Change: promisesNotRun, takeRepeat, BackendDirectory.readyAt. Behaviour and tests are unchanged.

--- a/packages/gateway/src/backends/directory.ts
+++ b/packages/gateway/src/backends/directory.ts
@@ -5,7 +5,12 @@
  * grace, within which a live owner is listed again.
  */
 import type { Clock, Logger } from "@sassafrascleat/runtime";
-import { type Backend, BackendState, incarnationOf } from "./backend.ts";
+import {
+  type Backend,
+  BackendState,
+  type EngineStage,
+  incarnationOf,
+} from "./backend.ts";
 
 /** Why a backend server left the directory, or that it joined. */
 export enum DirectoryChange {
@@ -67,6 +72,11 @@
     return this.#byService.get(service) ?? [];
   }
 
+  /** Engines of a service at one stage that take new work. */
+  readyAt(service: string, stage: EngineStage): Backend[] {
+    return this.ready(service).filter((engine) => engine.stage === stage);
+  }
+
   /** All backend servers of a service, leaving ones included. */
   all(service: string): Backend[] {
     this.#expire();
--- a/packages/gateway/src/runs/decode_room.ts
+++ b/packages/gateway/src/runs/decode_room.ts
@@ -116,8 +116,8 @@
     const ctx = this.#ctx;
     const capacity = this.#service.engine;
     if (!capacity) return undefined;
-    const engines = ctx.directory.ready(this.#service.name)
-      .filter((engine) => engine.stage === EngineStage.Decode)
+    const engines = ctx.directory
+      .readyAt(this.#service.name, EngineStage.Decode)
       .filter((engine) => !req.excluded.has(incarnationOf(engine)));
     const inputs = { ...ctx, nowMs: ctx.clock.now() };
     const ordered = orderDecodeEngines(
--- a/packages/gateway/src/runs/plain_run.ts
+++ b/packages/gateway/src/runs/plain_run.ts
@@ -27,6 +27,7 @@
   RunEnd,
   type RunOutcome,
   RunReason,
+  takeRepeat,
 } from "./run_context.ts";
 
 /** Share of the latency target after which a second call is made. */
@@ -142,8 +143,7 @@
     if (!backend) return false;
     if (remainingMs(ctx, this.#req) < MIN_TIME_MS) return false;
     if (this.#sends > 0) {
-      if (!ctx.allowanceOf(this.#req.service.name).take()) return false;
-      ctx.metrics.repeats.inc({ cause });
+      if (!takeRepeat(ctx, this.#req, cause)) return false;
     }
     this.#sends += 1;
     this.#mayHaveRun += 1;
--- a/packages/gateway/src/runs/prompt_read.ts
+++ b/packages/gateway/src/runs/prompt_read.ts
@@ -19,6 +19,7 @@
   noteMisdirected,
   remainingMs,
   type RunContext,
+  takeRepeat,
 } from "./run_context.ts";
 
 /** A prompt that was read and whose result can be taken. */
@@ -61,7 +62,10 @@
     while (!signal.aborted && remainingMs(this.#ctx, this.#req) > 0) {
       const engine = this.#pick();
       if (!engine) return undefined;
-      if (this.#arrived > 0 && !this.#takeRepeat()) return undefined;
+      const repeated = this.#arrived > 0;
+      if (repeated && !takeRepeat(this.#ctx, this.#req, "prefill")) {
+        return undefined;
+      }
       const tokens = this.#prompt.promptTokens + extraTokens;
       const read = await this.#call(engine, tokens, lastEventId, signal);
       if (read) return read;
@@ -97,18 +101,14 @@
   }
 
   #pick(): Backend | undefined {
-    const engines = this.#ctx.directory.ready(this.#req.service.name)
-      .filter((engine) => engine.stage === EngineStage.Prefill);
+    const engines = this.#ctx.directory.readyAt(
+      this.#req.service.name,
+      EngineStage.Prefill,
+    );
     const speed = this.#ctx.policy.readTokensPerMs;
     return pickPrefillEngine(engines, speed, this.#inputs(), this.#failed);
   }
 
-  #takeRepeat(): boolean {
-    const allowed = this.#ctx.allowanceOf(this.#req.service.name).take();
-    if (allowed) this.#ctx.metrics.repeats.inc({ cause: "prefill" });
-    return allowed;
-  }
-
   async #call(
     engine: Backend,
     tokens: number,
--- a/packages/gateway/src/runs/reply_verdict.ts
+++ b/packages/gateway/src/runs/reply_verdict.ts
@@ -17,9 +17,13 @@
   Foreign = "foreign",
 }
 
-/** Statuses that tell a caller that its request did not run. */
 const PROMISING_STATUSES = new Set([408, 421, 429, 503]);
 
+/** True for a status that tells a caller that its request did not run. */
+export function promisesNotRun(status: number): boolean {
+  return PROMISING_STATUSES.has(status);
+}
+
 /** Judges an answer to the request `requestId`. */
 export function judgeReply(
   status: number,
@@ -32,6 +36,6 @@
     : facts.requestId !== requestId;
   if (foreign || facts.encoded) return ReplyVerdict.Foreign;
   if (facts.notExecuted) return ReplyVerdict.NotExecuted;
-  if (PROMISING_STATUSES.has(status)) return ReplyVerdict.Unproved;
+  if (promisesNotRun(status)) return ReplyVerdict.Unproved;
   return status >= 500 ? ReplyVerdict.Error : ReplyVerdict.Good;
 }
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -201,6 +201,17 @@
   return ctx.clock.now() - req.arrivedMs;
 }
 
+/** Takes one repeated call from the allowance; false when none is left. */
+export function takeRepeat(
+  ctx: RunContext,
+  req: CallerRequest,
+  cause: string,
+): boolean {
+  const allowed = ctx.allowanceOf(req.service.name).take();
+  if (allowed) ctx.metrics.repeats.inc({ cause });
+  return allowed;
+}
+
 /**
  * Takes in that a backend server turned a request down as not meant for it:
  * another one has its address, or it has just changed its stage.
--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -12,7 +12,12 @@
 import type { KvSource } from "../http/wire_codec.ts";
 import type { Room } from "./decode_room.ts";
 import type { Generation } from "./generation.ts";
-import { type CallerRequest, MoveEnd, type RunContext } from "./run_context.ts";
+import {
+  type CallerRequest,
+  MoveEnd,
+  type RunContext,
+  takeRepeat,
+} from "./run_context.ts";
 
 /** A run that ends within this time stays at an engine that leaves, in ms. */
 const LEAVING_ENGINE_MS = 1_200;
@@ -50,8 +55,7 @@
 ): Promise<MovedRun | undefined> {
   if (generation.remainingMs() < LEAVING_ENGINE_MS) return undefined;
   const target = pickTarget(ctx, req, generation);
-  if (!target || !ctx.allowanceOf(req.service.name).take()) return undefined;
-  ctx.metrics.repeats.inc({ cause: "move" });
+  if (!target || !takeRepeat(ctx, req, "move")) return undefined;
   const tokens = generation.finalTokens;
   const release = ctx.book.place(incarnationOf(target), tokens);
   const id = req.facts.requestId;
@@ -88,8 +92,7 @@
   req: CallerRequest,
   generation: Generation,
 ): Backend | undefined {
-  const engines = ctx.directory.ready(req.service.name)
-    .filter((engine) => engine.stage === EngineStage.Decode);
+  const engines = ctx.directory.readyAt(req.service.name, EngineStage.Decode);
   const inputs = { ...ctx, nowMs: ctx.clock.now() };
   const { finalTokens, capacity } = generation;
   const ordered = orderDecodeEngines(
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -27,6 +27,7 @@
   type ReadPrompt,
 } from "./prompt_read.ts";
 import { fail, refuse } from "./refuse.ts";
+import { promisesNotRun } from "./reply_verdict.ts";
 import {
   ageMs,
   type CallerRequest,
@@ -36,6 +37,7 @@
   RunEnd,
   type RunOutcome,
   RunReason,
+  takeRepeat,
 } from "./run_context.ts";
 
 /** Time from the end of reading to the first event, in milliseconds. */
@@ -159,7 +161,7 @@
     const read = this.#unusedRead ?? await this.#readPrompt(signal);
     this.#unusedRead = undefined;
     if (signal.aborted) return this.#ended(room, read);
-    if (this.#sends > 0 && !this.#takeRepeat("decode")) {
+    if (this.#sends > 0 && !takeRepeat(this.#ctx, this.#req, "decode")) {
       read?.drop();
       this.#rooms.giveBack(room);
       return this.#stop(RunReason.NotExecuted);
@@ -205,12 +207,6 @@
     return await this.#reader.read(progress.lastEventId, madeTokens, signal);
   }
 
-  #takeRepeat(cause: string): boolean {
-    const allowed = this.#ctx.allowanceOf(this.#req.service.name).take();
-    if (allowed) this.#ctx.metrics.repeats.inc({ cause });
-    return allowed;
-  }
-
   async #stream(
     { room, read, source }: Placement,
     signal: AbortSignal,
@@ -403,8 +399,9 @@
 
   #passError(result: StreamResult): RunOutcome {
     const { responder } = this.#req;
-    const promised = [408, 421, 429, 503].includes(result.status);
-    if (responder.started || promised) return this.#failed(result);
+    if (responder.started || promisesNotRun(result.status)) {
+      return this.#failed(result);
+    }
     const headers = this.#ctx.codec.toCaller(result.headers);
     responder.reply(result.status, headers, result.body);
     return this.#outcome(RunEnd.BackendError, RunReason.None, result.status);
@@ -435,9 +432,9 @@
   }
 
   #noRoom(): RunOutcome {
-    const engines = this.#ctx.directory.ready(this.#req.service.name);
-    const decoders = engines.filter((item) =>
-      item.stage === EngineStage.Decode
+    const decoders = this.#ctx.directory.readyAt(
+      this.#req.service.name,
+      EngineStage.Decode,
     );
     const none = decoders.length === 0;
     this.#ctx.log("no_room", {
