--- a/packages/gateway/src/decide/__tests__/placement_test.ts
+++ b/packages/gateway/src/decide/__tests__/placement_test.ts
@@ -7,6 +7,7 @@
   incarnationOf,
 } from "../../backends/backend.ts";
 import { CallVerdict, HealthBook } from "../backend_health.ts";
+import { connectionShare } from "../connection_share.ts";
 import { EngineBook } from "../engine_book.ts";
 import {
   orderDecodeEngines,
@@ -75,6 +76,17 @@
     expect(names(later)).toEqual(["a", "b"]);
   });
 
+  test("prompts that decode engines read themselves are spread over them", () => {
+    const { book, inputs } = create();
+    book.place(incarnationOf(b), 4_000);
+    const finish = book.startReading(incarnationOf(a), 4_000);
+    const reading = orderDecodeEngines([a, b], 4_000, KV_TOKENS, inputs());
+    expect(names(reading)).toEqual(["b", "a"]);
+    finish();
+    const done = orderDecodeEngines([a, b], 4_000, KV_TOKENS, inputs());
+    expect(names(done)).toEqual(["a", "b"]);
+  });
+
   test("an ejected one isn't asked", () => {
     const { health, inputs } = create();
     health.eject(incarnationOf(a));
@@ -113,6 +125,15 @@
     expect(pickPrefillEngine([a, b], 30, inputs())?.id).toBe("a");
   });
 
+  test("one in the zone of the decode engine is taken unless it is later", () => {
+    const { book, inputs } = create();
+    const far = engine("far", "z2", EngineStage.Prefill);
+    const near = { ...inputs(), zone: "z2" };
+    expect(pickPrefillEngine([a, far], 30, near)?.id).toBe("far");
+    book.startReading(incarnationOf(far), 3_000);
+    expect(pickPrefillEngine([a, far], 30, near)?.id).toBe("a");
+  });
+
   test("none is left when all are excluded", () => {
     const { inputs } = create();
     const all = new Set([a, b].map(incarnationOf));
@@ -162,3 +183,13 @@
     expect(pickPlainBackend([a], inputs)?.id).toBe("a");
   });
 });
+
+test.each([
+  ["few entries", 290, 4, 58],
+  ["many entries together stay under the limit", 230, 23, 8],
+  ["no entry is left without", 96, 40, 8],
+  ["a high limit", 10_000, 4, 64],
+  ["an unknown limit", 0, 4, 64],
+])("connections to one backend server: %s", (_name, limit, entries, most) => {
+  expect(connectionShare(limit, entries)).toBe(most);
+});
--- a/packages/gateway/src/decide/__tests__/plans_test.ts
+++ b/packages/gateway/src/decide/__tests__/plans_test.ts
@@ -12,12 +12,16 @@
 
 describe("who reads a prompt", () => {
   test.each([
-    ["an idle prefill engine", 0, ReadPlace.Prefill],
-    ["a short queue", 100, ReadPlace.Prefill],
-    ["a queue longer than reading at the decode engine", 400, ReadPlace.Decode],
-    ["no prefill engine", undefined, ReadPlace.Decode],
-  ])("%s", (_name, prefillWaitMs, place) => {
-    expect(planRead({ readMs: 140, prefillWaitMs }).place).toBe(place);
+    ["an idle prefill engine", 0, 700, ReadPlace.Prefill],
+    ["a short queue", 100, 700, ReadPlace.Prefill],
+    ["a queue that leaves the request on time", 275, 700, ReadPlace.Prefill],
+    ["a queue that makes the request late", 400, 700, ReadPlace.Decode],
+    ["a late request and a queue", 700, -50, ReadPlace.Prefill],
+    ["a late request and an endless queue", 2_000, -50, ReadPlace.Decode],
+    ["no prefill engine", undefined, 700, ReadPlace.Decode],
+  ])("%s", (_name, prefillWaitMs, onTimeMs, place) => {
+    const plan = planRead({ readMs: 140, prefillWaitMs, onTimeMs });
+    expect(plan.place).toBe(place);
   });
 });
 
@@ -78,6 +82,13 @@
     expect(change?.stage).toBe(stage);
   });
 
+  test("the engine with the least to finish changes", () => {
+    const all = engines(0, 6);
+    const loadOf = (engine: Backend) => engine.id === "e4" ? 0 : 3;
+    const change = planStageChange({ engines: all, work: none, loadOf });
+    expect(change?.engine.id).toBe("e4");
+  });
+
   test("several changes go one way, and settle", () => {
     const all = engines(13, 23);
     const changes = planStageChanges({ engines: all, work: none }, 36);
--- a/packages/gateway/src/decide/engine_placement.ts
+++ b/packages/gateway/src/decide/engine_placement.ts
@@ -14,16 +14,21 @@
   book: EngineBook;
   health: HealthBook;
   nowMs: number;
-  /** Zone of this entry. */
+  /** Where an engine is near: the zone of this entry or of another engine. */
   zone: string;
 }
 
 /** How long a refusal says that an engine is full, in milliseconds. */
 export const REFUSAL_LIFE_MS = 120;
 /** Work that an engine in another zone must have less, as a share of memory. */
-const OTHER_ZONE_PENALTY = 0.03;
-/** Reading time that a prefill engine in another zone must have less, in ms. */
-const OTHER_ZONE_READ_MS = 5;
+const OTHER_ZONE_PENALTY = 0.06;
+/** Prompts that a decode engine reads itself hold up its streams. */
+const READING_WEIGHT = 2;
+/**
+ * Time by which a prefill engine in another zone must be sooner, in ms: what it
+ * reads crosses zones, which takes longer and costs more.
+ */
+const OTHER_ZONE_READ_MS = 40;
 
 /** Decode engines in the order in which they are asked. */
 export function orderDecodeEngines(
@@ -63,7 +68,8 @@
   const memory = load.tokens / kvTokens;
   const slots = load.requests / Math.max(1, engine.slots);
   const zone = engine.zone === inputs.zone ? 0 : OTHER_ZONE_PENALTY;
-  return Math.max(memory, slots) + zone;
+  const reading = READING_WEIGHT * load.readingTokens / kvTokens;
+  return Math.max(memory, slots) + reading + zone;
 }
 
 /** The prefill engine that would have read the prompt first. */
--- a/packages/gateway/src/decide/read_plan.ts
+++ b/packages/gateway/src/decide/read_plan.ts
@@ -1,8 +1,9 @@
 /**
  * Whether a prompt is read apart or by the decode engine itself. Load pattern:
  * prefill engines are lost or overloaded while decode engines still have
- * memory. A decode engine reads more slowly and holds up its other requests, so
- * it reads only when the wait for a prefill engine is clearly longer.
+ * memory. A decode engine reads more slowly, and the streams of its other
+ * requests pause meanwhile, so it reads only when waiting for a prefill engine
+ * takes clearly longer and would make the request late.
  */
 
 /** Who reads a prompt. */
@@ -17,6 +18,8 @@
   readMs: number;
   /** Wait before a prefill engine begins; undefined when there is none. */
   prefillWaitMs: number | undefined;
+  /** Time in which reading has to be over to be on time, in milliseconds. */
+  onTimeMs: number;
 }
 
 export interface ReadPlan {
@@ -29,6 +32,10 @@
 const DECODE_READ_FACTOR = 2.2;
 /** A prefill engine may take this many times as long as a decode engine. */
 const PREFERENCE = 1.15;
+/** Part of the time until a request is late that a prefill engine may take. */
+const ON_TIME_SHARE = 0.6;
+/** What a late request waits for a prefill engine, in milliseconds. */
+const LATE_READ_MS = 1_000;
 
 /** Chooses who reads the prompt. */
 export function planRead(inputs: ReadPlanInputs): ReadPlan {
@@ -37,8 +44,12 @@
     return { place: ReadPlace.Decode, expectedMs: decodeMs };
   }
   const prefillMs = inputs.prefillWaitMs + inputs.readMs;
-  if (prefillMs > decodeMs * PREFERENCE) {
-    return { place: ReadPlace.Decode, expectedMs: decodeMs };
+  const acceptableMs = Math.max(
+    decodeMs * PREFERENCE,
+    inputs.onTimeMs > 0 ? inputs.onTimeMs * ON_TIME_SHARE : LATE_READ_MS,
+  );
+  if (prefillMs <= acceptableMs) {
+    return { place: ReadPlace.Prefill, expectedMs: prefillMs };
   }
-  return { place: ReadPlace.Prefill, expectedMs: prefillMs };
+  return { place: ReadPlace.Decode, expectedMs: decodeMs };
 }
--- a/packages/gateway/src/decide/stage_plan.ts
+++ b/packages/gateway/src/decide/stage_plan.ts
@@ -23,6 +23,8 @@
   /** Engines of one service that take work. */
   engines: readonly Backend[];
   work: StageWork;
+  /** Generations that would have to end before an engine changes. */
+  loadOf?: (engine: Backend) => number;
 }
 
 /** Share of prefill engines before any work is known. */
@@ -53,10 +55,10 @@
   const wanted = Math.min(most, Math.max(1, wantedReadEngines(inputs)));
   const surplus = readers.length - wanted;
   if (surplus >= TOLERANCE_ENGINES && readers.length > 1) {
-    return change(readers, decoders, EngineStage.Decode);
+    return change(readers, decoders, EngineStage.Decode, inputs.loadOf);
   }
   if (surplus <= -TOLERANCE_ENGINES && decoders.length > 1) {
-    return change(decoders, readers, EngineStage.Prefill);
+    return change(decoders, readers, EngineStage.Prefill, inputs.loadOf);
   }
   return undefined;
 }
@@ -82,18 +84,24 @@
   return engines.filter((engine) => engine.stage === stage);
 }
 
-/** Takes an engine from the availability zone that keeps the most of them. */
+/**
+ * Takes the engine that has the least to finish, then one from the availability
+ * zone that keeps the most of them.
+ */
 function change(
   from: readonly Backend[],
   to: readonly Backend[],
   stage: EngineStage,
+  loadOf: (engine: Backend) => number = () => 0,
 ): StageChange | undefined {
   const ranked = from.map((engine) => ({
     engine,
+    load: loadOf(engine),
     left: inZone(from, engine.zone) - inZone(to, engine.zone),
   }));
   ranked.sort((a, b) =>
-    b.left - a.left || (a.engine.id < b.engine.id ? -1 : 1)
+    a.load - b.load || b.left - a.left ||
+    (a.engine.id < b.engine.id ? -1 : 1)
   );
   const engine = ranked[0]?.engine;
   return engine && { engine, stage };
--- a/packages/gateway/src/runs/decode_stream.ts
+++ b/packages/gateway/src/runs/decode_stream.ts
@@ -50,6 +50,8 @@
    * waits for as long as the caller does.
    */
   silenceMs: number;
+  /** Called when the engine's first event has come, or its stream has ended. */
+  onBegun: () => void;
   /** True when the stream is to be given up. */
   isLost: () => Promise<boolean>;
 }
@@ -101,6 +103,7 @@
     return new Promise((resolve) => {
       const settle = (end: StreamEnd, message = "") => {
         this.#settled = true;
+        this.#options.onBegun();
         clearTimeout(this.#watch);
         resolve(this.#result(end, message));
       };
@@ -144,6 +147,7 @@
     }
     const whole = this.#splitter.push(chunk);
     if (!whole) return;
+    if (this.#events === 0) this.#options.onBegun();
     this.#expectProgress();
     this.#passOn(whole.bytes, whole.count, whole.lastId);
   }
@@ -157,6 +161,8 @@
       responder.startStream(this.#status, headers);
     }
     progress.firstEventAtMs ??= nowMs;
+    const gapMs = nowMs - (progress.lastEventAtMs ?? nowMs);
+    progress.longestGapMs = Math.max(progress.longestGapMs, gapMs);
     progress.lastEventAtMs = nowMs;
     progress.events += count;
     progress.lastEventId = lastId ?? progress.lastEventId;
--- a/packages/gateway/src/runs/generation.ts
+++ b/packages/gateway/src/runs/generation.ts
@@ -10,6 +10,8 @@
   lastEventId: string | undefined;
   firstEventAtMs: number | undefined;
   lastEventAtMs: number | undefined;
+  /** Longest pause between two events, in milliseconds. */
+  longestGapMs: number;
 }
 
 /** One generation. */
@@ -34,6 +36,7 @@
       lastEventId,
       firstEventAtMs: undefined,
       lastEventAtMs: undefined,
+      longestGapMs: 0,
     };
   }
 
--- a/packages/gateway/src/runs/prompt_read.ts
+++ b/packages/gateway/src/runs/prompt_read.ts
@@ -15,6 +15,7 @@
 import type { KvSource, PromptShape } from "../http/wire_codec.ts";
 import { judgeReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
+  ageMs,
   type CallerRequest,
   noteMisdirected,
   remainingMs,
@@ -34,6 +35,8 @@
 
 /** Time of a prefill call beside reading, in milliseconds. */
 export const READ_OVERHEAD_MS = 40;
+/** Time from the end of reading to the first event, in milliseconds. */
+export const FIRST_EVENT_MS = 90;
 /** A call that takes this many times as long as expected is given up. */
 const TIMEOUT_FACTOR = 3;
 const SHORTEST_TIMEOUT_MS = 350;
@@ -53,14 +56,18 @@
     this.#prompt = prompt;
   }
 
-  /** Reads the prompt; undefined when no prefill engine did in time. */
+  /**
+   * Reads the prompt for an engine in `zone`; undefined when no prefill engine
+   * did in time.
+   */
   async read(
+    zone: string,
     lastEventId: string | undefined,
     extraTokens: number,
     signal: AbortSignal,
   ): Promise<ReadPrompt | undefined> {
     while (!signal.aborted && remainingMs(this.#ctx, this.#req) > 0) {
-      const engine = this.#pick();
+      const engine = this.#pick(zone);
       if (!engine) return undefined;
       const repeated = this.#arrived > 0;
       if (repeated && !takeRepeat(this.#ctx, this.#req, "prefill")) {
@@ -87,26 +94,28 @@
   }
 
   /** Who should read the prompt now, and how long it would take. */
-  plan(): ReadPlan {
-    const engine = this.#pick();
+  plan(zone = this.#ctx.zone): ReadPlan {
+    const engine = this.#pick(zone);
     const speed = this.#ctx.policy.readTokensPerMs;
     return planRead({
       readMs: this.#prompt.promptTokens / speed + READ_OVERHEAD_MS,
-      prefillWaitMs: engine && readWaitMs(engine, speed, this.#inputs()),
+      prefillWaitMs: engine && readWaitMs(engine, speed, this.#inputs(zone)),
+      onTimeMs: this.#req.route.targetLatencyMs - FIRST_EVENT_MS -
+        ageMs(this.#ctx, this.#req),
     });
   }
 
-  #inputs() {
-    return { ...this.#ctx, nowMs: this.#ctx.clock.now() };
+  #inputs(zone: string) {
+    return { ...this.#ctx, zone, nowMs: this.#ctx.clock.now() };
   }
 
-  #pick(): Backend | undefined {
+  #pick(zone: string): Backend | undefined {
     const engines = this.#ctx.directory.readyAt(
       this.#req.service.name,
       EngineStage.Prefill,
     );
     const speed = this.#ctx.policy.readTokensPerMs;
-    return pickPrefillEngine(engines, speed, this.#inputs(), this.#failed);
+    return pickPrefillEngine(engines, speed, this.#inputs(zone), this.#failed);
   }
 
   async #call(
@@ -119,7 +128,7 @@
     const req = this.#req;
     const key = incarnationOf(engine);
     const speed = ctx.policy.readTokensPerMs;
-    const waitMs = readWaitMs(engine, speed, this.#inputs());
+    const waitMs = readWaitMs(engine, speed, this.#inputs(engine.zone));
     const ownMs = tokens / speed + READ_OVERHEAD_MS;
     const timeoutMs = Math.min(
       remainingMs(ctx, req),
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -94,6 +94,8 @@
   /** Until the first event, or the whole answer of a plain call. */
   firstByteMs?: number;
   events?: number;
+  /** Longest pause between two events of a stream, in milliseconds. */
+  longestGapMs?: number;
 }
 
 /** How the request for a reservation ended. */
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -5,14 +5,8 @@
  * repeated elsewhere. After that only a resumable stream goes on at another
  * engine, and only when the one before was cut off.
  */
-import {
-  type Backend,
-  EngineStage,
-  incarnationOf,
-} from "../backends/backend.ts";
+import { type Backend, incarnationOf } from "../backends/backend.ts";
 import { CallVerdict } from "../decide/backend_health.ts";
-import { ReadPlace } from "../decide/read_plan.ts";
-import type { KvSource } from "../http/wire_codec.ts";
 import type { DecodeRooms, Room } from "./decode_room.ts";
 import {
   runDecodeStream,
@@ -21,47 +15,25 @@
 } from "./decode_stream.ts";
 import { Generation } from "./generation.ts";
 import { moveAway, watchEngine } from "./run_move.ts";
-import {
-  PromptReader,
-  READ_OVERHEAD_MS,
-  type ReadPrompt,
-} from "./prompt_read.ts";
-import { fail, refuse } from "./refuse.ts";
-import { promisesNotRun } from "./reply_verdict.ts";
+import { READ_OVERHEAD_MS } from "./prompt_read.ts";
+import { refuse } from "./refuse.ts";
 import {
   ageMs,
   type CallerRequest,
-  noteMisdirected,
   remainingMs,
   type RunContext,
-  RunEnd,
   type RunOutcome,
   RunReason,
-  takeRepeat,
 } from "./run_context.ts";
+import { BUSY_MS, StreamOutcomes } from "./stream_outcome.ts";
+import { NotPlaced, type Placement, StreamPlacer } from "./stream_placement.ts";
 
-/** Time from the end of reading to the first event, in milliseconds. */
-const FIRST_EVENT_MS = 90;
 /** Pauses of a resumable stream after which its engine is taken for dead. */
 const SILENCE_GAPS = 2;
 /** Longest wait for the first event of a resumable stream, in milliseconds. */
 const FIRST_EVENT_SILENCE_MS = 700;
 /** Engines that one request is placed at in turn. */
 const MAX_PLACEMENTS = 4;
-/** Wait that a rejected caller is told, on average, in milliseconds. */
-const BUSY_MS = 3_200;
-/** Part of a read prompt's life in which another engine may still take it. */
-const REUSABLE_SHARE = 0.7;
-const STATUS_MISDIRECTED = 421;
-const NO_ENGINE_BUSY_MS = 1_000;
-
-/** Where a generation runs next, and where its memory lies. */
-interface Placement {
-  room: Room;
-  /** The prompt that was read for this placement. */
-  read?: ReadPrompt;
-  source?: KvSource;
-}
 
 /** Runs one generation to its end. */
 export function runStream(
@@ -83,21 +55,13 @@
 class StreamRun {
   readonly #ctx: RunContext;
   readonly #req: CallerRequest;
-  readonly #rooms: DecodeRooms;
-  readonly #reader: PromptReader;
-  readonly #excluded = new Set<string>();
   readonly #generation: Generation;
-  #attempts = 0;
-  #sends = 0;
-  #lastBackend: string | undefined;
+  readonly #placer: StreamPlacer;
+  readonly #outcomes: StreamOutcomes;
   /** A move to another engine that is under way. */
   #move: Promise<Placement | undefined> | undefined;
   /** Where a moved run goes on. */
   #continuation: Placement | undefined;
-  /** A read prompt that the last engine did not take. */
-  #unusedRead: ReadPrompt | undefined;
-  /** A place found for a stream whose engine fell silent. */
-  #spareRoom: Room | undefined;
 
   constructor(
     ctx: RunContext,
@@ -107,17 +71,16 @@
   ) {
     this.#ctx = ctx;
     this.#req = req;
-    this.#rooms = rooms;
-    this.#reader = new PromptReader(ctx, req, generation.prompt);
     this.#generation = generation;
+    this.#placer = new StreamPlacer(ctx, req, rooms, generation);
+    this.#outcomes = new StreamOutcomes(ctx, req, generation);
   }
 
   async run(): Promise<RunOutcome> {
     const ctx = this.#ctx;
+    const { prompt, capacity } = this.#generation;
     ctx.allowanceOf(this.#req.service.name).countRequest();
-    if (
-      this.#generation.prompt.promptTokens > this.#generation.capacity.kvTokens
-    ) {
+    if (prompt.promptTokens > capacity.kvTokens) {
       return refuse(ctx, this.#req, RunReason.TooLarge, BUSY_MS);
     }
     const deadline = new AbortController();
@@ -127,84 +90,42 @@
     );
     const signal = AbortSignal.any([this.#req.signal, deadline.signal]);
     try {
-      return await this.#place(signal);
+      return await this.#runInTurn(signal);
     } finally {
       clearTimeout(timer);
-      this.#unusedRead?.drop();
-      if (this.#spareRoom) this.#rooms.giveBack(this.#spareRoom);
+      this.#placer.close();
     }
   }
 
-  async #place(signal: AbortSignal): Promise<RunOutcome> {
+  /** Tries one engine after another until the request has an end. */
+  async #runInTurn(signal: AbortSignal): Promise<RunOutcome> {
     for (let placement = 0; placement < MAX_PLACEMENTS; placement += 1) {
-      const next = this.#continuation ?? await this.#prepare(signal);
-      this.#continuation = undefined;
-      if ("end" in next) return next;
+      const next = await this.#next(signal);
+      if (typeof next === "string") return this.#notPlaced(next);
       const result = await this.#stream(next, signal);
       next.room.release();
       const outcome = await this.#take(result, next, signal);
       if (outcome) return outcome;
     }
-    return this.#stop(RunReason.NotExecuted);
-  }
-
-  /** Reserves memory and has the prompt read, or ends the request. */
-  async #prepare(signal: AbortSignal): Promise<Placement | RunOutcome> {
-    const startMs = this.#ctx.clock.now();
-    const room = this.#spareRoom ?? await this.#findRoom(signal);
-    this.#spareRoom = undefined;
-    if (signal.aborted) return this.#ended(room);
-    this.#ctx.metrics.roomWait.observe(
-      (this.#ctx.clock.now() - startMs) / 1000,
-    );
-    if (!room) return this.#noRoom();
-    const read = this.#unusedRead ?? await this.#readPrompt(signal);
-    this.#unusedRead = undefined;
-    if (signal.aborted) return this.#ended(room, read);
-    if (this.#sends > 0 && !takeRepeat(this.#ctx, this.#req, "decode")) {
-      read?.drop();
-      this.#rooms.giveBack(room);
-      return this.#stop(RunReason.NotExecuted);
-    }
-    return { room, read, source: read?.source };
-  }
-
-  #findRoom(signal: AbortSignal): Promise<Room | undefined> {
-    const { req, ctx } = { req: this.#req, ctx: this.#ctx };
-    const stepsMs = this.#reader.plan().expectedMs + FIRST_EVENT_MS;
-    const onTimeUntilMs = req.arrivedMs + req.route.targetLatencyMs - stepsMs;
-    const untilMs = Math.min(
-      onTimeUntilMs,
-      req.arrivedMs + ctx.policy.maxRoomWaitMs,
-    );
-    return this.#rooms.acquire({
-      requestId: req.facts.requestId,
-      priority: req.route.priority,
-      tokens: this.#tokensToReserve(),
-      onTimeUntilMs,
-      untilMs,
-      signal,
-      excluded: this.#excluded,
-    });
+    return this.#outcomes.stopped(RunReason.NotExecuted);
   }
 
-  #tokensToReserve(): number {
-    const ratio = this.#ctx.policy.outputReserveRatio;
-    return this.#generation.tokensToReserve(ratio);
+  async #next(signal: AbortSignal): Promise<Placement | NotPlaced> {
+    const continuation = this.#continuation;
+    this.#continuation = undefined;
+    if (continuation) return continuation;
+    return await this.#placer.place(this.#outcomes.sends > 0, signal);
   }
 
-  /** The read prompt; undefined when the decode engine has to read it. */
-  async #readPrompt(signal: AbortSignal): Promise<ReadPrompt | undefined> {
-    const plan = this.#reader.plan();
-    if (plan.place === ReadPlace.Decode) {
-      this.#ctx.log("decode_reads", {
-        req: this.#req.facts.requestId,
-        expected_ms: Math.round(plan.expectedMs),
-      });
-      return undefined;
+  #notPlaced(reason: NotPlaced): RunOutcome {
+    switch (reason) {
+      case NotPlaced.Aborted:
+        return this.#outcomes.aborted();
+      case NotPlaced.NoRoom:
+        return this.#outcomes.noRoom();
+      case NotPlaced.NoAllowance:
+        return this.#outcomes.stopped(RunReason.NotExecuted);
     }
-    const { progress, madeTokens } = this.#generation;
-    return await this.#reader.read(progress.lastEventId, madeTokens, signal);
   }
 
   async #stream(
@@ -213,9 +134,9 @@
   ): Promise<StreamResult> {
     const ctx = this.#ctx;
     const req = this.#req;
-    this.#sends += 1;
-    this.#attempts += 1;
-    this.#lastBackend = room.engine.id;
+    this.#outcomes.sends += 1;
+    this.#outcomes.attempts += 1;
+    this.#outcomes.lastBackend = room.engine.id;
     ctx.log("decode_send", {
       req: req.facts.requestId,
       backend: room.engine.id,
@@ -230,11 +151,15 @@
     const leave = watchEngine(ctx, room.engine, () => {
       this.#move ??= moveAway(ctx, req, this.#generation, room.engine, signal);
     });
+    const onBegun = source
+      ? () => {}
+      : ctx.book.startReading(incarnationOf(room.engine), this.#readTokens());
     const result = await runDecodeStream(ctx, req, {
       engine: room.engine,
       progress: this.#generation.progress,
       signal,
       silenceMs: this.#silenceMs(),
+      onBegun,
       isLost: () => this.#isLost(room.engine, signal),
       directives: {
         remainingMs: remainingMs(ctx, req),
@@ -249,6 +174,11 @@
     return result;
   }
 
+  /** What an engine reads that has none of this generation's memory. */
+  #readTokens(): number {
+    return this.#generation.prompt.promptTokens + this.#generation.madeTokens;
+  }
+
   /**
    * True when the engine of a silent stream is gone and the stream can go on
    * elsewhere. Silence alone is no reason: the engine may have put the run off.
@@ -262,13 +192,9 @@
       backend: engine.id,
     });
     ctx.health.eject(incarnationOf(engine));
-    if (
-      signal.aborted || ctx.allowanceOf(this.#req.service.name).available < 2
-    ) {
-      return false;
-    }
-    this.#spareRoom ??= await this.#findRoom(signal);
-    return this.#spareRoom !== undefined;
+    const { available } = ctx.allowanceOf(this.#req.service.name);
+    if (signal.aborted || available < 2) return false;
+    return await this.#placer.findSpare(signal);
   }
 
   #silenceMs(): number {
@@ -285,87 +211,63 @@
     signal: AbortSignal,
   ): Promise<RunOutcome | undefined> {
     const { room, read } = placement;
-    if (read && result.events > 0) this.#reader.taken(read.engine);
+    if (read && result.events > 0) this.#placer.taken(read);
     if (result.end === StreamEnd.Complete) {
       this.#recordHealth(result, room);
-      return this.#complete();
+      this.#learn();
+      return this.#outcomes.answered();
     }
     if (signal.aborted) {
-      return this.#ended(undefined, unused(result, placement));
+      // Without an answer the engine may not have taken the prompt.
+      if (result.status === 0) read?.drop();
+      return this.#outcomes.aborted();
     }
     const continuation = await this.#move;
     this.#move = undefined;
     if (continuation && result.end === StreamEnd.Cut) {
-      this.#attempts -= 1;
+      this.#outcomes.attempts -= 1;
       this.#continuation = continuation;
       return undefined;
     }
     this.#recordHealth(result, room);
-    this.#ctx.log("decode_ended", {
-      req: this.#req.facts.requestId,
-      backend: room.engine.id,
-      end: result.end,
-      status: result.status,
-      events: this.#generation.progress.events,
-      message: result.message,
-    });
+    this.#logEnd(result, room);
     if (result.end === StreamEnd.NotExecuted) {
-      this.#attempts -= 1;
       return this.#notExecuted(result, placement);
     }
     if (result.end === StreamEnd.EngineError) {
-      return this.#passError(result);
+      return this.#outcomes.engineError(result);
     }
-    return this.#mayResume() ? undefined : this.#failed(result);
+    return this.#mayResume() ? undefined : this.#outcomes.failed(result);
   }
 
   #notExecuted(
     result: StreamResult,
-    { room, read, source }: Placement,
+    placement: Placement,
   ): RunOutcome | undefined {
-    const misdirected = result.status === STATUS_MISDIRECTED;
-    if (misdirected) {
-      const facts = this.#ctx.codec.readReply(result.status, result.headers);
-      noteMisdirected(this.#ctx, room.engine, facts.backendId);
-    }
-    const untouched = misdirected || result.status === 0;
-    if (untouched || !source) this.#excluded.add(incarnationOf(room.engine));
-    if (!untouched) this.#countTurnedDown(room.engine);
-    if (read) this.#keepOrDrop(read, untouched);
-    if (room.holdId) this.#ctx.engines.dropHold(room.engine, room.holdId);
+    this.#outcomes.attempts -= 1;
+    this.#placer.turnedDown(result, placement);
     // A run that was moved can't begin again unless it may be resumed.
-    const moved = source !== undefined && read === undefined;
+    const moved = placement.source !== undefined &&
+      placement.read === undefined;
     return moved && !this.#req.route.resumable
-      ? this.#failed(result)
+      ? this.#outcomes.failed(result)
       : undefined;
   }
 
-  /**
-   * A decode engine that granted memory and turns the request down may be
-   * changing its stage, or the prompt's memory is gone where it was read. Both
-   * engines are suspected; one that fails with others too is ejected.
-   */
-  #countTurnedDown(engine: Backend): void {
-    const { health } = this.#ctx;
-    health.record(incarnationOf(engine), CallVerdict.Silent, 0, []);
-  }
-
-  /** Keeps a read prompt for the next engine while it can still be taken. */
-  #keepOrDrop(read: ReadPrompt, untouched: boolean): void {
-    const ageMs = this.#ctx.clock.now() - read.readAtMs;
-    const lives =
-      ageMs < this.#generation.capacity.handleLifeMs * REUSABLE_SHARE;
-    if (untouched && lives) {
-      this.#unusedRead = read;
-      return;
-    }
-    read.drop();
-    if (!untouched) this.#reader.exclude(read.engine);
-  }
-
   #mayResume(): boolean {
     return this.#req.route.resumable &&
-      this.#attempts < this.#req.route.maxAttempts;
+      this.#outcomes.attempts < this.#req.route.maxAttempts;
+  }
+
+  #logEnd(result: StreamResult, room: Room): void {
+    this.#ctx.log("decode_ended", {
+      req: this.#req.facts.requestId,
+      backend: room.engine.id,
+      end: result.end,
+      status: result.status,
+      events: this.#generation.progress.events,
+      message: result.message,
+    });
   }
 
   #recordHealth(result: StreamResult, room: Room): void {
@@ -381,7 +283,8 @@
     ctx.upstream.retire(room.engine);
   }
 
-  #complete(): RunOutcome {
+  /** Takes in the length and the work of a whole answer. */
+  #learn(): void {
     const { ctx, req } = { ctx: this.#ctx, req: this.#req };
     const { prompt, madeTokens } = this.#generation;
     if (!req.facts.lastEventId) {
@@ -391,108 +294,7 @@
     work.readMs += prompt.promptTokens / ctx.policy.readTokensPerMs +
       READ_OVERHEAD_MS;
     work.decodeMs += this.#generation.decodeWorkMs();
-    // A stream without events is still a whole answer.
-    if (!req.responder.started) req.responder.startStream(200, []);
-    req.responder.endStream();
-    return this.#outcome(RunEnd.Answered, RunReason.None, 200);
-  }
-
-  #passError(result: StreamResult): RunOutcome {
-    const { responder } = this.#req;
-    if (responder.started || promisesNotRun(result.status)) {
-      return this.#failed(result);
-    }
-    const headers = this.#ctx.codec.toCaller(result.headers);
-    responder.reply(result.status, headers, result.body);
-    return this.#outcome(RunEnd.BackendError, RunReason.None, result.status);
-  }
-
-  #failed(result: StreamResult): RunOutcome {
-    const reason = result.end === StreamEnd.Cut
-      ? RunReason.StreamCut
-      : RunReason.NoAnswer;
-    return {
-      ...fail(this.#ctx, this.#req, reason, this.#attempts, this.#lastBackend),
-      events: this.#generation.progress.events,
-    };
-  }
-
-  /** No engine is tried any more; what was not run is refused. */
-  #stop(reason: RunReason): RunOutcome {
-    if (this.#attempts > 0) {
-      return fail(
-        this.#ctx,
-        this.#req,
-        RunReason.StreamCut,
-        this.#attempts,
-        this.#lastBackend,
-      );
-    }
-    return refuse(this.#ctx, this.#req, reason, BUSY_MS, this.#sends);
   }
-
-  #noRoom(): RunOutcome {
-    const decoders = this.#ctx.directory.readyAt(
-      this.#req.service.name,
-      EngineStage.Decode,
-    );
-    const none = decoders.length === 0;
-    this.#ctx.log("no_room", {
-      req: this.#req.facts.requestId,
-      tokens: this.#tokensToReserve(),
-      decode_engines: decoders.length,
-      waiting: this.#rooms.waiting,
-      age_ms: Math.round(ageMs(this.#ctx, this.#req)),
-      read_ms: Math.round(this.#reader.plan().expectedMs),
-    });
-    if (none && this.#attempts === 0) {
-      const reason = RunReason.NoBackend;
-      return refuse(this.#ctx, this.#req, reason, NO_ENGINE_BUSY_MS);
-    }
-    return this.#stop(RunReason.NoRoom);
-  }
-
-  /** The caller has left or the time is over. */
-  #ended(room?: Room, read?: ReadPrompt): RunOutcome {
-    read?.drop();
-    if (room) this.#rooms.giveBack(room);
-    if (this.#req.signal.aborted) {
-      return this.#outcome(RunEnd.CallerLeft, RunReason.None, 0);
-    }
-    if (this.#attempts === 0) {
-      return refuse(this.#ctx, this.#req, RunReason.TooLate, BUSY_MS);
-    }
-    return fail(
-      this.#ctx,
-      this.#req,
-      RunReason.TimedOut,
-      this.#attempts,
-      this.#lastBackend,
-    );
-  }
-
-  #outcome(end: RunEnd, reason: RunReason, status: number): RunOutcome {
-    const { firstEventAtMs, events } = this.#generation.progress;
-    return {
-      end,
-      reason,
-      status,
-      attempts: this.#attempts,
-      backendId: this.#lastBackend,
-      events,
-      firstByteMs: firstEventAtMs === undefined
-        ? undefined
-        : firstEventAtMs - this.#req.arrivedMs,
-    };
-  }
-}
-
-/** The prompt that the decode engine did not take, if any. */
-function unused(
-  result: StreamResult,
-  placement: Placement,
-): ReadPrompt | undefined {
-  return result.status === 0 ? placement.read : undefined;
 }
 
 function healthVerdictOf(end: StreamEnd): CallVerdict | undefined {
