--- /dev/null
+++ b/packages/cli/src/commands/log.ts
@@ -0,0 +1,77 @@
+/** `requests` and `explain`: what the routers' logs tell of requests. */
+import { errorMessage } from "@sassafrascleat/runtime";
+import { command, positional, string } from "cmd-ts";
+import { outputArgs } from "../common_args.ts";
+import { ExitCode } from "../exit_code.ts";
+import { type LogEvent, readLogEvents } from "../log_events.ts";
+import { type OutputFormat, printResult } from "../output.ts";
+import {
+  countEnds,
+  endsTable,
+  eventsOf,
+  eventsTable,
+} from "../request_report.ts";
+import { type CommandResult, failure } from "../result.ts";
+
+const logArg = positional({
+  displayName: "log",
+  type: string,
+  description: "log lines of one or several routers; - is standard input",
+});
+
+export const requestsCommand = command({
+  name: "requests",
+  description: "count how the requests in a log ended, by route and cause",
+  args: { ...outputArgs, log: logArg },
+  handler: ({ log, output }) => runOnLog(log, output, toEnds),
+});
+
+export const explainCommand = command({
+  name: "explain",
+  description: "show everything in a log that touched one request",
+  args: {
+    ...outputArgs,
+    log: logArg,
+    request: positional({
+      displayName: "request",
+      type: string,
+      description: "id of the request",
+    }),
+  },
+  handler: ({ log, request, output }) =>
+    runOnLog(log, output, (events) => toExplanation(events, request)),
+});
+
+function toEnds(events: readonly LogEvent[]): CommandResult {
+  const counts = countEnds(events);
+  const tables = [endsTable(counts)];
+  return { exitCode: ExitCode.Ok, document: counts, tables };
+}
+
+function toExplanation(
+  events: readonly LogEvent[],
+  request: string,
+): CommandResult {
+  const found = eventsOf(events, request);
+  if (found.length === 0) {
+    const message = `the log has no line of request ${request}: check the ` +
+      "id, and that the logs of all routers are given";
+    return failure(ExitCode.NotFound, message);
+  }
+  const document = found.map((it) => Object.fromEntries(it.fields));
+  const tables = [eventsTable(found)];
+  return { exitCode: ExitCode.Ok, document, tables };
+}
+
+async function runOnLog(
+  log: string,
+  output: OutputFormat,
+  work: (events: readonly LogEvent[]) => CommandResult,
+): Promise<void> {
+  try {
+    printResult(work(await readLogEvents(log)), output);
+  } catch (err) {
+    const message = `${log} can't be read: ${errorMessage(err)}`;
+    printResult(failure(ExitCode.Usage, message), output);
+  }
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -3,6 +3,7 @@
 import { errorMessage } from "@sassafrascleat/runtime";
 import { runSafely, subcommands } from "cmd-ts";
 import { applyCommand } from "./commands/apply.ts";
+import { explainCommand, requestsCommand } from "./commands/log.ts";
 import { historyCommand } from "./commands/history.ts";
 import { getCommand, listCommand } from "./commands/objects.ts";
 import { drainCommand, statusCommand } from "./commands/status.ts";
@@ -11,7 +12,8 @@
 
 const program = subcommands({
   name: "sassafrascleat",
-  description: "changes and reads the configuration of a deployment",
+  description:
+    "changes and reads the configuration of a deployment, and reads its logs",
   version: "0.1.0",
   cmds: {
     apply: applyCommand,
@@ -21,6 +23,8 @@
     status: statusCommand,
     drain: drainCommand,
     validate: validateCommand,
+    requests: requestsCommand,
+    explain: explainCommand,
   },
 });
 
