--- a/packages/daemon/src/__tests__/operations_docs_test.ts
+++ b/packages/daemon/src/__tests__/operations_docs_test.ts
@@ -13,17 +13,20 @@
 const ROOT = new URL("../../../../", import.meta.url);
 const GUIDE = read("docs/GUIDE.md");
 const OPERATIONS = read("docs/OPERATIONS.md");
-const SOURCES = sourcesOf("packages/");
+const SOURCES = [
+  sourcesOf("packages/", /^[a-z]+\/src\/.*\.ts$/),
+  sourcesOf("platform/", /^src\/.*\.ts$/),
+].join("\n");
 
 function read(path: string): string {
   return readFileSync(new URL(path, ROOT), "utf8");
 }
 
 /** The text of every module that is no test, one after the other. */
-function sourcesOf(folder: string): string {
+function sourcesOf(folder: string, modules: RegExp): string {
   const paths = readdirSync(new URL(folder, ROOT), { recursive: true })
     .map(String)
-    .filter((path) => /^[a-z]+\/src\/.*\.ts$/.test(path))
+    .filter((path) => modules.test(path))
     .filter((path) => !path.includes("__tests__"));
   return paths.map((path) => read(folder + path)).join("\n");
 }
--- a/packages/gateway/src/balance/stage_balancer.ts
+++ b/packages/gateway/src/balance/stage_balancer.ts
@@ -31,6 +31,11 @@
 
 /** Where leases are kept. */
 export interface OrderLeases {
+  /**
+   * Learns who holds the lease, so that it can be taken at once when it was
+   * seen for long enough. Hands back what it was taken for when that is new.
+   */
+  observe(signal: AbortSignal): Promise<OrderPurpose | undefined>;
   /** Takes the lease for a few orders; undefined while another one holds. */
   acquire(
     purpose: OrderPurpose,
@@ -65,11 +70,17 @@
   orders: StageOrders;
   services: () => Iterable<Service>;
   workOf: (service: string) => StageWork;
+  /** Generations that this entry runs at an engine. */
+  loadOf: (engine: Backend) => number;
+  /** An engine takes no work for a while, since its stage changes. */
+  setAside: (engine: Backend, forMs: number) => void;
   /** Spreads the entries' attempts, in milliseconds. */
   jitterMs: () => number;
 }
 
 const CHECK_MS = 500;
+/** Pause between two looks at the lease, in milliseconds. */
+const OBSERVE_MS = 1_000;
 /** A difference has to last this long while requests are served, in ms. */
 const LASTING_MS = 8_000;
 /** No engine has joined for this long after a start, in milliseconds. */
@@ -87,6 +98,7 @@
     { members: string; sinceMs: number }
   >();
   readonly #settledAt = new Map<string, number>();
+  #observedAtMs = -Infinity;
 
   constructor(options: StageBalancerOptions) {
     this.#options = options;
@@ -96,29 +108,44 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await sleep(CHECK_MS + this.#options.jitterMs(), signal);
-      for (const service of this.#options.services()) {
-        if (service.engine) await this.#check(service, signal);
-      }
+      const services = [...this.#options.services()].filter((it) => it.engine);
+      if (services.length > 0) await this.#observe(signal);
+      for (const service of services) await this.#check(service, signal);
+    }
+  }
+
+  async #observe(signal: AbortSignal): Promise<void> {
+    const { clock, directory, leases, setAside } = this.#options;
+    const nowMs = clock.now();
+    if (nowMs - this.#observedAtMs < OBSERVE_MS) return;
+    this.#observedAtMs = nowMs;
+    const purpose = await leases.observe(signal);
+    if (!purpose) return;
+    for (const id of purpose.engineIds) {
+      const engine = directory.get(id);
+      if (!engine || engine.stage === purpose.stage) continue;
+      setAside(engine, purpose.settleMs);
     }
   }
 
   async #check(service: Service, signal: AbortSignal): Promise<void> {
-    const { clock, directory, workOf } = this.#options;
+    const { clock, directory, loadOf, workOf } = this.#options;
     const work = workOf(service.name);
     const idle = work.readMs + work.decodeMs === 0;
     const engines = directory.ready(service.name);
     const most = idle
       ? engines.length
       : Math.max(1, Math.floor(engines.length * MOST_SHARE));
-    const changes = planStageChanges({ engines, work }, most);
+    const changes = planStageChanges({ engines, work, loadOf }, most);
     if (changes.length === 0 || signal.aborted) {
       this.#wantedSince.delete(service.name);
       return;
     }
     const nowMs = clock.now();
     if (nowMs < (this.#settledAt.get(service.name) ?? 0)) return;
-    const sinceMs = this.#wantedSinceMs(service.name, engines);
-    if (nowMs - sinceMs < (idle ? FIRST_LASTING_MS : LASTING_MS)) return;
+    const none = isEmptyStage(engines, changes[0]?.stage);
+    const sinceMs = this.#wantedSinceMs(service.name, none ? [] : engines);
+    if (nowMs - sinceMs < lastingMs(idle, none)) return;
     await this.#order(service, changes, signal);
   }
 
@@ -147,21 +174,25 @@
     if (!lease || signal.aborted) return;
     this.#settledAt.set(service.name, clock.now() + settleMs);
     this.#wantedSince.delete(service.name);
-    const sent = changes.map((change) => this.#send(change, lease, signal));
+    const sent = changes.map((change) =>
+      this.#send(change, lease, settleMs, signal)
+    );
     await Promise.all(sent);
   }
 
   async #send(
     { engine, stage }: StageChange,
     lease: OrderLease,
+    settleMs: number,
     signal: AbortSignal,
   ): Promise<void> {
-    const { clock, log, orders } = this.#options;
+    const { clock, log, orders, setAside } = this.#options;
     if (clock.now() > lease.validUntilMs) {
       log("order_lease_expired", { backend: engine.id });
       return;
     }
     const end = await orders.order(engine, stage, lease.fencingToken, signal);
+    if (end !== OrderEnd.Rejected) setAside(engine, settleMs);
     log("stage_order", {
       backend: engine.id,
       service: engine.service,
@@ -171,3 +202,17 @@
     });
   }
 }
+
+/** How long a change has to be wanted before it is ordered, in milliseconds. */
+function lastingMs(idle: boolean, none: boolean): number {
+  if (idle) return FIRST_LASTING_MS;
+  // A stage without any engine serves nobody well.
+  return none ? 0 : LASTING_MS;
+}
+
+function isEmptyStage(
+  engines: readonly Backend[],
+  stage: EngineStage | undefined,
+): boolean {
+  return !engines.some((engine) => engine.stage === stage);
+}
--- a/packages/gateway/src/decide/__tests__/backend_health_test.ts
+++ b/packages/gateway/src/decide/__tests__/backend_health_test.ts
@@ -69,3 +69,19 @@
   book.forget("a");
   expect(book.usable("a")).toBe(true);
 });
+
+test("a backend server that is set aside gets no work until it is taken back", () => {
+  const clock = new ManualClock(0);
+  const health = new HealthBook(clock);
+  health.setAside("a", 9_000);
+  clock.advance(8_999);
+  expect(health.usable("a")).toBe(false);
+  health.takeBack("a");
+  expect(health.usable("a")).toBe(true);
+  health.setAside("a", 1_000);
+  clock.advance(1_000);
+  expect(health.usable("a")).toBe(true);
+  health.setAside("a", 1_000);
+  health.forget("a");
+  expect(health.usable("a")).toBe(true);
+});
--- a/packages/gateway/src/decide/__tests__/retry_allowance_test.ts
+++ b/packages/gateway/src/decide/__tests__/retry_allowance_test.ts
@@ -5,9 +5,7 @@
 function create(entries: number) {
   const clock = new ManualClock(0);
   const options = {
-    ratio: 0.2,
-    slack: 52,
-    windowMs: 10_000,
+    limits: () => ({ ratio: 0.2, slack: 52, windowMs: 10_000 }),
     entries: () => entries,
     clock,
     startMs: -20_000,
@@ -41,7 +39,8 @@
 
 test("a life that has just begun leaves what the one before may have spent", () => {
   const clock = new ManualClock(0);
-  const options = { ratio: 0.2, slack: 52, windowMs: 10_000, clock };
+  const limits = () => ({ ratio: 0.2, slack: 52, windowMs: 10_000 });
+  const options = { limits, clock };
   const entries = () => 1;
   const before = new RetryAllowance({ ...options, entries, startMs: -20_000 });
   const after = new RetryAllowance({ ...options, entries, startMs: 0 });
@@ -50,3 +49,17 @@
   while (after.take()) taken += 1;
   expect(taken).toBeLessThanOrEqual(52);
 });
+
+test("limits that change hold from then on", () => {
+  const clock = new ManualClock(0);
+  const limits = { ratio: 0.2, slack: 52, windowMs: 10_000 };
+  const allowance = new RetryAllowance({
+    limits: () => limits,
+    entries: () => 4,
+    startMs: -20_000,
+    clock,
+  });
+  expect(allowance.available).toBeGreaterThan(5);
+  limits.slack = 8;
+  expect(allowance.available).toBe(1);
+});
--- a/packages/gateway/src/decide/backend_health.ts
+++ b/packages/gateway/src/decide/backend_health.ts
@@ -49,6 +49,8 @@
 export class HealthBook {
   readonly #clock: Clock;
   readonly #records = new Map<string, HealthRecord>();
+  /** Ends of planned times without work, by incarnation. */
+  readonly #asideUntil = new Map<string, number>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -72,8 +74,10 @@
 
   /** True when the backend server gets work now. */
   usable(key: string): boolean {
+    const nowMs = this.#clock.now();
+    if ((this.#asideUntil.get(key) ?? nowMs) > nowMs) return false;
     const record = this.#records.get(key);
-    return !record || record.ejectedUntilMs <= this.#clock.now();
+    return !record || record.ejectedUntilMs <= nowMs;
   }
 
   /** Takes in one result; true when it ejects the backend server. */
@@ -111,9 +115,20 @@
     this.of(key).ejectedUntilMs = Infinity;
   }
 
+  /** The backend server takes no work for a while, through no fault. */
+  setAside(key: string, forMs: number): void {
+    this.#asideUntil.set(key, this.#clock.now() + forMs);
+  }
+
+  /** The backend server takes work again sooner than it was to. */
+  takeBack(key: string): void {
+    this.#asideUntil.delete(key);
+  }
+
   /** Forgets an incarnation that is gone. */
   forget(key: string): void {
     this.#records.delete(key);
+    this.#asideUntil.delete(key);
   }
 
   #recordGood(record: HealthRecord, latencyMs: number): void {
--- a/packages/gateway/src/decide/retry_allowance.ts
+++ b/packages/gateway/src/decide/retry_allowance.ts
@@ -6,13 +6,19 @@
 import type { Clock } from "@sassafrascleat/runtime";
 
 /** Limits of repeated calls over all entries. */
-export interface RetryAllowanceOptions {
-  clock: Clock;
+export interface RetryLimits {
   /** Repeated calls for each request. */
   ratio: number;
   /** Repeated calls in each window beyond the ratio, over all entries. */
   slack: number;
   windowMs: number;
+}
+
+/** Options of an entry's allowance. */
+export interface RetryAllowanceOptions {
+  clock: Clock;
+  /** What holds now; it may change. */
+  limits: () => RetryLimits;
   /** Start of the process, in milliseconds of its clock. */
   startMs: number;
   /** Entries that share the slack. */
@@ -46,9 +52,10 @@
 
   /** Repeated calls that are allowed now. */
   get available(): number {
-    const { ratio, slack, entries } = this.#options;
+    const { ratio, slack } = this.#options.limits();
     this.#trim();
-    const allowed = ratio * this.#requests.length + slack / entries();
+    const allowed = ratio * this.#requests.length +
+      slack / this.#options.entries();
     return Math.floor(allowed * this.#share()) - this.#repeats.length;
   }
 
@@ -60,13 +67,14 @@
   }
 
   #share(): number {
-    const { clock, windowMs } = this.#options;
-    const first = clock.now() - this.#startMs < windowMs;
+    const { clock, limits } = this.#options;
+    const first = clock.now() - this.#startMs < limits().windowMs;
     return first ? FIRST_SPENT_SHARE : SPENT_SHARE;
   }
 
   #trim(): void {
-    const startMs = this.#options.clock.now() - this.#options.windowMs;
+    const { clock, limits } = this.#options;
+    const startMs = clock.now() - limits().windowMs;
     dropBefore(this.#requests, startMs);
     dropBefore(this.#repeats, startMs);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,20 +7,25 @@
  */
 import type { Clock, Logger, Random } from "@sassafrascleat/runtime";
 import { BackendDirectory, DirectoryChange } from "./backends/directory.ts";
-import { incarnationOf } from "./backends/backend.ts";
+import { type Backend, incarnationOf } from "./backends/backend.ts";
 import { ConfigHolder } from "./config/config_holder.ts";
 import { pickService } from "./config/route_index.ts";
 import { RouteKind } from "./config/routing_table.ts";
 import { HealthBook } from "./decide/backend_health.ts";
+import { connectionShare } from "./decide/connection_share.ts";
 import { EngineBook } from "./decide/engine_book.ts";
 import { OutputEstimate } from "./decide/output_estimate.ts";
 import type { StageWork } from "./decide/stage_plan.ts";
-import { RetryAllowance } from "./decide/retry_allowance.ts";
+import { RetryAllowance, type RetryLimits } from "./decide/retry_allowance.ts";
 import { Ingress, type IngressRequest } from "./http/ingress.ts";
 import { Upstream } from "./http/upstream.ts";
 import type { WireCodec } from "./http/wire_codec.ts";
 import { createGatewayMetrics, type GatewayMetrics } from "./metrics.ts";
-import { type GatewayPolicyOptions, resolveGatewayPolicy } from "./policy.ts";
+import {
+  type GatewayPolicy,
+  type GatewayPolicyOptions,
+  resolveGatewayPolicy,
+} from "./policy.ts";
 import { DecodeRooms } from "./runs/decode_room.ts";
 import { runPlain } from "./runs/plain_run.ts";
 import {
@@ -78,7 +83,10 @@
     this.config = new ConfigHolder(clock, log);
     this.directory = new BackendDirectory({ clock, log });
     this.metrics = createGatewayMetrics();
-    this.upstream = new Upstream({ log });
+    this.upstream = new Upstream({
+      log,
+      connectionsTo: (backend) => this.#connectionsTo(backend),
+    });
     this.#ctx = {
       clock,
       log,
@@ -114,7 +122,10 @@
       const key = incarnationOf(backend);
       if (change === DirectoryChange.Removed) this.#forget(backend);
       if (change === DirectoryChange.Joined) return;
-      if (change === DirectoryChange.Changed) return;
+      if (change === DirectoryChange.Changed) {
+        this.#ctx.health.takeBack(key);
+        return;
+      }
       const streams = this.#ctx.activeStreams.get(key) ?? [];
       for (const stream of streams) stream.engineLeaves();
     });
@@ -131,6 +142,11 @@
     this.#leavingSinceMs ??= this.#ctx.clock.now();
   }
 
+  /** Changes the given limits; requests in progress may still use the old. */
+  setPolicy(options: GatewayPolicyOptions): void {
+    Object.assign(this.#ctx.policy, options);
+  }
+
   /** Tells how many entries share the retry allowance. */
   setEntries(entries: number): void {
     if (entries === this.#entries) return;
@@ -144,21 +160,37 @@
     return getOrCreate(this.#work, service, create);
   }
 
-  #forget(backend: Parameters<typeof incarnationOf>[0]): void {
+  /** Generations of this entry that are placed at an engine. */
+  loadOf(engine: Backend): number {
+    return this.#ctx.book.of(incarnationOf(engine)).requests;
+  }
+
+  /** A backend server takes no work for a while, or until it is changed. */
+  setAside(backend: Backend, forMs: number): void {
+    const { health, log } = this.#ctx;
+    log("backend_set_aside", { backend: backend.id, for_ms: forMs });
+    health.setAside(incarnationOf(backend), forMs);
+  }
+
+  #forget(backend: Backend): void {
     const key = incarnationOf(backend);
     this.#ctx.health.forget(key);
     this.#ctx.book.forget(key);
     this.upstream.retire(backend);
   }
 
+  #connectionsTo(backend: Backend): number {
+    const services = this.config.current?.table.services;
+    const limit = services?.get(backend.service)?.maxConnections ?? 0;
+    return connectionShare(limit, this.#entries);
+  }
+
   #allowanceOf(service: string): RetryAllowance {
-    const { clock, policy } = this.#ctx;
+    const { clock } = this.#ctx;
     const create = () =>
       new RetryAllowance({
         clock,
-        ratio: policy.retryRatio,
-        slack: policy.retrySlack,
-        windowMs: policy.retryWindowMs,
+        limits: () => retryLimitsOf(this.#ctx.policy),
         startMs: this.#startMs,
         entries: () => this.#entries,
       });
@@ -228,8 +260,10 @@
       attempts: outcome.attempts,
       events: outcome.events,
       first_ms: round(outcome.firstByteMs),
+      longest_gap_ms: round(outcome.longestGapMs),
       total_ms: round(clock.now() - req.arrivedMs),
       target_ms: req.route.targetLatencyMs,
+      gap_target_ms: req.route.maxEventGapMs || undefined,
       config: req.configVersion,
     });
   }
@@ -250,6 +284,14 @@
   }
 }
 
+function retryLimitsOf(policy: GatewayPolicy): RetryLimits {
+  return {
+    ratio: policy.retryRatio,
+    slack: policy.retrySlack,
+    windowMs: policy.retryWindowMs,
+  };
+}
+
 /** The value of a key; made when there is none. */
 function getOrCreate<K, V>(map: Map<K, V>, key: K, create: () => V): V {
   const known = map.get(key);
--- a/packages/gateway/src/http/__tests__/upstream_test.ts
+++ b/packages/gateway/src/http/__tests__/upstream_test.ts
@@ -143,3 +143,13 @@
     sent: false,
   });
 });
+
+test("calls beyond the entry's share of connections wait for one", async () => {
+  await upstream.close();
+  upstream = new Upstream({ log: () => {}, connectionsTo: () => 2 });
+  const answer = (socket: Socket) => setTimeout(() => socket.write(WHOLE), 20);
+  server = await startRawServer(answer);
+  const results = await Promise.all([1, 2, 3, 4, 5, 6].map(() => call()));
+  for (const result of results) expect(result.end).toBe(ExchangeEnd.Answered);
+  expect(new Set(server.connectionOf).size).toBe(2);
+});
--- a/packages/gateway/src/http/upstream.ts
+++ b/packages/gateway/src/http/upstream.ts
@@ -8,6 +8,7 @@
 import type { Socket } from "node:net";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import { type Backend, incarnationOf } from "../backends/backend.ts";
+import { MOST_CONNECTIONS } from "../decide/connection_share.ts";
 import type { RawHeaders } from "./wire_codec.ts";
 
 /** Why a call has no whole answer. */
@@ -56,13 +57,15 @@
   connectTimeoutMs?: number;
   /** Idle time after which a connection is closed, in milliseconds. @default 4000 */
   idleMs?: number;
-  /** Connections to one backend server. @default 64 */
-  maxConnections?: number;
+  /**
+   * Most connections to a backend server, asked when it is first called.
+   * @default 64
+   */
+  connectionsTo?: (backend: Backend) => number;
 }
 
 const CONNECT_TIMEOUT_MS = 800;
 const IDLE_MS = 4_000;
-const MAX_CONNECTIONS = 64;
 /** Closing this much before the peer would avoids sending into its close. */
 const KEEP_ALIVE_MARGIN_MS = 300;
 const KEEP_ALIVE_PROBE_MS = 1_000;
@@ -82,7 +85,7 @@
       log: options.log,
       connectTimeoutMs: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
       idleMs: options.idleMs ?? IDLE_MS,
-      maxConnections: options.maxConnections ?? MAX_CONNECTIONS,
+      connectionsTo: options.connectionsTo ?? (() => MOST_CONNECTIONS),
     };
   }
 
@@ -179,7 +182,7 @@
     if (known) return known;
     const options = this.#options;
     const pool = new Pool(`http://${backend.address}`, {
-      connections: options.maxConnections,
+      connections: options.connectionsTo(backend),
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
