--- a/packages/gateway/src/policy.ts
+++ b/packages/gateway/src/policy.ts
@@ -12,8 +12,13 @@
   entries?: number;
   /** Longest wait for memory of a decode engine, in milliseconds. @default 250 */
   maxRoomWaitMs?: number;
-  /** Expected output for which memory is reserved, as a share. @default 1.25 */
+  /** Expected output for which memory is reserved, as a share. @default 0.2 */
   outputReserveRatio?: number;
+  /**
+   * Memory of a decode engine that a new generation leaves free, as a share.
+   * @default 0.05
+   */
+  roomMarginShare?: number;
   /** Speed at which a prefill engine reads, in tokens a millisecond. @default 30 */
   readTokensPerMs?: number;
   /** Decode engines asked for room by one request. @default 8 */
@@ -32,7 +37,8 @@
     retryWindowMs: raw.retryWindowMs ?? 10_000,
     entries: raw.entries ?? 16,
     maxRoomWaitMs: raw.maxRoomWaitMs ?? 250,
-    outputReserveRatio: raw.outputReserveRatio ?? 1.25,
+    outputReserveRatio: raw.outputReserveRatio ?? 0.2,
+    roomMarginShare: raw.roomMarginShare ?? 0.05,
     readTokensPerMs: raw.readTokensPerMs ?? 30,
     maxRoomAsks: raw.maxRoomAsks ?? 8,
   };
--- a/packages/gateway/src/runs/decode_room.ts
+++ b/packages/gateway/src/runs/decode_room.ts
@@ -1,6 +1,8 @@
 /**
  * Memory and a slot at a decode engine, reserved before the prompt is read, so
- * that no prompt is read in vain. Requests that find every engine full wait a
+ * that no prompt is read in vain. Reserved is the prompt and the beginning of
+ * the answer; what all answers at an engine grow by is kept free as one margin,
+ * which takes far less memory than each answer's whole length. Requests that find every engine full wait a
  * short time, in the order of `room_order`, and one of them asks at a time.
  */
 import { sleep } from "@sassafrascleat/runtime";
@@ -43,6 +45,9 @@
 /** Life of a reservation, in milliseconds; prompts are read within it. */
 const HOLD_LIFE_MS = 1_800;
 
+/** Life of a reservation that only proves that memory is free, in ms. */
+const MARGIN_HOLD_MS = 10;
+
 /** Hands out places at the decode engines of one service. */
 export class DecodeRooms {
   readonly #ctx: RunContext;
@@ -155,11 +160,7 @@
     );
     ctx.metrics.holds.inc({ result: result.end });
     if (result.end === HoldEnd.Granted) {
-      ctx.book.accepted(key, req.tokens);
-      const granted = { ...room, holdId: result.holdId };
-      if (!req.signal.aborted) return granted;
-      this.giveBack(granted);
-      return undefined;
+      return await this.#keep({ ...room, holdId: result.holdId }, req);
     }
     release();
     if (result.end === HoldEnd.NoRoom) ctx.book.refused(key, req.tokens);
@@ -167,6 +168,38 @@
     return undefined;
   }
 
+  /** Keeps a granted place if its engine has the margin free besides. */
+  async #keep(room: Room, req: RoomRequest): Promise<Room | undefined> {
+    const { book } = this.#ctx;
+    const key = incarnationOf(room.engine);
+    const hasMargin = await this.#hasMargin(room.engine, req.signal);
+    if (hasMargin) book.accepted(key, req.tokens);
+    else book.refused(key, req.tokens);
+    if (hasMargin && !req.signal.aborted) return room;
+    this.giveBack(room);
+    return undefined;
+  }
+
+  /**
+   * True when an engine has memory free for what its generations make until one
+   * of them ends. Only a reservation tells, so it is made and lapses at once.
+   */
+  async #hasMargin(engine: Backend, signal: AbortSignal): Promise<boolean> {
+    const { engines, metrics, policy } = this.#ctx;
+    const kvTokens = this.#service.engine?.kvTokens ?? 0;
+    const tokens = Math.floor(kvTokens * policy.roomMarginShare);
+    if (tokens === 0) return true;
+    const result = await engines.takeHold(
+      engine,
+      tokens,
+      MARGIN_HOLD_MS,
+      signal,
+    );
+    if (result.end !== HoldEnd.NoRoom) return true;
+    metrics.holds.inc({ result: "no_margin" });
+    return false;
+  }
+
   #unreachable(engine: Backend, message: string): void {
     const ctx = this.#ctx;
     ctx.log("hold_failed", { backend: engine.id, message });
