--- a/packages/gateway/src/backends/directory.ts
+++ b/packages/gateway/src/backends/directory.ts
@@ -38,6 +38,12 @@
   missingSinceMs?: number;
 }
 
+/** Backend servers of one service that take new work. */
+interface ReadyBackends {
+  all: Backend[];
+  byStage: Map<EngineStage | undefined, Backend[]>;
+}
+
 /** Owner of what is believed about backend servers. */
 export class BackendDirectory {
   readonly #clock: Clock;
@@ -45,7 +51,8 @@
   readonly #lapseGraceMs: number;
   readonly #listed = new Map<string, Listed>();
   readonly #listeners: Listener[] = [];
-  #byService = new Map<string, Backend[]>();
+  /** What takes new work, by service; made anew after a change. */
+  #ready: Map<string, ReadyBackends> | undefined;
   #storeAway = false;
   #storeBackAtMs = -Infinity;
   #loaded = false;
@@ -68,13 +75,12 @@
 
   /** Backend servers of a service that take new work. */
   ready(service: string): readonly Backend[] {
-    this.#expire();
-    return this.#byService.get(service) ?? [];
+    return this.#readyOf(service)?.all ?? [];
   }
 
   /** Engines of a service at one stage that take new work. */
-  readyAt(service: string, stage: EngineStage): Backend[] {
-    return this.ready(service).filter((engine) => engine.stage === stage);
+  readyAt(service: string, stage: EngineStage): readonly Backend[] {
+    return this.#readyOf(service)?.byStage.get(stage) ?? [];
   }
 
   /** All backend servers of a service, leaving ones included. */
@@ -116,7 +122,7 @@
   put(backend: Backend): void {
     const before = this.#listed.get(backend.id)?.backend;
     this.#listed.set(backend.id, { backend });
-    this.#rebuild();
+    this.#ready = undefined;
     const change = changeBetween(before, backend);
     if (!change) return;
     if (before && incarnationOf(before) !== incarnationOf(backend)) {
@@ -159,19 +165,29 @@
     const listed = this.#listed.get(id);
     if (!listed) return;
     this.#listed.delete(id);
-    this.#rebuild();
+    this.#ready = undefined;
     this.#tell(DirectoryChange.Removed, listed.backend, reason);
   }
 
-  #rebuild(): void {
-    const byService = new Map<string, Backend[]>();
+  #readyOf(service: string): ReadyBackends | undefined {
+    this.#expire();
+    this.#ready ??= this.#indexReady();
+    return this.#ready.get(service);
+  }
+
+  #indexReady(): Map<string, ReadyBackends> {
+    const index = new Map<string, ReadyBackends>();
     for (const { backend } of this.#listed.values()) {
       if (backend.state !== BackendState.Ready) continue;
-      const group = byService.get(backend.service) ?? [];
-      group.push(backend);
-      byService.set(backend.service, group);
+      const group: ReadyBackends = index.get(backend.service) ??
+        { all: [], byStage: new Map() };
+      index.set(backend.service, group);
+      group.all.push(backend);
+      const peers = group.byStage.get(backend.stage) ?? [];
+      group.byStage.set(backend.stage, peers);
+      peers.push(backend);
     }
-    this.#byService = byService;
+    return index;
   }
 
   #tell(change: DirectoryChange, backend: Backend, reason: string): void {
--- a/packages/gateway/src/decide/__tests__/backend_health_test.ts
+++ b/packages/gateway/src/decide/__tests__/backend_health_test.ts
@@ -10,8 +10,12 @@
 describe("a backend server that does not answer", () => {
   test("is ejected after two calls and tried again later", () => {
     const { clock, book } = create();
-    expect(book.record("a", CallVerdict.Silent, 0, ["a", "b"])).toBe(false);
-    expect(book.record("a", CallVerdict.Silent, 0, ["a", "b"])).toBe(true);
+    expect(book.record("a", CallVerdict.Silent, 0, () => ["a", "b"])).toBe(
+      false,
+    );
+    expect(book.record("a", CallVerdict.Silent, 0, () => ["a", "b"])).toBe(
+      true,
+    );
     expect(book.usable("a")).toBe(false);
     clock.advance(1_000);
     expect(book.usable("a")).toBe(true);
@@ -20,8 +24,8 @@
   test("stays away longer each time", () => {
     const { clock, book } = create();
     for (let round = 0; round < 2; round += 1) {
-      book.record("a", CallVerdict.Silent, 0, []);
-      book.record("a", CallVerdict.Silent, 0, []);
+      book.record("a", CallVerdict.Silent, 0, () => []);
+      book.record("a", CallVerdict.Silent, 0, () => []);
       clock.advance(1_000);
     }
     expect(book.usable("a")).toBe(false);
@@ -35,9 +39,11 @@
   const peers = ["a", "b", "c"];
   let ejected = false;
   for (let call = 0; call < 40 && !ejected; call += 1) {
-    for (const key of ["b", "c"]) book.record(key, CallVerdict.Good, 10, peers);
+    for (const key of ["b", "c"]) {
+      book.record(key, CallVerdict.Good, 10, () => peers);
+    }
     const verdict = call % 2 === 0 ? CallVerdict.Error : CallVerdict.Good;
-    ejected = book.record("a", verdict, 10, peers);
+    ejected = book.record("a", verdict, 10, () => peers);
   }
   expect(ejected).toBe(true);
 });
@@ -48,7 +54,7 @@
   for (let call = 0; call < 60; call += 1) {
     for (const key of peers) {
       const verdict = call % 2 === 0 ? CallVerdict.Error : CallVerdict.Good;
-      expect(book.record(key, verdict, 10, peers)).toBe(false);
+      expect(book.record(key, verdict, 10, () => peers)).toBe(false);
     }
   }
 });
@@ -56,7 +62,7 @@
 test("proof that a request did not run says nothing about health", () => {
   const { book } = create();
   for (let call = 0; call < 20; call += 1) {
-    book.record("a", CallVerdict.Shed, 0, ["a", "b"]);
+    book.record("a", CallVerdict.Shed, 0, () => ["a", "b"]);
   }
   expect(book.usable("a")).toBe(true);
 });
--- /dev/null
+++ b/packages/gateway/src/decide/__tests__/decision_cost_test.ts
@@ -0,0 +1,85 @@
+/**
+ * The cost of placing one generation: decode engines in the order in which they
+ * are asked, then a prefill engine, both from the directory. Run with
+ * `SHOW_COSTS=1` it prints the figures.
+ */
+import { expect, test } from "@jest/globals";
+import { createRandom, ManualClock } from "@sassafrascleat/runtime";
+import {
+  type Backend,
+  BackendState,
+  EngineStage,
+  incarnationOf,
+} from "../../backends/backend.ts";
+import { BackendDirectory } from "../../backends/directory.ts";
+import { HealthBook } from "../backend_health.ts";
+import { EngineBook } from "../engine_book.ts";
+import { orderDecodeEngines, pickPrefillEngine } from "../engine_placement.ts";
+
+const ENGINES = [6, 60, 600, 6_700];
+const ZONES = 14;
+const KV_TOKENS = 42_000;
+const ROUNDS = 15;
+const PLACEMENTS = 100;
+
+function engine(index: number): Backend {
+  return {
+    id: `e${index}`,
+    service: "s",
+    address: "127.0.0.1:1",
+    zone: `z${index % ZONES}`,
+    slots: 12,
+    state: BackendState.Ready,
+    stage: index % 3 === 0 ? EngineStage.Prefill : EngineStage.Decode,
+  };
+}
+
+function createPlacement(count: number): () => void {
+  const clock = new ManualClock(1_000);
+  const directory = new BackendDirectory({ clock, log: () => {} });
+  const random = createRandom(count);
+  const book = new EngineBook(clock);
+  const health = new HealthBook(clock);
+  const engines = Array.from({ length: count }, (_, index) => engine(index));
+  directory.reset(engines);
+  for (const item of engines) {
+    book.place(incarnationOf(item), random.int(0, KV_TOKENS));
+  }
+  return () => {
+    const inputs = { book, health, random, nowMs: clock.now(), zone: "z1" };
+    const decoders = directory.readyAt("s", EngineStage.Decode);
+    orderDecodeEngines(decoders, 4_000, KV_TOKENS, inputs);
+    const readers = directory.readyAt("s", EngineStage.Prefill);
+    pickPrefillEngine(readers, 30, inputs);
+  };
+}
+
+/** Microseconds of one placement, the median of the rounds. */
+function costOf(place: () => void): number {
+  const rounds = Array.from({ length: ROUNDS }, () => {
+    const startNs = process.hrtime.bigint();
+    for (let i = 0; i < PLACEMENTS; i += 1) place();
+    return Number(process.hrtime.bigint() - startNs) / 1_000 / PLACEMENTS;
+  });
+  return rounds.sort((a, b) => a - b)[Math.floor(ROUNDS / 2)] ?? NaN;
+}
+
+test("the cost of a placement grows slower than the number of engines", () => {
+  const costs = ENGINES.map((count) => costOf(createPlacement(count)));
+  if (process.env.SHOW_COSTS) {
+    process.stdout.write(`microseconds at ${ENGINES}: ${costs}\n`);
+  }
+  const [, few = NaN, , many = NaN] = costs;
+  const growth = (ENGINES[3] ?? 0) / (ENGINES[1] ?? 1);
+  expect(many / few).toBeLessThan(growth / 10);
+});
+
+test("a fleet of thousands is taken over at once", () => {
+  const clock = new ManualClock(0);
+  const directory = new BackendDirectory({ clock, log: () => {} });
+  const engines = Array.from({ length: 6_700 }, (_, index) => engine(index));
+  const startNs = process.hrtime.bigint();
+  directory.reset(engines);
+  expect(directory.ready("s")).toHaveLength(6_700);
+  expect(Number(process.hrtime.bigint() - startNs) / 1e6).toBeLessThan(500);
+});
--- a/packages/gateway/src/decide/__tests__/placement_test.ts
+++ b/packages/gateway/src/decide/__tests__/placement_test.ts
@@ -34,7 +34,14 @@
   const clock = new ManualClock(1_000);
   const book = new EngineBook(clock);
   const health = new HealthBook(clock);
-  const inputs = () => ({ book, health, nowMs: clock.now(), zone: "z1" });
+  const random = createRandom(3);
+  const inputs = () => ({
+    book,
+    health,
+    random,
+    nowMs: clock.now(),
+    zone: "z1",
+  });
   return { clock, book, health, inputs };
 }
 
@@ -166,7 +173,7 @@
     };
     const peers = [a, b].map(incarnationOf);
     for (let i = 0; i < 5; i += 1) {
-      health.record(incarnationOf(a), CallVerdict.Error, 10, peers);
+      health.record(incarnationOf(a), CallVerdict.Error, 10, () => peers);
     }
     expect(pickPlainBackend([a, b], inputs)?.id).toBe("b");
   });
--- a/packages/gateway/src/decide/backend_health.ts
+++ b/packages/gateway/src/decide/backend_health.ts
@@ -80,12 +80,15 @@
     return !record || record.ejectedUntilMs <= nowMs;
   }
 
-  /** Takes in one result; true when it ejects the backend server. */
+  /**
+   * Takes in one result; true when it ejects the backend server. `peers` names
+   * others of its service, and is asked only for a failure.
+   */
   record(
     key: string,
     verdict: CallVerdict,
     latencyMs: number,
-    peers: readonly string[],
+    peers: () => readonly string[],
   ): boolean {
     const record = this.of(key);
     if (verdict === CallVerdict.Shed) return false;
@@ -140,12 +143,12 @@
   #mustEject(
     key: string,
     record: HealthRecord,
-    peers: readonly string[],
+    peers: () => readonly string[],
   ): boolean {
     if (record.ejectedUntilMs > this.#clock.now()) return false;
     if (record.silentInRow >= SILENT_IN_ROW_LIMIT) return true;
     if (record.calls < MIN_CALLS_TO_JUDGE) return false;
-    const rates = peers
+    const rates = peers()
       .filter((peer) => peer !== key)
       .map((peer) => this.of(peer).errorRate);
     const usual = rates.length > 0 ? Math.min(...rates) : 1;
--- a/packages/gateway/src/decide/engine_placement.ts
+++ b/packages/gateway/src/decide/engine_placement.ts
@@ -5,7 +5,9 @@
  * least of the entry's own work first; one that has just refused as much comes
  * last. Prefill engines are taken by the time until the prompt would be read.
  */
+import type { Random } from "@sassafrascleat/runtime";
 import { type Backend, incarnationOf } from "../backends/backend.ts";
+import { candidatesOf } from "./candidates.ts";
 import type { EngineBook } from "./engine_book.ts";
 import type { HealthBook } from "./backend_health.ts";
 
@@ -14,6 +16,7 @@
   book: EngineBook;
   health: HealthBook;
   nowMs: number;
+  random: Random;
   /** Where an engine is near: the zone of this entry or of another engine. */
   zone: string;
 }
@@ -37,7 +40,7 @@
   kvTokens: number,
   inputs: PlacementInputs,
 ): Backend[] {
-  const ranked = engines
+  const ranked = candidatesOf(engines, inputs.random)
     .filter((engine) => inputs.health.usable(incarnationOf(engine)))
     .map((engine) => ({
       engine,
@@ -81,7 +84,7 @@
 ): Backend | undefined {
   let best: Backend | undefined;
   let bestMs = Infinity;
-  for (const engine of engines) {
+  for (const engine of candidatesOf(engines, inputs.random)) {
     const key = incarnationOf(engine);
     if (excluded.has(key) || !inputs.health.usable(key)) continue;
     const waitMs = readWaitMs(engine, tokensPerMs, inputs);
--- a/packages/gateway/src/decide/plain_placement.ts
+++ b/packages/gateway/src/decide/plain_placement.ts
@@ -6,6 +6,7 @@
  */
 import type { Random } from "@sassafrascleat/runtime";
 import { type Backend, incarnationOf } from "../backends/backend.ts";
+import { candidatesOf } from "./candidates.ts";
 import type { HealthBook } from "./backend_health.ts";
 
 /** What placement of plain calls decides by. */
@@ -32,7 +33,10 @@
   inputs: PlainPlacementInputs,
   excluded: ReadonlySet<string> = new Set(),
 ): Backend | undefined {
-  const allowed = backends.filter((item) => !excluded.has(incarnationOf(item)));
+  const candidates = candidatesOf(backends, inputs.random);
+  const allowed = candidates.filter((item) =>
+    !excluded.has(incarnationOf(item))
+  );
   const usable = allowed.filter((item) =>
     inputs.health.usable(incarnationOf(item))
   );
--- a/packages/gateway/src/runs/decode_room.ts
+++ b/packages/gateway/src/runs/decode_room.ts
@@ -122,8 +122,7 @@
     const capacity = this.#service.engine;
     if (!capacity) return undefined;
     const engines = ctx.directory
-      .readyAt(this.#service.name, EngineStage.Decode)
-      .filter((engine) => !req.excluded.has(incarnationOf(engine)));
+      .readyAt(this.#service.name, EngineStage.Decode);
     const inputs = { ...ctx, nowMs: ctx.clock.now() };
     const ordered = orderDecodeEngines(
       engines,
@@ -131,7 +130,9 @@
       capacity.kvTokens,
       inputs,
     );
-    const asked = ordered.slice(0, ctx.policy.maxRoomAsks);
+    const asked = ordered
+      .filter((engine) => !req.excluded.has(incarnationOf(engine)))
+      .slice(0, ctx.policy.maxRoomAsks);
     for (const engine of asked) {
       if (req.signal.aborted) return undefined;
       const room = await this.#askOne(engine, req, capacity.maxHoldMs);
--- a/packages/gateway/src/runs/plain_run.ts
+++ b/packages/gateway/src/runs/plain_run.ts
@@ -217,8 +217,8 @@
     }
     const call = callVerdictOf(verdict);
     const ctx = this.#ctx;
-    const peers = ctx.directory.ready(this.#req.service.name)
-      .map(incarnationOf);
+    const { name } = this.#req.service;
+    const peers = () => ctx.directory.ready(name).map(incarnationOf);
     const key = incarnationOf(backend);
     if (!ctx.health.record(key, call, result.elapsedMs, peers)) return;
     ctx.metrics.ejections.inc();
--- a/packages/gateway/src/runs/prompt_read.ts
+++ b/packages/gateway/src/runs/prompt_read.ts
@@ -83,14 +83,19 @@
 
   /** A result counts for its engine only when a decode engine took it. */
   taken(engine: Backend): void {
-    this.#ctx.health.record(incarnationOf(engine), CallVerdict.Good, 0, []);
+    this.#ctx.health.record(
+      incarnationOf(engine),
+      CallVerdict.Good,
+      0,
+      () => [],
+    );
   }
 
   /** An engine whose result could not be taken isn't asked again. */
   exclude(engine: Backend): void {
     const key = incarnationOf(engine);
     this.#failed.add(key);
-    this.#ctx.health.record(key, CallVerdict.Silent, 0, []);
+    this.#ctx.health.record(key, CallVerdict.Silent, 0, () => []);
   }
 
   /** Who should read the prompt now, and how long it would take. */
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -190,7 +190,7 @@
    */
   #countTurnedDown(engine: Backend): void {
     const { health } = this.#ctx;
-    health.record(incarnationOf(engine), CallVerdict.Silent, 0, []);
+    health.record(incarnationOf(engine), CallVerdict.Silent, 0, () => []);
   }
 
   /** Keeps a read prompt for the next engine while it can still be taken. */
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -273,8 +273,8 @@
   #recordHealth(result: StreamResult, room: Room): void {
     const ctx = this.#ctx;
     const key = incarnationOf(room.engine);
-    const peers = ctx.directory.ready(this.#req.service.name)
-      .map(incarnationOf);
+    const { name } = this.#req.service;
+    const peers = () => ctx.directory.ready(name).map(incarnationOf);
     const verdict = healthVerdictOf(result.end);
     if (!verdict) return;
     if (!ctx.health.record(key, verdict, 0, peers)) return;
