--- a/packages/gateway/src/balance/__tests__/stage_balancer_test.ts
+++ b/packages/gateway/src/balance/__tests__/stage_balancer_test.ts
@@ -17,7 +17,6 @@
 
 const SERVICE: Service = {
   name: "s",
-  healthCheckPath: "/",
   maxConnections: 1,
   engine: {
     slots: 12,
--- a/packages/gateway/src/config/__tests__/config_test.ts
+++ b/packages/gateway/src/config/__tests__/config_test.ts
@@ -15,7 +15,6 @@
     priority: 2,
     targets: [{ service: name, weight: 1 }],
     maxAttempts: 2,
-    carriesPrompt: false,
     resumable: false,
     maxEventGapMs: 0,
   };
--- a/packages/gateway/src/config/routing_table.ts
+++ b/packages/gateway/src/config/routing_table.ts
@@ -37,8 +37,6 @@
   targets: readonly RouteTarget[];
   /** Most backend servers that may run one request. */
   maxAttempts: number;
-  /** The request carries a prompt for a model engine. */
-  carriesPrompt: boolean;
   /** An interrupted stream may go on from its last event. */
   resumable: boolean;
   /** Longest pause between two events that is still on time, in milliseconds. */
@@ -64,7 +62,6 @@
 /** A group of interchangeable backend servers. */
 export interface Service {
   name: string;
-  healthCheckPath: string;
   /** Connections that one backend server takes from all callers together. */
   maxConnections: number;
   /** Absent for services without model engines. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -227,7 +227,7 @@
     }
     const name = pickService(route, this.#ctx.random) ?? "";
     const service = inForce.table.services.get(name) ??
-      { name, healthCheckPath: "", maxConnections: 0 };
+      { name, maxConnections: 0 };
     const waitMs = Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs);
     await this.#run({
       ...req,
--- a/packages/gateway/src/runs/decode_stream.ts
+++ b/packages/gateway/src/runs/decode_stream.ts
@@ -5,6 +5,7 @@
  */
 import { childController } from "@sassafrascleat/runtime";
 import type { Backend } from "../backends/backend.ts";
+import { CallVerdict } from "../decide/backend_health.ts";
 import { EventSplitter } from "../http/event_splitter.ts";
 import { CallFailure, type UpstreamFlow } from "../http/upstream.ts";
 import type { Directives, RawHeaders } from "../http/wire_codec.ts";
@@ -219,3 +220,18 @@
     };
   }
 }
+
+/** What the end of a stream says of its backend server's health. */
+export function healthVerdictOf(end: StreamEnd): CallVerdict | undefined {
+  switch (end) {
+    case StreamEnd.Complete:
+      return CallVerdict.Good;
+    case StreamEnd.EngineError:
+      return CallVerdict.Error;
+    case StreamEnd.Cut:
+    case StreamEnd.Silent:
+      return CallVerdict.Silent;
+    default:
+      return undefined;
+  }
+}
--- a/packages/gateway/src/runs/generation.ts
+++ b/packages/gateway/src/runs/generation.ts
@@ -14,6 +14,19 @@
   longestGapMs: number;
 }
 
+/** The progress of a stream that begins, or goes on after `lastEventId`. */
+export function createProgress(
+  lastEventId: string | undefined,
+): StreamProgress {
+  return {
+    events: 0,
+    lastEventId,
+    firstEventAtMs: undefined,
+    lastEventAtMs: undefined,
+    longestGapMs: 0,
+  };
+}
+
 /** One generation. */
 export class Generation {
   readonly prompt: PromptShape;
@@ -31,13 +44,7 @@
     this.prompt = prompt;
     this.capacity = capacity;
     this.expectedTokens = expectedTokens;
-    this.progress = {
-      events: 0,
-      lastEventId,
-      firstEventAtMs: undefined,
-      lastEventAtMs: undefined,
-      longestGapMs: 0,
-    };
+    this.progress = createProgress(lastEventId);
   }
 
   /** Tokens generated so far, as far as events tell. */
--- a/packages/gateway/src/runs/stream_outcome.ts
+++ b/packages/gateway/src/runs/stream_outcome.ts
@@ -1,10 +1,10 @@
 /**
- * How a generation ends for its caller. What has not run is refused, with a
+ * How a stream ends for its caller. What has not run is refused, with a
  * time to come back; what may have run is failed.
  */
 import { EngineStage } from "../backends/backend.ts";
 import { StreamEnd, type StreamResult } from "./decode_stream.ts";
-import type { Generation } from "./generation.ts";
+import type { StreamProgress } from "./generation.ts";
 import { fail, refuse } from "./refuse.ts";
 import { promisesNotRun } from "./reply_verdict.ts";
 import {
@@ -19,7 +19,7 @@
 export const BUSY_MS = 3_200;
 const NO_ENGINE_BUSY_MS = 1_000;
 
-/** Counts the calls of one generation, and answers its caller. */
+/** Counts the calls of one stream, and answers its caller. */
 export class StreamOutcomes {
   /** Calls to engines that may have run it. */
   attempts = 0;
@@ -29,12 +29,16 @@
   lastBackend: string | undefined;
   readonly #ctx: RunContext;
   readonly #req: CallerRequest;
-  readonly #generation: Generation;
+  readonly #progress: StreamProgress;
 
-  constructor(ctx: RunContext, req: CallerRequest, generation: Generation) {
+  constructor(
+    ctx: RunContext,
+    req: CallerRequest,
+    progress: StreamProgress,
+  ) {
     this.#ctx = ctx;
     this.#req = req;
-    this.#generation = generation;
+    this.#progress = progress;
   }
 
   /** The stream is whole. */
@@ -62,7 +66,7 @@
     const reason = result.end === StreamEnd.Cut
       ? RunReason.StreamCut
       : RunReason.NoAnswer;
-    const { events } = this.#generation.progress;
+    const { events } = this.#progress;
     return { ...this.#fail(reason), events };
   }
 
@@ -105,7 +109,7 @@
   }
 
   #outcome(end: RunEnd, reason: RunReason, status: number): RunOutcome {
-    const { firstEventAtMs, events, longestGapMs } = this.#generation.progress;
+    const { firstEventAtMs, events, longestGapMs } = this.#progress;
     return {
       end,
       reason,
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -6,15 +6,17 @@
  * engine, and only when the one before was cut off.
  */
 import { type Backend, incarnationOf } from "../backends/backend.ts";
-import { CallVerdict } from "../decide/backend_health.ts";
 import type { DecodeRooms, Room } from "./decode_room.ts";
+import { withDeadline } from "./deadline.ts";
 import {
+  healthVerdictOf,
   runDecodeStream,
   StreamEnd,
   type StreamResult,
 } from "./decode_stream.ts";
 import { Generation } from "./generation.ts";
 import { moveAway, watchEngine } from "./run_move.ts";
+import { runPlainStream } from "./plain_stream.ts";
 import { READ_OVERHEAD_MS } from "./prompt_read.ts";
 import { refuse } from "./refuse.ts";
 import {
@@ -43,9 +45,7 @@
 ): Promise<RunOutcome> {
   const capacity = req.service.engine;
   const prompt = req.facts.prompt;
-  if (!capacity || !prompt) {
-    return Promise.resolve(refuse(ctx, req, RunReason.NoBackend, BUSY_MS));
-  }
+  if (!capacity || !prompt) return runPlainStream(ctx, req);
   const expected = ctx.estimateOf(req.route.name).expect(prompt);
   const { lastEventId } = req.facts;
   const generation = new Generation(prompt, capacity, expected, lastEventId);
@@ -73,7 +73,7 @@
     this.#req = req;
     this.#generation = generation;
     this.#placer = new StreamPlacer(ctx, req, rooms, generation);
-    this.#outcomes = new StreamOutcomes(ctx, req, generation);
+    this.#outcomes = new StreamOutcomes(ctx, req, generation.progress);
   }
 
   async run(): Promise<RunOutcome> {
@@ -83,16 +83,10 @@
     if (prompt.promptTokens > capacity.kvTokens) {
       return refuse(ctx, this.#req, RunReason.TooLarge, BUSY_MS);
     }
-    const deadline = new AbortController();
-    const timer = setTimeout(
-      () => deadline.abort(),
-      Math.max(1, remainingMs(ctx, this.#req)),
-    );
-    const signal = AbortSignal.any([this.#req.signal, deadline.signal]);
+    const work = (signal: AbortSignal) => this.#runInTurn(signal);
     try {
-      return await this.#runInTurn(signal);
+      return await withDeadline(ctx, this.#req, work);
     } finally {
-      clearTimeout(timer);
       this.#placer.close();
     }
   }
@@ -296,17 +290,3 @@
     work.decodeMs += this.#generation.decodeWorkMs();
   }
 }
-
-function healthVerdictOf(end: StreamEnd): CallVerdict | undefined {
-  switch (end) {
-    case StreamEnd.Complete:
-      return CallVerdict.Good;
-    case StreamEnd.EngineError:
-      return CallVerdict.Error;
-    case StreamEnd.Cut:
-    case StreamEnd.Silent:
-      return CallVerdict.Silent;
-    default:
-      return undefined;
-  }
-}
