--- a/packages/gateway/src/runs/plain_stream.ts
+++ b/packages/gateway/src/runs/plain_stream.ts
@@ -9,10 +9,10 @@
 import { withDeadline } from "./deadline.ts";
 import {
   healthVerdictOf,
-  runDecodeStream,
+  runStreamCall,
   StreamEnd,
   type StreamResult,
-} from "./decode_stream.ts";
+} from "./stream_call.ts";
 import { createProgress, type StreamProgress } from "./generation.ts";
 import { refuse } from "./refuse.ts";
 import {
@@ -57,8 +57,8 @@
     const result = await stream(ctx, req, backend, progress, signal);
     if (result.end === StreamEnd.Complete) return outcomes.answered();
     if (signal.aborted) return outcomes.aborted();
-    if (result.end === StreamEnd.EngineError) {
-      return outcomes.engineError(result);
+    if (result.end === StreamEnd.BackendError) {
+      return outcomes.backendError(result);
     }
     const mayResume = req.route.resumable &&
       outcomes.attempts < req.route.maxAttempts;
@@ -87,8 +87,8 @@
     config: req.configVersion,
   });
   ctx.inProgress.set(key, before + 1);
-  const result = await runDecodeStream(ctx, req, {
-    engine: backend,
+  const result = await runStreamCall(ctx, req, {
+    backend,
     progress,
     signal,
     silenceMs: 0,
--- a/packages/gateway/src/runs/decode_stream.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -1,6 +1,6 @@
 /**
- * One stream from a decode engine to the caller. Only whole events are passed
- * on, as they arrive. The stream is complete when the engine's answer is whole
+ * One stream from a backend server to the caller. Only whole events are passed
+ * on, as they arrive. The stream is complete when the server's answer is whole
  * and no event is left torn.
  */
 import { childController } from "@sassafrascleat/runtime";
@@ -13,13 +13,13 @@
 import { judgeReply, ReplyVerdict } from "./reply_verdict.ts";
 import type { CallerRequest, RunContext } from "./run_context.ts";
 
-/** How a stream from one engine ended. */
+/** How a stream from one backend server ended. */
 export enum StreamEnd {
   Complete = "complete",
   /** Proved not to have run. */
   NotExecuted = "not_executed",
-  /** The engine answered with an error of its own. */
-  EngineError = "engine_error",
+  /** The backend server answered with an error of its own. */
+  BackendError = "backend_error",
   /** It ended before its last event, or never began. */
   Cut = "cut",
   /** No event came for too long. */
@@ -31,18 +31,18 @@
 /** What became of one stream. */
 export interface StreamResult {
   end: StreamEnd;
-  /** Events passed on by this engine. */
+  /** Events passed on by this backend server. */
   events: number;
   status: number;
-  /** Headers and body of an engine's error. */
+  /** Headers and body of its error. */
   headers: RawHeaders;
   body: Buffer;
   message: string;
 }
 
 /** Options of one stream. */
-export interface DecodeStreamOptions {
-  engine: Backend;
+export interface StreamCallOptions {
+  backend: Backend;
   directives: Directives;
   progress: StreamProgress;
   signal: AbortSignal;
@@ -51,7 +51,7 @@
    * waits for as long as the caller does.
    */
   silenceMs: number;
-  /** Called when the engine's first event has come, or its stream has ended. */
+  /** Called when the first event has come, or its stream has ended. */
   onBegun: () => void;
   /** True when the stream is to be given up. */
   isLost: () => Promise<boolean>;
@@ -61,18 +61,18 @@
 const MAX_ERROR_BYTES = 1024 * 1024;
 
 /** Runs one stream to its end. */
-export function runDecodeStream(
+export function runStreamCall(
   ctx: RunContext,
   req: CallerRequest,
-  options: DecodeStreamOptions,
+  options: StreamCallOptions,
 ): Promise<StreamResult> {
-  return new DecodeStream(ctx, req, options).run();
+  return new StreamCall(ctx, req, options).run();
 }
 
-class DecodeStream {
+class StreamCall {
   readonly #ctx: RunContext;
   readonly #req: CallerRequest;
-  readonly #options: DecodeStreamOptions;
+  readonly #options: StreamCallOptions;
   readonly #splitter = new EventSplitter();
   readonly #controller: AbortController;
   readonly #errorBody: Buffer[] = [];
@@ -90,7 +90,7 @@
   constructor(
     ctx: RunContext,
     req: CallerRequest,
-    options: DecodeStreamOptions,
+    options: StreamCallOptions,
   ) {
     this.#ctx = ctx;
     this.#req = req;
@@ -99,7 +99,7 @@
   }
 
   run(): Promise<StreamResult> {
-    const { engine, directives } = this.#options;
+    const { backend, directives } = this.#options;
     const req = this.#req;
     return new Promise((resolve) => {
       const settle = (end: StreamEnd, message = "") => {
@@ -111,7 +111,7 @@
       this.#expectProgress();
       this.#ctx.upstream.open(
         {
-          backend: engine,
+          backend,
           method: req.method,
           path: req.target,
           headers: this.#ctx.codec.toBackend(req.headers, directives),
@@ -196,7 +196,7 @@
     if (this.#verdict === ReplyVerdict.NotExecuted) {
       return StreamEnd.NotExecuted;
     }
-    if (this.#verdict !== ReplyVerdict.Good) return StreamEnd.EngineError;
+    if (this.#verdict !== ReplyVerdict.Good) return StreamEnd.BackendError;
     const torn = this.#splitter.pendingBytes > 0;
     return torn ? StreamEnd.Cut : StreamEnd.Complete;
   }
@@ -226,7 +226,7 @@
   switch (end) {
     case StreamEnd.Complete:
       return CallVerdict.Good;
-    case StreamEnd.EngineError:
+    case StreamEnd.BackendError:
       return CallVerdict.Error;
     case StreamEnd.Cut:
     case StreamEnd.Silent:
--- a/packages/gateway/src/runs/stream_outcome.ts
+++ b/packages/gateway/src/runs/stream_outcome.ts
@@ -3,7 +3,7 @@
  * time to come back; what may have run is failed.
  */
 import { EngineStage } from "../backends/backend.ts";
-import { StreamEnd, type StreamResult } from "./decode_stream.ts";
+import { StreamEnd, type StreamResult } from "./stream_call.ts";
 import type { StreamProgress } from "./generation.ts";
 import { fail, refuse } from "./refuse.ts";
 import { promisesNotRun } from "./reply_verdict.ts";
@@ -51,7 +51,7 @@
   }
 
   /** The engine answered with an error, which is passed on. */
-  engineError(result: StreamResult): RunOutcome {
+  backendError(result: StreamResult): RunOutcome {
     const { responder } = this.#req;
     if (responder.started || promisesNotRun(result.status)) {
       return this.failed(result);
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -12,7 +12,7 @@
 import { ReadPlace } from "../decide/read_plan.ts";
 import type { KvSource } from "../http/wire_codec.ts";
 import type { DecodeRooms, Room } from "./decode_room.ts";
-import type { StreamResult } from "./decode_stream.ts";
+import type { StreamResult } from "./stream_call.ts";
 import type { Generation } from "./generation.ts";
 import {
   FIRST_EVENT_MS,
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -10,10 +10,10 @@
 import { withDeadline } from "./deadline.ts";
 import {
   healthVerdictOf,
-  runDecodeStream,
+  runStreamCall,
   StreamEnd,
   type StreamResult,
-} from "./decode_stream.ts";
+} from "./stream_call.ts";
 import { Generation } from "./generation.ts";
 import { moveAway, watchEngine } from "./run_move.ts";
 import { runPlainStream } from "./plain_stream.ts";
@@ -148,8 +148,8 @@
     const onBegun = source
       ? () => {}
       : ctx.book.startReading(incarnationOf(room.engine), this.#readTokens());
-    const result = await runDecodeStream(ctx, req, {
-      engine: room.engine,
+    const result = await runStreamCall(ctx, req, {
+      backend: room.engine,
       progress: this.#generation.progress,
       signal,
       silenceMs: this.#silenceMs(),
@@ -228,8 +228,8 @@
     if (result.end === StreamEnd.NotExecuted) {
       return this.#notExecuted(result, placement);
     }
-    if (result.end === StreamEnd.EngineError) {
-      return this.#outcomes.engineError(result);
+    if (result.end === StreamEnd.BackendError) {
+      return this.#outcomes.backendError(result);
     }
     return this.#mayResume() ? undefined : this.#outcomes.failed(result);
   }
