--- a/packages/gateway/src/decide/__tests__/output_estimate_test.ts
+++ b/packages/gateway/src/decide/__tests__/output_estimate_test.ts
@@ -46,3 +46,13 @@
   }
   expect(learned).toBeLessThan(0.8 * trusted);
 });
+
+test("the usual length is learned, whatever callers estimate", () => {
+  const estimate = new OutputEstimate();
+  expect(estimate.usual(prompt(100))).toBeCloseTo(0.42 * 1_870);
+  for (let i = 0; i < 200; i += 1) {
+    estimate.learn(prompt(1_800), i % 2 === 0 ? 100 : 300);
+  }
+  expect(estimate.usual(prompt(100))).toBeGreaterThan(190);
+  expect(estimate.usual(prompt(100))).toBeLessThan(270);
+});
--- a/packages/gateway/src/decide/output_estimate.ts
+++ b/packages/gateway/src/decide/output_estimate.ts
@@ -16,6 +16,7 @@
 /** Learns lengths of one route. */
 export class OutputEstimate {
   #weight = 0;
+  #sumTokens = 0;
   #sumX = 0;
   #sumY = 0;
   #sumXX = 0;
@@ -30,12 +31,19 @@
     return Math.min(prompt.maxOutputTokens, Math.max(1, expected));
   }
 
+  /** Tokens of an answer of this route, on average. */
+  usual(prompt: PromptShape): number {
+    const believed = PRIOR_ANSWERS * prompt.maxOutputTokens * SHARE_OF_MAX;
+    return (this.#sumTokens + believed) / (this.#weight + PRIOR_ANSWERS);
+  }
+
   /** Takes in a finished answer. */
   learn(prompt: PromptShape, generatedTokens: number): void {
     if (generatedTokens < 1) return;
     const x = Math.log(hintOf(prompt));
     const y = Math.log(generatedTokens);
     this.#weight = this.#weight * FADE + 1;
+    this.#sumTokens = this.#sumTokens * FADE + generatedTokens;
     this.#sumX = this.#sumX * FADE + x;
     this.#sumY = this.#sumY * FADE + y;
     this.#sumXX = this.#sumXX * FADE + x * x;
--- a/packages/gateway/src/policy.ts
+++ b/packages/gateway/src/policy.ts
@@ -15,10 +15,10 @@
   /** Expected output for which memory is reserved, as a share. @default 0.2 */
   outputReserveRatio?: number;
   /**
-   * Memory of a decode engine that a new generation leaves free, as a share.
-   * @default 0.05
+   * Memory of a decode engine that a new generation leaves free, in answers of
+   * usual length. @default 2.5
    */
-  roomMarginShare?: number;
+  roomMarginAnswers?: number;
   /** Speed at which a prefill engine reads, in tokens a millisecond. @default 30 */
   readTokensPerMs?: number;
   /** Decode engines asked for room by one request. @default 8 */
@@ -38,7 +38,7 @@
     entries: raw.entries ?? 16,
     maxRoomWaitMs: raw.maxRoomWaitMs ?? 250,
     outputReserveRatio: raw.outputReserveRatio ?? 0.2,
-    roomMarginShare: raw.roomMarginShare ?? 0.05,
+    roomMarginAnswers: raw.roomMarginAnswers ?? 2.5,
     readTokensPerMs: raw.readTokensPerMs ?? 30,
     maxRoomAsks: raw.maxRoomAsks ?? 8,
   };
--- a/packages/gateway/src/runs/decode_room.ts
+++ b/packages/gateway/src/runs/decode_room.ts
@@ -31,6 +31,8 @@
 export interface RoomRequest extends RoomWaiter {
   requestId: string;
   tokens: number;
+  /** What its engine has to have free besides, in tokens. */
+  marginTokens: number;
   signal: AbortSignal;
   /** Incarnations that are not asked. */
   excluded: ReadonlySet<string>;
@@ -173,7 +175,7 @@
   async #keep(room: Room, req: RoomRequest): Promise<Room | undefined> {
     const { book } = this.#ctx;
     const key = incarnationOf(room.engine);
-    const hasMargin = await this.#hasMargin(room.engine, req.signal);
+    const hasMargin = await this.#hasMargin(room.engine, req);
     if (hasMargin) book.accepted(key, req.tokens);
     else book.refused(key, req.tokens);
     if (hasMargin && !req.signal.aborted) return room;
@@ -185,16 +187,14 @@
    * True when an engine has memory free for what its generations make until one
    * of them ends. Only a reservation tells, so it is made and lapses at once.
    */
-  async #hasMargin(engine: Backend, signal: AbortSignal): Promise<boolean> {
-    const { engines, metrics, policy } = this.#ctx;
-    const kvTokens = this.#service.engine?.kvTokens ?? 0;
-    const tokens = Math.floor(kvTokens * policy.roomMarginShare);
-    if (tokens === 0) return true;
+  async #hasMargin(engine: Backend, req: RoomRequest): Promise<boolean> {
+    const { engines, metrics } = this.#ctx;
+    if (req.marginTokens === 0) return true;
     const result = await engines.takeHold(
       engine,
-      tokens,
+      req.marginTokens,
       MARGIN_HOLD_MS,
-      signal,
+      req.signal,
     );
     if (result.end !== HoldEnd.NoRoom) return true;
     metrics.holds.inc({ result: "no_margin" });
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -46,6 +46,8 @@
 
 /** Part of a read prompt's life in which another engine may still take it. */
 const REUSABLE_SHARE = 0.7;
+/** The margin never takes more of an engine's memory than this share. */
+const MOST_MARGIN_SHARE = 0.1;
 const STATUS_MISDIRECTED = 421;
 
 /** Places one generation, again after an engine turned it down. */
@@ -149,6 +151,7 @@
       requestId: req.facts.requestId,
       priority: req.route.priority,
       tokens: this.#tokensToReserve(),
+      marginTokens: this.#marginTokens(),
       onTimeUntilMs,
       untilMs,
       signal,
@@ -161,6 +164,16 @@
     return this.#generation.tokensToReserve(ratio);
   }
 
+  /** What all answers at an engine grow by until one of them ends. */
+  #marginTokens(): number {
+    const { prompt, capacity } = this.#generation;
+    const estimate = this.#ctx.estimateOf(this.#req.route.name);
+    const answers = this.#ctx.policy.roomMarginAnswers;
+    const tokens = Math.floor(answers * estimate.usual(prompt));
+    const most = Math.floor(capacity.kvTokens * MOST_MARGIN_SHARE);
+    return Math.min(tokens, most);
+  }
+
   /** The read prompt; undefined when the decode engine has to read it. */
   async #readPrompt(
     zone: string,
