--- a/packages/gateway/src/runs/decode_room.ts
+++ b/packages/gateway/src/runs/decode_room.ts
@@ -2,8 +2,9 @@
  * Memory and a slot at a decode engine, reserved before the prompt is read, so
  * that no prompt is read in vain. Reserved is the prompt and the beginning of
  * the answer; what all answers at an engine grow by is kept free as one margin,
- * which takes far less memory than each answer's whole length. Requests that find every engine full wait a
- * short time, in the order of `room_order`, and one of them asks at a time.
+ * which takes far less memory than each answer's whole length. Requests that
+ * find every engine full wait a short time, in the order of `room_order`, and
+ * one of them asks at a time.
  */
 import { sleep } from "@sassafrascleat/runtime";
 import {
