--- a/packages/gateway/src/balance/__tests__/stage_balancer_test.ts
+++ b/packages/gateway/src/balance/__tests__/stage_balancer_test.ts
@@ -151,13 +151,26 @@
   test("the last prefill engine leaves: another is ordered at once, also while engines join", async () => {
     const { clock, directory, orders } = start(lease, { work });
     await pass(clock, 1_000);
-    for (const index of [0, 1, 2]) directory.remove(`e${index}`);
+    for (const index of [0, 1, 2]) {
+      const state = BackendState.Draining;
+      directory.put({ ...engine(index, EngineStage.Prefill), state });
+    }
     await pass(clock, 500);
     directory.put(engine(6, EngineStage.Decode));
     await pass(clock, 1_500);
     expect(orders).toEqual(["e3 prefill 41"]);
   });
 
+  test("prefill engines that vanish may be back soon, but not for ever", async () => {
+    const { clock, directory, orders } = start(lease, { work });
+    await pass(clock, 1_000);
+    for (const index of [0, 1, 2]) directory.remove(`e${index}`);
+    await pass(clock, 3_000);
+    expect(orders).toEqual([]);
+    await pass(clock, 1_500);
+    expect(orders).toEqual(["e3 prefill 41"]);
+  });
+
   test("a difference has to last while engines of both stages are left", async () => {
     const { clock, orders } = start(lease, { work });
     await pass(clock, 6_000);
--- a/packages/gateway/src/balance/stage_balancer.ts
+++ b/packages/gateway/src/balance/stage_balancer.ts
@@ -4,7 +4,11 @@
  * tells the others which change is under way, so that nobody orders it twice.
  */
 import { type Clock, type Logger, sleep } from "@sassafrascleat/runtime";
-import { type Backend, EngineStage } from "../backends/backend.ts";
+import {
+  type Backend,
+  BackendState,
+  type EngineStage,
+} from "../backends/backend.ts";
 import type { BackendDirectory } from "../backends/directory.ts";
 import type { Service } from "../config/routing_table.ts";
 import {
@@ -83,6 +87,8 @@
 const OBSERVE_MS = 1_000;
 /** A difference has to last this long while requests are served, in ms. */
 const LASTING_MS = 8_000;
+/** The same while no engine is left at a stage: those lost may be back soon. */
+const NONE_LASTING_MS = 3_500;
 /** No engine has joined for this long after a start, in milliseconds. */
 const FIRST_LASTING_MS = 1_500;
 /** Share of a service's engines that change at once while it is used. */
@@ -143,9 +149,13 @@
     }
     const nowMs = clock.now();
     if (nowMs < (this.#settledAt.get(service.name) ?? 0)) return;
-    const none = isEmptyStage(engines, changes[0]?.stage);
+    const stage = changes[0]?.stage;
+    const none = !engines.some((engine) => engine.stage === stage);
     const sinceMs = this.#wantedSinceMs(service.name, none ? [] : engines);
-    if (nowMs - sinceMs < lastingMs(idle, none)) return;
+    const lost = directory.all(service.name)
+      .filter((engine) => engine.stage === stage);
+    const leaving = lost.some((it) => it.state === BackendState.Draining);
+    if (nowMs - sinceMs < lastingMs({ idle, none, leaving })) return;
     await this.#order(service, changes, signal);
   }
 
@@ -203,16 +213,19 @@
   }
 }
 
-/** How long a change has to be wanted before it is ordered, in milliseconds. */
-function lastingMs(idle: boolean, none: boolean): number {
-  if (idle) return FIRST_LASTING_MS;
-  // A stage without any engine serves nobody well.
-  return none ? 0 : LASTING_MS;
+/** What decides how long a change has to be wanted. */
+interface Want {
+  /** Nothing was served yet. */
+  idle: boolean;
+  /** No engine is left at the wanted stage. */
+  none: boolean;
+  /** Those that were there leave by plan, and won't come back. */
+  leaving: boolean;
 }
 
-function isEmptyStage(
-  engines: readonly Backend[],
-  stage: EngineStage | undefined,
-): boolean {
-  return !engines.some((engine) => engine.stage === stage);
+/** How long a change has to be wanted before it is ordered, in milliseconds. */
+function lastingMs({ idle, none, leaving }: Want): number {
+  if (idle) return FIRST_LASTING_MS;
+  if (!none) return LASTING_MS;
+  return leaving ? 0 : NONE_LASTING_MS;
 }
