--- a/packages/cli/src/commands/log.ts
+++ b/packages/cli/src/commands/log.ts
@@ -11,7 +11,7 @@
   eventsOf,
   eventsTable,
 } from "../request_report.ts";
-import { type CommandResult, failure } from "../result.ts";
+import { type CommandResult, failure, shown } from "../result.ts";
 
 const logArg = positional({
   displayName: "log",
@@ -44,8 +44,7 @@
 
 function toEnds(events: readonly LogEvent[]): CommandResult {
   const counts = countEnds(events);
-  const tables = [endsTable(counts)];
-  return { exitCode: ExitCode.Ok, document: counts, tables };
+  return shown(counts, endsTable(counts));
 }
 
 function toExplanation(
@@ -59,8 +58,7 @@
     return failure(ExitCode.NotFound, message);
   }
   const document = found.map((it) => Object.fromEntries(it.fields));
-  const tables = [eventsTable(found)];
-  return { exitCode: ExitCode.Ok, document, tables };
+  return shown(document, eventsTable(found));
 }
 
 async function runOnLog(
--- a/packages/cli/src/log_events.ts
+++ b/packages/cli/src/log_events.ts
@@ -3,8 +3,7 @@
  * one host or several after one another. What stands before `time=` on a line,
  * as a log collector adds it, is left out.
  */
-import { readFile } from "node:fs/promises";
-import { text } from "node:stream/consumers";
+import { readText } from "./read_text.ts";
 
 /** One event of a log. */
 export interface LogEvent {
@@ -14,14 +13,11 @@
   fields: ReadonlyMap<string, string>;
 }
 
-const STANDARD_INPUT = "-";
 const PAIR = /([a-z_]+)=("(?:[^"\\]|\\.)*"|\S+)/g;
 
 /** Reads a file; `-` is standard input. */
 export async function readLogEvents(file: string): Promise<LogEvent[]> {
-  const whole = file === STANDARD_INPUT
-    ? await text(process.stdin)
-    : await readFile(file, "utf8");
+  const whole = await readText(file);
   return whole.split("\n").flatMap((line) => parseLogLine(line) ?? []);
 }
 
--- a/packages/cli/src/read_changes.ts
+++ b/packages/cli/src/read_changes.ts
@@ -6,8 +6,7 @@
   toIssues,
 } from "@sassafrascleat/config";
 import { errorMessage } from "@sassafrascleat/runtime";
-import { readFile } from "node:fs/promises";
-import { text } from "node:stream/consumers";
+import { readText, STANDARD_INPUT } from "./read_text.ts";
 
 /** The documents, or what to change in the file. */
 export type ReadChanges =
@@ -18,13 +17,6 @@
   return { ok: false, message };
 }
 
-async function readJson(path: string): Promise<unknown> {
-  const raw = path === "-"
-    ? await text(process.stdin)
-    : await readFile(path, "utf8");
-  return JSON.parse(raw);
-}
-
 function parse(raw: unknown): ReadChanges {
   const isList = Array.isArray(raw);
   const documents: unknown[] = isList ? raw : [raw];
@@ -46,9 +38,9 @@
 /** Reads one change document or a list of them; `-` is standard input. */
 export async function readChanges(path: string): Promise<ReadChanges> {
   try {
-    return parse(await readJson(path));
+    return parse(JSON.parse(await readText(path)));
   } catch (err) {
-    const name = path === "-" ? "standard input" : path;
+    const name = path === STANDARD_INPUT ? "standard input" : path;
     return refuse(`${name} can't be read as JSON: ${errorMessage(err)}`);
   }
 }
--- a/packages/cli/src/request_report.ts
+++ b/packages/cli/src/request_report.ts
@@ -40,7 +40,9 @@
   for (const event of ends) {
     const route = field(event, "route");
     const key = [route, field(event, "end"), causeOf(event)].join("\n");
-    groups.set(key, [...groups.get(key) ?? [], event]);
+    const group = groups.get(key) ?? [];
+    groups.set(key, group);
+    group.push(event);
     perRoute.set(route, (perRoute.get(route) ?? 0) + 1);
   }
   const counts = [...groups].map(([key, group]) => {
--- a/packages/gateway/src/runs/plain_run.ts
+++ b/packages/gateway/src/runs/plain_run.ts
@@ -21,6 +21,7 @@
 import {
   ageMs,
   type CallerRequest,
+  judgeBackend,
   noteMisdirected,
   remainingMs,
   type RunContext,
@@ -216,19 +217,7 @@
       return;
     }
     const call = callVerdictOf(verdict);
-    const ctx = this.#ctx;
-    const { name } = this.#req.service;
-    const peers = () => ctx.directory.ready(name).map(incarnationOf);
-    const key = incarnationOf(backend);
-    if (!ctx.health.record(key, call, result.elapsedMs, peers)) return;
-    ctx.metrics.ejections.inc();
-    const record = ctx.health.of(key);
-    ctx.log("backend_ejected", {
-      backend: backend.id,
-      error_rate: Number(record.errorRate.toFixed(2)),
-      for_ms: Math.round(record.ejectedUntilMs - ctx.clock.now()),
-    });
-    ctx.upstream.retire(backend);
+    judgeBackend(this.#ctx, backend, call, result.elapsedMs);
   }
 
   /** Takes in one result; an outcome when the request is over. */
--- a/packages/gateway/src/runs/plain_stream.ts
+++ b/packages/gateway/src/runs/plain_stream.ts
@@ -17,6 +17,7 @@
 import { refuse } from "./refuse.ts";
 import {
   type CallerRequest,
+  judgeBackend,
   remainingMs,
   type RunContext,
   type RunOutcome,
@@ -103,7 +104,6 @@
   });
   ctx.inProgress.set(key, (ctx.inProgress.get(key) ?? 1) - 1);
   const verdict = healthVerdictOf(result.end);
-  const peers = () => ctx.directory.ready(backend.service).map(incarnationOf);
-  if (verdict && !signal.aborted) ctx.health.record(key, verdict, 0, peers);
+  if (verdict && !signal.aborted) judgeBackend(ctx, backend, verdict, 0);
   return result;
 }
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -4,7 +4,7 @@
 import { type Backend, incarnationOf } from "../backends/backend.ts";
 import type { Route, Service } from "../config/routing_table.ts";
 import type { EngineBook } from "../decide/engine_book.ts";
-import type { HealthBook } from "../decide/backend_health.ts";
+import type { CallVerdict, HealthBook } from "../decide/backend_health.ts";
 import type { OutputEstimate } from "../decide/output_estimate.ts";
 import type { StageWork } from "../decide/stage_plan.ts";
 import type { RetryAllowance } from "../decide/retry_allowance.ts";
@@ -232,3 +232,26 @@
   if (replaced) ctx.health.replaced(key);
   else ctx.health.eject(key);
 }
+
+/**
+ * Takes in how a call to a backend server ended; one that is ejected for it
+ * gets no work for a while, and new connections after that.
+ */
+export function judgeBackend(
+  ctx: RunContext,
+  backend: Backend,
+  verdict: CallVerdict,
+  latencyMs: number,
+): void {
+  const key = incarnationOf(backend);
+  const peers = () => ctx.directory.ready(backend.service).map(incarnationOf);
+  if (!ctx.health.record(key, verdict, latencyMs, peers)) return;
+  ctx.metrics.ejections.inc();
+  const record = ctx.health.of(key);
+  ctx.log("backend_ejected", {
+    backend: backend.id,
+    error_rate: Number(record.errorRate.toFixed(2)),
+    for_ms: Math.round(record.ejectedUntilMs - ctx.clock.now()),
+  });
+  ctx.upstream.retire(backend);
+}
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -22,6 +22,7 @@
 import {
   ageMs,
   type CallerRequest,
+  judgeBackend,
   remainingMs,
   type RunContext,
   type RunOutcome,
@@ -265,16 +266,8 @@
   }
 
   #recordHealth(result: StreamResult, room: Room): void {
-    const ctx = this.#ctx;
-    const key = incarnationOf(room.engine);
-    const { name } = this.#req.service;
-    const peers = () => ctx.directory.ready(name).map(incarnationOf);
     const verdict = healthVerdictOf(result.end);
-    if (!verdict) return;
-    if (!ctx.health.record(key, verdict, 0, peers)) return;
-    ctx.metrics.ejections.inc();
-    ctx.log("backend_ejected", { backend: room.engine.id });
-    ctx.upstream.retire(room.engine);
+    if (verdict) judgeBackend(this.#ctx, room.engine, verdict, 0);
   }
 
   /** Takes in the length and the work of a whole answer. */
