fix(fuzz): sequences of steps form each hazard, so breaks are caught within few runs

Cause: single random steps rarely meet: a call while every server of its service leaves, a caller that leaves during an answer which outlasts callers and oracle. An answer of 3,000 tokens ended by itself within the oracle's 8 s, so "forget-cancel" was mostly invisible, and up to 960 deployments were started until one run showed a break.

--- a/playground/src/fuzz/__tests__/breaks_test.ts
+++ b/playground/src/fuzz/__tests__/breaks_test.ts
@@ -4,8 +4,8 @@
 import { fuzz } from "../property.ts";
 
 const SEED = 3;
-const MAX_RUNS = 960;
-const TIMEOUT_MS = 900_000;
+const MAX_RUNS = 96;
+const TIMEOUT_MS = 300_000;
 
 test.each(Object.values(Mutation))("%s is caught", async (mutation) => {
   const report = await fuzz({ seed: SEED, runs: MAX_RUNS, mutation });
--- a/playground/src/fuzz/property.ts
+++ b/playground/src/fuzz/property.ts
@@ -3,11 +3,11 @@
 import type { Mutation } from "./mutations.ts";
 import { checkRun } from "./oracle.ts";
 import { FuzzRun } from "./run.ts";
-import { describeStep, type Step, STEP_ARBITRARIES } from "./steps.ts";
+import { COMMAND_ARBITRARIES, describeStep, type Step } from "./steps.ts";
 import { startFuzzDeployment } from "./deployment.ts";
 
-/** Maximum number of steps in one run. */
-const MAX_STEPS = 30;
+/** Maximum number of commands in one run. */
+const MAX_COMMANDS = 30;
 
 /** Maximum number of concurrent runs. */
 const MAX_LANES = 8;
@@ -18,11 +18,11 @@
 /** Model of fast-check's commands; empty because the oracle needs no state. */
 type EmptyModel = Record<string, never>;
 
-class StepCommand implements fc.AsyncCommand<EmptyModel, FuzzRun> {
-  readonly #step: Step;
+class StepsCommand implements fc.AsyncCommand<EmptyModel, FuzzRun> {
+  readonly #steps: readonly Step[];
 
-  constructor(step: Step) {
-    this.#step = step;
+  constructor(steps: readonly Step[]) {
+    this.#steps = steps;
   }
 
   check(): boolean {
@@ -30,11 +30,11 @@
   }
 
   async run(_model: EmptyModel, run: FuzzRun): Promise<void> {
-    await run.perform(this.#step);
+    for (const step of this.#steps) await run.perform(step);
   }
 
   toString(): string {
-    return describeStep(this.#step);
+    return this.#steps.map(describeStep).join(", ");
   }
 }
 
@@ -94,8 +94,8 @@
   shouldStop: () => boolean,
 ): Promise<FuzzReport> {
   const arbitrary = fc.commands(
-    STEP_ARBITRARIES.map((step) => step.map((s) => new StepCommand(s))),
-    { maxCommands: MAX_STEPS, size: "max" },
+    COMMAND_ARBITRARIES.map((it) => it.map((steps) => new StepsCommand(steps))),
+    { maxCommands: MAX_COMMANDS, size: "max" },
   );
   let done = 0;
   let shrinkDeadlineMs = Infinity;
--- a/playground/src/fuzz/steps.ts
+++ b/playground/src/fuzz/steps.ts
@@ -1,6 +1,7 @@
 /**
  * Steps of a fuzz run as data, and the fast-check arbitraries that generate
- * them.
+ * them. Besides single steps there are sequences in which one step prepares a
+ * hazard for the next; single steps rarely form them by chance.
  */
 import fc from "fast-check";
 
@@ -91,7 +92,11 @@
 
 const MAX_PROMPT_CHARS = 30_000;
 const SHORT_ANSWER_TOKENS = 60;
-const LONG_ANSWER_TOKENS = 3_000;
+/**
+ * Takes the stand-in engine longer than callers and the oracle wait together,
+ * so that an answer that was not cancelled is still in memory at the check.
+ */
+const LONG_ANSWER_TOKENS = 12_000;
 const MAX_WAIT_MS = 700;
 const MAX_CANCEL_DELAY_MS = 400;
 const KEY_COUNT = 4;
@@ -201,7 +206,7 @@
 ];
 
 /** Arbitraries of steps; one listed twice is generated twice as often. */
-export const STEP_ARBITRARIES: fc.Arbitrary<Step>[] = [
+const STEP_ARBITRARIES: fc.Arbitrary<Step>[] = [
   modelStep,
   modelStep,
   cancelledStep,
@@ -219,6 +224,69 @@
   ...platformSteps,
 ];
 
+/** A caller that disconnects while its long answer is being generated. */
+const callerGoneSequence: fc.Arbitrary<Step[]> = fc
+  .tuple(
+    cancelledStep.map((step) => ({
+      ...step,
+      cancelAfterMs: MAX_CANCEL_DELAY_MS,
+    })),
+    waitStep,
+  );
+
+/** Calls that arrive after every server of their service began to leave. */
+const allLeavingSequence: fc.Arbitrary<Step[]> = plainStep.map((call) => [
+  ...PLAIN_BACKEND_INDEXES.map((index) => ({
+    kind: StepKind.SetLeaving as const,
+    node: index,
+    leaving: true,
+  })),
+  call,
+]);
+
+/**
+ * A keyed call that is delayed on every link until its sender has timed out,
+ * and its repetition.
+ */
+const lateCallSequence: fc.Arbitrary<Step[]> = plainStep.map((call) => [
+  ...PLAIN_BACKEND_INDEXES.map((index) => ({
+    kind: StepKind.ProxyFault as const,
+    entry: call.entry,
+    node: index,
+    fault: ProxyFault.DelayDispatch,
+  })),
+  call,
+]);
+
+/** Length of the pause in which a plain call is executed, in milliseconds. */
+const EXECUTION_PAUSE_MS = 30;
+
+/** Every server of a plain service restarts while it executes a call. */
+const restartDuringCallSequence: fc.Arbitrary<Step[]> = plainStep.map((
+  call,
+) => [
+  call,
+  { kind: StepKind.Wait as const, ms: EXECUTION_PAUSE_MS },
+  ...PLAIN_BACKEND_INDEXES.flatMap((index) => [
+    { kind: StepKind.KillSidecar as const, node: index },
+    { kind: StepKind.StartSidecar as const, node: index },
+  ]),
+]);
+
+/** Sequences of steps that set up one hazard each. */
+const HAZARD_SEQUENCES: fc.Arbitrary<Step[]>[] = [
+  callerGoneSequence,
+  allLeavingSequence,
+  lateCallSequence,
+  restartDuringCallSequence,
+];
+
+/** Arbitraries of what one command performs: a single step or a sequence. */
+export const COMMAND_ARBITRARIES: fc.Arbitrary<Step[]>[] = [
+  ...STEP_ARBITRARIES.map((arbitrary) => arbitrary.map((step) => [step])),
+  ...HAZARD_SEQUENCES,
+];
+
 /** Formats a step as one line of a trace. */
 export function describeStep(step: Step): string {
   const { kind, ...fields } = step;
