fix(gateway): stages follow the measured prefill speed, orders are announced, store calls follow changes

A reservation is not kept while the run grows, so only what is free at admission protects it. - A prefill was given up after 350 ms, also when it was queued behind other routers' prompts. Changes: the prefill speed is learned (upper quantile of observed speeds); the target split uses square-root staffing and 85% of decode memory; no decode engine is taken away within 10 s of a rejection for lack of memory; the lease is taken 2 s before the orders are sent, and is watched by all routers; watches last 25 s, ended by a monitor that makes one stale read after 2 s of silence and alone calls a store that is away; whole outputs are reserved and 1.25 outputs left free, at most a quarter of the memory; a slow prefill is given up only if its engine doesn't respond otherwise. Calls no longer leave a listener on the process's abort signal.

--- a/packages/gateway/src/balance/stage_balancer.ts
+++ b/packages/gateway/src/balance/stage_balancer.ts
@@ -1,7 +1,9 @@
 /**
  * Orders engines to change their stage. Of all routers only the holder of a
  * lease sends orders, and engines check its fencing token. The lease tells the
- * other routers which changes are under way, so that none is ordered twice.
+ * other routers which changes are under way, so that none is ordered twice. It
+ * is taken some time before the orders: meanwhile no router places new work on
+ * these engines, and the reservations made there are used or expire.
  */
 import { type Clock, type Logger, sleep } from "@sassafrascleat/runtime";
 import {
@@ -35,12 +37,6 @@
 
 /** Access to the lease in the store. */
 export interface OrderLeases {
-  /**
-   * Reads the lease, so that `acquire` can take it at once if it has been seen
-   * unchanged for long enough. Returns the changes that the lease was acquired
-   * for if they are new.
-   */
-  observe(signal: AbortSignal): Promise<OrderedChanges | undefined>;
   /** Acquires the lease for a few orders; undefined while another holds it. */
   acquire(
     orderedChanges: OrderedChanges,
@@ -79,6 +75,10 @@
   loadOf: (engine: Backend) => number;
   /** Suspends calls to an engine for a while because its stage changes. */
   suspendBackend: (engine: Backend, forMs: number) => void;
+  /** Ends the suspension of an engine that does not change its stage. */
+  resumeBackend: (engine: Backend) => void;
+  /** Requests were lately rejected for lack of decode memory. */
+  decodeMemoryShort: (service: string) => boolean;
   /**
    * Random offset to the check interval, in milliseconds, so that routers do
    * not act at the same time.
@@ -86,9 +86,15 @@
   jitterMs: () => number;
 }
 
+/** Orders that were announced by the lease and are sent later. */
+interface AnnouncedOrders {
+  changes: readonly StageChange[];
+  lease: OrderLease;
+  /** When the orders are sent, in milliseconds of the process clock. */
+  dueAtMs: number;
+}
+
 const CHECK_INTERVAL_MS = 500;
-/** Minimum interval between reads of the lease, in milliseconds. */
-const LEASE_POLL_MS = 1_000;
 /** How long an imbalance must last while requests are served, in ms. */
 const MIN_IMBALANCE_MS = 8_000;
 /** The same if a stage has no engine left: lost ones may come back soon. */
@@ -99,6 +105,11 @@
 const MAX_CHANGE_SHARE = 0.1;
 /** Time after a stage change until the store lists it, in milliseconds. */
 const LISTING_DELAY_MS = 3_000;
+/**
+ * Time from the lease to the orders under load, in milliseconds: a reservation
+ * is used or expires within it.
+ */
+const ANNOUNCEMENT_MS = 2_000;
 
 /** Decides on stage changes and orders them. */
 export class StageBalancer {
@@ -108,7 +119,7 @@
     { members: string; sinceMs: number }
   >();
   readonly #settledAtMs = new Map<string, number>();
-  #observedAtMs = -Infinity;
+  #announced: AnnouncedOrders[] = [];
 
   constructor(options: StageBalancerOptions) {
     this.#options = options;
@@ -119,18 +130,14 @@
     while (!signal.aborted) {
       await sleep(CHECK_INTERVAL_MS + this.#options.jitterMs(), signal);
       const services = [...this.#options.services()].filter((it) => it.engine);
-      if (services.length > 0) await this.#observe(signal);
+      await this.#sendDue(signal);
       for (const service of services) await this.#check(service, signal);
     }
   }
 
-  async #observe(signal: AbortSignal): Promise<void> {
-    const { clock, directory, leases, suspendBackend } = this.#options;
-    const nowMs = clock.now();
-    if (nowMs - this.#observedAtMs < LEASE_POLL_MS) return;
-    this.#observedAtMs = nowMs;
-    const orderedChanges = await leases.observe(signal);
-    if (!orderedChanges) return;
+  /** Suspends the engines that another router is about to change. */
+  noteOrderedChanges(orderedChanges: OrderedChanges): void {
+    const { directory, suspendBackend } = this.#options;
     for (const id of orderedChanges.engineIds) {
       const engine = directory.get(id);
       if (!engine || engine.stage === orderedChanges.stage) continue;
@@ -139,14 +146,20 @@
   }
 
   async #check(service: Service, signal: AbortSignal): Promise<void> {
-    const { clock, directory, loadOf, stageWorkOf } = this.#options;
+    const { clock, directory, decodeMemoryShort, loadOf, stageWorkOf } =
+      this.#options;
     const work = stageWorkOf(service.name);
     const idle = work.prefillMs + work.decodeMs === 0;
     const engines = directory.ready(service.name);
     const maxChanges = idle
       ? engines.length
       : Math.max(1, Math.floor(engines.length * MAX_CHANGE_SHARE));
-    const changes = planStageChanges({ engines, work, loadOf }, maxChanges);
+    const changes = planStageChanges({
+      engines,
+      work,
+      loadOf,
+      decodeMemoryShort: decodeMemoryShort(service.name),
+    }, maxChanges);
     if (changes.length === 0 || signal.aborted) {
       this.#imbalances.delete(service.name);
       return;
@@ -162,7 +175,7 @@
       it.state === BackendState.Draining
     );
     if (nowMs - sinceMs < requiredImbalanceMs({ idle, none, leaving })) return;
-    await this.#order(service, changes, signal);
+    await this.#order(service, changes, idle || none, signal);
   }
 
   /** Returns since when the same set of engines has needed a change. */
@@ -178,9 +191,10 @@
   async #order(
     service: Service,
     changes: readonly StageChange[],
+    atOnce: boolean,
     signal: AbortSignal,
   ): Promise<void> {
-    const { clock, leases } = this.#options;
+    const { clock, leases, suspendBackend } = this.#options;
     const [first] = changes;
     if (!first) return;
     const settleMs = (service.engine?.stageSwitchMs ?? 0) + LISTING_DELAY_MS;
@@ -190,8 +204,18 @@
     if (!lease || signal.aborted) return;
     this.#settledAtMs.set(service.name, clock.now() + settleMs);
     this.#imbalances.delete(service.name);
-    const sent = changes.map((change) =>
-      this.#send(change, lease, settleMs, signal)
+    for (const { engine } of changes) suspendBackend(engine, settleMs);
+    const dueAtMs = clock.now() + (atOnce ? 0 : ANNOUNCEMENT_MS);
+    this.#announced.push({ changes, lease, dueAtMs });
+    await this.#sendDue(signal);
+  }
+
+  async #sendDue(signal: AbortSignal): Promise<void> {
+    const nowMs = this.#options.clock.now();
+    const due = this.#announced.filter((it) => it.dueAtMs <= nowMs);
+    this.#announced = this.#announced.filter((it) => it.dueAtMs > nowMs);
+    const sent = due.flatMap(({ changes, lease }) =>
+      changes.map((change) => this.#send(change, lease, signal))
     );
     await Promise.all(sent);
   }
@@ -199,16 +223,16 @@
   async #send(
     { engine, stage }: StageChange,
     lease: OrderLease,
-    settleMs: number,
     signal: AbortSignal,
   ): Promise<void> {
-    const { clock, log, orders, suspendBackend } = this.#options;
+    const { clock, log, orders, resumeBackend } = this.#options;
     if (clock.now() > lease.validUntilMs) {
       log("order_lease_expired", { backend: engine.id });
+      resumeBackend(engine);
       return;
     }
     const end = await orders.order(engine, stage, lease.fencingToken, signal);
-    if (end !== OrderOutcome.Rejected) suspendBackend(engine, settleMs);
+    if (end === OrderOutcome.Rejected) resumeBackend(engine);
     log("stage_order", {
       backend: engine.id,
       service: engine.service,
--- a/packages/gateway/src/decide/stage_plan.ts
+++ b/packages/gateway/src/decide/stage_plan.ts
@@ -1,7 +1,9 @@
 /**
  * Plans how many engines of a service run prefill and how many run decode. The
  * ratio of prompt to response lengths shifts, and engines are lost and come
- * back. The split follows the measured work of both stages. Each step changes
+ * back. The split follows the measured work of both stages, with spare prefill
+ * engines so that bursts of prompts do not queue. While requests are rejected
+ * for lack of decode memory, no decode engine is taken away. Each step changes
  * one engine; the caller applies a change only if the imbalance has lasted.
  */
 import { type Backend, EngineStage } from "../backends/backend.ts";
@@ -25,27 +27,47 @@
   work: StageWork;
   /** Generations that must end before an engine can change its stage. */
   loadOf?: (engine: Backend) => number;
+  /** Requests have just been rejected for lack of decode memory. */
+  decodeMemoryShort?: boolean;
 }
 
 /** Assumed share of prefill engines before any work is measured. */
-const PRIOR_PREFILL_SHARE = 0.28;
+const PRIOR_PREFILL_SHARE = 0.2;
 /** Weight of the assumed share, in milliseconds of work. */
-const PRIOR_WORK_MS = 20_000;
-/** Smallest deviation from the target that causes a change, in engines. */
+const PRIOR_WORK_MS = 5_000;
+/** Share of a decode engine's memory that can be in use at best. */
+const USABLE_DECODE_SHARE = 0.85;
+/**
+ * Spare prefill engines, as a multiple of the square root of the number that
+ * the average work needs (square-root staffing).
+ */
+const PREFILL_HEADROOM = 0.4;
+/** Deviation from the target that is left alone, in engines. */
 const TOLERANCE_ENGINES = 0.75;
+/**
+ * The same as a share of the engines, for the first change: in a large fleet
+ * each router measures only a small part of the work.
+ */
+const TOLERANCE_SHARE = 0.05;
 
 /** Number of prefill engines that matches the work; may be fractional. */
 export function targetPrefillEngines(inputs: StagePlanInputs): number {
-  const { prefillMs, decodeMs } = inputs.work;
+  const { prefillMs } = inputs.work;
+  const decodeMs = inputs.work.decodeMs / USABLE_DECODE_SHARE;
   const priorPrefillMs = PRIOR_PREFILL_SHARE * PRIOR_WORK_MS;
   const totalMs = prefillMs + decodeMs + PRIOR_WORK_MS;
   const share = (prefillMs + priorPrefillMs) / totalMs;
-  return share * inputs.engines.length;
+  const needed = share * inputs.engines.length;
+  return needed + PREFILL_HEADROOM * Math.sqrt(needed);
 }
 
 /** Returns the next change, or undefined if the stages match the work. */
 export function planStageChange(
   inputs: StagePlanInputs,
+  toleranceEngines = Math.max(
+    TOLERANCE_ENGINES,
+    TOLERANCE_SHARE * inputs.engines.length,
+  ),
 ): StageChange | undefined {
   const { engines } = inputs;
   if (engines.length < 2) return undefined;
@@ -57,7 +79,7 @@
     Math.max(1, targetPrefillEngines(inputs)),
   );
   const surplus = prefillEngines.length - target;
-  if (surplus >= TOLERANCE_ENGINES && prefillEngines.length > 1) {
+  if (surplus >= toleranceEngines && prefillEngines.length > 1) {
     return pickChange(
       prefillEngines,
       decodeEngines,
@@ -65,7 +87,9 @@
       inputs.loadOf,
     );
   }
-  if (surplus <= -TOLERANCE_ENGINES && decodeEngines.length > 1) {
+  const mayTakeDecode = decodeEngines.length > 1 &&
+    (!inputs.decodeMemoryShort || prefillEngines.length === 0);
+  if (surplus <= -toleranceEngines && mayTakeDecode) {
     return pickChange(
       decodeEngines,
       prefillEngines,
@@ -84,7 +108,8 @@
   const changes: StageChange[] = [];
   let { engines } = inputs;
   while (changes.length < maxChanges) {
-    const next = planStageChange({ ...inputs, engines });
+    const tolerance = changes.length > 0 ? TOLERANCE_ENGINES : undefined;
+    const next = planStageChange({ ...inputs, engines }, tolerance);
     if (!next) break;
     changes.push(next);
     const { engine, stage } = next;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import { connectionShare } from "./decide/connection_share.ts";
 import { EngineLoadTracker } from "./decide/engine_load_tracker.ts";
 import { OutputLengthEstimator } from "./decide/output_length_estimator.ts";
+import { PrefillSpeedEstimator } from "./decide/prefill_speed.ts";
 import type { StageWork } from "./decide/stage_plan.ts";
 import { RetryBudget, type RetryLimits } from "./decide/retry_budget.ts";
 import { Ingress, type IngressRequest } from "./http/ingress.ts";
@@ -54,6 +55,8 @@
 const STATUS_UNAVAILABLE = 503;
 /** Retry-After sent before the first configuration has arrived, in ms. */
 const NOT_READY_RETRY_AFTER_MS = 300;
+/** How long a rejection for lack of decode memory counts, in milliseconds. */
+const DECODE_SHORTAGE_TTL_MS = 10_000;
 /** After draining for this long, new streams are rejected; in milliseconds. */
 const DRAIN_STREAM_CUTOFF_MS = 2_500;
 
@@ -68,6 +71,7 @@
   readonly #decodeReservations = new Map<string, DecodeReservations>();
   readonly #retryBudgets = new Map<string, RetryBudget>();
   readonly #outputEstimators = new Map<string, OutputLengthEstimator>();
+  readonly #prefillSpeeds = new Map<string, PrefillSpeedEstimator>();
   readonly #stageWork = new Map<string, StageWork>();
   #drainStartMs: number | undefined;
   /** Number of router instances that share retry and connection limits. */
@@ -101,6 +105,7 @@
       policy,
       inProgress: new Map(),
       activeStreams: new Map(),
+      decodeShortages: new Map(),
       retryBudgetOf: (service) => this.#retryBudgetOf(service),
       outputEstimatorOf: (route) =>
         getOrCreate(
@@ -108,6 +113,12 @@
           route,
           () => new OutputLengthEstimator(),
         ),
+      prefillSpeedOf: (service) =>
+        getOrCreate(
+          this.#prefillSpeeds,
+          service,
+          () => new PrefillSpeedEstimator(policy.prefillTokensPerMs),
+        ),
       stageWorkOf: (service) => this.stageWorkOf(service),
     };
     this.ingress = new Ingress({
@@ -178,6 +189,17 @@
     health.suspend(incarnationOf(backend), forMs);
   }
 
+  /** Ends the suspension of a backend server. */
+  resumeBackend(backend: Backend): void {
+    this.#ctx.health.resume(incarnationOf(backend));
+  }
+
+  /** Whether requests were lately rejected for lack of decode memory. */
+  decodeMemoryShort(service: string): boolean {
+    const lastMs = this.#ctx.decodeShortages.get(service) ?? -Infinity;
+    return this.#ctx.clock.now() - lastMs < DECODE_SHORTAGE_TTL_MS;
+  }
+
   #removeBackend(backend: Backend): void {
     const key = incarnationOf(backend);
     this.#ctx.health.forget(key);
--- a/packages/gateway/src/http/exchange.ts
+++ b/packages/gateway/src/http/exchange.ts
@@ -66,6 +66,8 @@
     }, Math.max(1, timeoutMs));
     const settle = (result: ExchangeResult) => {
       clearTimeout(timer);
+      // The call is over; this only removes the listener on `signal`.
+      controller.abort();
       resolve(result);
     };
     upstream.open(req, {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,10 @@
 export { Gateway, type GatewayOptions } from "./gateway.ts";
 export * from "./http/index.ts";
 export { createGatewayMetrics, type GatewayMetrics } from "./metrics.ts";
+export {
+  ReachabilityMonitor,
+  type ReachabilityOptions,
+} from "./reachability.ts";
 export {
   type GatewayPolicy,
   type GatewayPolicyOptions,
--- a/packages/gateway/src/policy.ts
+++ b/packages/gateway/src/policy.ts
@@ -15,14 +15,17 @@
   entries?: number;
   /** Longest wait for a decode engine with free memory, in ms. @default 250 */
   maxReservationWaitMs?: number;
-  /** Fraction of the expected output to reserve memory for. @default 0.2 */
+  /** Fraction of the expected output to reserve memory for. @default 1 */
   outputReserveRatio?: number;
   /**
    * Memory that must stay free on a decode engine after a new generation is
-   * placed, in multiples of a typical response. @default 2.5
+   * placed, in multiples of a typical response. @default 1.25
    */
   memoryMarginResponses?: number;
-  /** Prefill throughput of an engine, in tokens per millisecond. @default 30 */
+  /**
+   * Prefill throughput of an engine until it was observed, in tokens per
+   * millisecond. @default 30
+   */
   prefillTokensPerMs?: number;
   /** Decode engines tried for a reservation per request. @default 8 */
   maxReservationAttempts?: number;
@@ -40,8 +43,8 @@
     retryWindowMs: raw.retryWindowMs ?? 10_000,
     entries: raw.entries ?? 16,
     maxReservationWaitMs: raw.maxReservationWaitMs ?? 250,
-    outputReserveRatio: raw.outputReserveRatio ?? 0.2,
-    memoryMarginResponses: raw.memoryMarginResponses ?? 2.5,
+    outputReserveRatio: raw.outputReserveRatio ?? 1,
+    memoryMarginResponses: raw.memoryMarginResponses ?? 1.25,
     prefillTokensPerMs: raw.prefillTokensPerMs ?? 30,
     maxReservationAttempts: raw.maxReservationAttempts ?? 8,
   };
--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -3,6 +3,7 @@
  * or unresponsive engine costs only time: another engine is tried, within the
  * retry budget.
  */
+import { childAbortController, sleep } from "@sassafrascleat/runtime";
 import {
   type Backend,
   EngineStage,
@@ -14,6 +15,7 @@
   prefillWaitMs,
 } from "../decide/engine_placement.ts";
 import { planPrefill, type PrefillPlan } from "../decide/prefill_plan.ts";
+import type { PrefillSpeedEstimator } from "../decide/prefill_speed.ts";
 import { exchange, ExchangeOutcome } from "../http/exchange.ts";
 import type { KvSource, PromptInfo } from "../http/wire_codec.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
@@ -37,12 +39,17 @@
 }
 
 /** Overhead of a prefill call beyond the prefill itself, in milliseconds. */
-export const PREFILL_OVERHEAD_MS = 40;
+const PREFILL_OVERHEAD_MS = 40;
 /** Time from the end of prefill to the first event, in milliseconds. */
 export const FIRST_EVENT_MS = 90;
-/** A call times out after this many times its expected duration. */
-const TIMEOUT_FACTOR = 3;
-const MIN_TIMEOUT_MS = 350;
+/**
+ * A call that takes this many times its expected duration may be queued behind
+ * the prompts of other routers, or its engine may be dead: the engine is asked.
+ */
+const SILENCE_FACTOR = 3;
+const MIN_SILENCE_MS = 350;
+/** Longest prefill, in milliseconds: the reservation expires after it. */
+const MAX_CALL_MS = 1_500;
 
 /** Prefills the prompt of one request, and skips engines that failed before. */
 export class Prefiller {
@@ -104,7 +111,7 @@
   /** Decides which stage prefills the prompt, and estimates how long that takes. */
   plan(zone = this.#ctx.zone): PrefillPlan {
     const engine = this.#pick(zone);
-    const tokensPerMs = this.#ctx.policy.prefillTokensPerMs;
+    const { tokensPerMs } = this.#speed;
     return planPrefill({
       prefillMs: this.#prompt.promptTokens / tokensPerMs + PREFILL_OVERHEAD_MS,
       prefillWaitMs: engine &&
@@ -114,6 +121,10 @@
     });
   }
 
+  get #speed(): PrefillSpeedEstimator {
+    return this.#ctx.prefillSpeedOf(this.#req.service.name);
+  }
+
   #inputs(zone: string) {
     return { ...this.#ctx, zone, nowMs: this.#ctx.clock.now() };
   }
@@ -123,7 +134,7 @@
       this.#req.service.name,
       EngineStage.Prefill,
     );
-    const tokensPerMs = this.#ctx.policy.prefillTokensPerMs;
+    const { tokensPerMs } = this.#speed;
     return pickPrefillEngine(
       engines,
       tokensPerMs,
@@ -141,18 +152,24 @@
     const ctx = this.#ctx;
     const req = this.#req;
     const key = incarnationOf(engine);
-    const tokensPerMs = ctx.policy.prefillTokensPerMs;
+    const { tokensPerMs } = this.#speed;
     const waitMs = prefillWaitMs(
       engine,
       tokensPerMs,
       this.#inputs(engine.zone),
     );
     const prefillMs = tokens / tokensPerMs + PREFILL_OVERHEAD_MS;
+    const silenceMs = Math.max(
+      MIN_SILENCE_MS,
+      (waitMs + prefillMs) * SILENCE_FACTOR,
+    );
     const timeoutMs = Math.min(
       remainingMs(ctx, req),
-      Math.max(MIN_TIMEOUT_MS, (waitMs + prefillMs) * TIMEOUT_FACTOR),
+      Math.max(silenceMs, MAX_CALL_MS),
     );
     const finish = ctx.engineLoads.startPrefill(key, tokens);
+    const controller = childAbortController(signal);
+    void this.#abortIfDead(engine, silenceMs, controller);
     const result = await exchange(
       ctx.upstream,
       {
@@ -169,8 +186,9 @@
         body: req.body,
       },
       timeoutMs,
-      signal,
+      controller.signal,
     );
+    controller.abort();
     finish();
     if (result.end === ExchangeOutcome.Answered || result.sent) {
       this.#sentCalls += 1;
@@ -185,6 +203,7 @@
         : undefined;
       if (reply) {
         this.#recordDelay(key, result.elapsedMs, prefillMs);
+        this.#speed.record(tokens, result.elapsedMs);
         return this.#createResult(engine, reply.source);
       }
     }
@@ -192,10 +211,23 @@
     return undefined;
   }
 
+  /** Aborts a silent call whose engine doesn't respond to another call either. */
+  async #abortIfDead(
+    engine: Backend,
+    silenceMs: number,
+    controller: AbortController,
+  ): Promise<void> {
+    const { signal } = controller;
+    await sleep(silenceMs, signal);
+    if (signal.aborted) return;
+    const alive = await this.#ctx.engines.isAlive(engine, signal);
+    if (!alive) controller.abort();
+  }
+
   #recordDelay(key: string, elapsedMs: number, prefillMs: number): void {
     const ctx = this.#ctx;
     const localQueueMs = ctx.engineLoads.loadOf(key).prefillTokens /
-      ctx.policy.prefillTokensPerMs;
+      this.#speed.tokensPerMs;
     ctx.engineLoads.recordPrefillDelay(
       key,
       elapsedMs - prefillMs - localQueueMs,
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -6,6 +6,7 @@
 import type { EngineLoadTracker } from "../decide/engine_load_tracker.ts";
 import type { CallOutcome, HealthTracker } from "../decide/backend_health.ts";
 import type { OutputLengthEstimator } from "../decide/output_length_estimator.ts";
+import type { PrefillSpeedEstimator } from "../decide/prefill_speed.ts";
 import type { StageWork } from "../decide/stage_plan.ts";
 import type { RetryBudget } from "../decide/retry_budget.ts";
 import type {
@@ -188,8 +189,11 @@
   inProgress: Map<string, number>;
   /** Running generations, by engine incarnation. */
   activeStreams: Map<string, Set<ActiveStream>>;
+  /** Last rejection for lack of decode memory, by service, in clock ms. */
+  decodeShortages: Map<string, number>;
   retryBudgetOf(service: string): RetryBudget;
   outputEstimatorOf(route: string): OutputLengthEstimator;
+  prefillSpeedOf(service: string): PrefillSpeedEstimator;
   stageWorkOf(service: string): StageWork;
 }
 
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -43,7 +43,7 @@
 /** Share of a prefill result's lifetime in which another engine may use it. */
 const REUSABLE_LIFETIME_SHARE = 0.7;
 /** Upper limit of the margin, as a share of an engine's memory. */
-const MAX_MARGIN_SHARE = 0.1;
+const MAX_MARGIN_SHARE = 0.25;
 const STATUS_MISDIRECTED = 421;
 
 /** Places one generation, and places it again after an engine rejected it. */
@@ -87,7 +87,7 @@
       (this.#ctx.clock.now() - startMs) / 1000,
     );
     if (!reservation) {
-      this.#logNoCapacity();
+      this.#recordNoCapacity();
       return PlacementFailure.NoCapacity;
     }
     const prefill = this.#unusedPrefill ??
@@ -238,7 +238,9 @@
     if (!unprocessed) this.#prefiller.exclude(prefill.engine);
   }
 
-  #logNoCapacity(): void {
+  #recordNoCapacity(): void {
+    const { clock, decodeShortages } = this.#ctx;
+    decodeShortages.set(this.#req.service.name, clock.now());
     const engines = this.#ctx.directory.readyAt(
       this.#req.service.name,
       EngineStage.Decode,
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -18,7 +18,6 @@
 import { Generation } from "./generation.ts";
 import { moveFromDrainingEngine, watchEngine } from "./run_move.ts";
 import { runPlainStream } from "./plain_stream.ts";
-import { PREFILL_OVERHEAD_MS } from "./prefiller.ts";
 import { reject } from "./reject.ts";
 import {
   ageMs,
@@ -304,8 +303,8 @@
       ctx.outputEstimatorOf(req.route.name).learn(prompt, generatedTokens);
     }
     const work = ctx.stageWorkOf(req.service.name);
-    work.prefillMs += prompt.promptTokens / ctx.policy.prefillTokensPerMs +
-      PREFILL_OVERHEAD_MS;
+    const { tokensPerMs } = ctx.prefillSpeedOf(req.service.name);
+    work.prefillMs += prompt.promptTokens / tokensPerMs;
     work.decodeMs += this.#generation.decodeWorkMs();
   }
 }
