test: five tests no longer depend on how busy the machine is

Causes, each with what shows it: - real_sidecars "whole answer": the stand-in's prefill results lived 800 ms. At 60, 120 and 200 ms the same test shows the same symptoms alone: 91 and 65 prefills in place of 30, wasted tokens. They now live 20 s; expiry has tests of its own. - claim_batches: 41 keys of 700-byte generations with batches of up to 10 keys need only 3 to 5 generations when a busy machine batches more. Now 120 keys in 24 rounds: more than 5 whatever the batches, and 90 keys in place of 30. - decode_fuzz: how many of 120 answers end depends on time between faults. Now requests go on until 21 have ended (1,200 at most). - plain "a call that its caller gave up on": 10 ms were to reach the service. Now 500 ms, and the service takes 1.5 s. - relay "bounded number of store calls": traced beside nine busy processes (12 runs, 1 failed): the daemon that called had become a head itself some seconds before. Heads are now noted all the while, and not all daemons may have been one.

--- a/packages/entry/src/__tests__/claim_batches_test.ts
+++ b/packages/entry/src/__tests__/claim_batches_test.ts
@@ -21,6 +21,12 @@
 const EMPTY: ClaimGeneration = { sealed: false, claims: {} };
 const ANSWER = { status: 200, headers: {}, bodyBase64: "b2s=" };
 const NO_SEAL = Infinity;
+/**
+ * Rounds of claims and keys that they choose from. Each round adds fewer keys
+ * than fill a generation and one batch, however the claims are batched.
+ */
+const ROUNDS = 24;
+const KEYS = 120;
 
 function intent(keyHash: string, requestId: string): ClaimIntent {
   return {
@@ -128,10 +134,10 @@
     };
     const entries = [0, 1, 2].map(() => createClaims(store));
     const winnersByKey = new Map<string, string[]>();
-    for (let round = 0; round < 8; round++) {
+    for (let round = 0; round < ROUNDS; round++) {
       store.lostResponses = random.int(0, 2);
       const sent = Array.from({ length: 30 }, (_, i) => {
-        const keyHash = keyOf(random.int(0, 40));
+        const keyHash = keyOf(random.int(0, KEYS - 1));
         const requestId = `r${round}-${i}`;
         return entries[i % 3]!.claim(intent(keyHash, requestId))
           .then((result) => ({ keyHash, requestId, result }));
@@ -147,7 +153,7 @@
     }
     const { objects } = await store.memory.list({ prefix: "claims/" }) as never;
     expect((objects as unknown[]).length).toBeGreaterThan(5);
-    expect(winnersByKey.size).toBeGreaterThan(30);
+    expect(winnersByKey.size).toBeGreaterThan(90);
     for (const requestIds of winnersByKey.values()) {
       expect(requestIds).toHaveLength(1);
     }
--- a/packages/entry/src/__tests__/real_rig.ts
+++ b/packages/entry/src/__tests__/real_rig.ts
@@ -30,6 +30,11 @@
 
 const SECRET = new Secret("system", "between us");
 const TIME_SCALE = 0.2;
+/**
+ * Lifetime of prefill results, in real milliseconds: longer than a busy machine
+ * delays the step from prefill to decode.
+ */
+const RESULT_LIFETIME_MS = 20_000;
 
 /** A simulated server, its sidecar and the proxy between that and the entry. */
 export interface ProxiedBackend<T> {
@@ -90,7 +95,7 @@
       name,
       role,
       timeScale: TIME_SCALE,
-      resultLifetimeMs: 800 / TIME_SCALE,
+      resultLifetimeMs: RESULT_LIFETIME_MS / TIME_SCALE,
     });
     const engine = createHttpEngine({ baseUrl: server.address });
     this.#cleanups.push(() => server.close(), () => engine.close());
--- a/packages/membership/src/__tests__/relay_test.ts
+++ b/packages/membership/src/__tests__/relay_test.ts
@@ -131,20 +131,28 @@
     await eventually(() =>
       daemons.every((d) => d.relay.staleness() === Staleness.Current)
     );
-    const heads = daemons.filter((daemon) => daemon.relay.isHead());
+    // On a busy machine a heartbeat may be late, and another daemon takes over.
+    const heads = new Set<StartableDaemon>();
+    const noteHeads = () =>
+      daemons.filter((it) => it.relay.isHead()).forEach((it) => heads.add(it));
+    noteHeads();
+    const watchHeads = setInterval(noteHeads, 5);
     const callsOf = (daemon: StartableDaemon) =>
       log.callsOf(daemon.peer.daemonId);
     const startedAt = Date.now();
     log.available = false;
     log.calls.clear();
-    await eventually(() => heads.every((head) => callsOf(head) >= 4));
+    const firstHeads = [...heads];
+    await eventually(() => firstHeads.every((head) => callsOf(head) >= 4));
     log.append();
     log.available = true;
     await eventually(allAtSequence(daemons, 2));
     const seconds = (Date.now() - startedAt) / 1_000;
+    clearInterval(watchHeads);
+    expect(heads.size).toBeLessThan(daemons.length);
     for (const daemon of daemons) {
       const fallbacks = Math.floor(seconds / 9);
-      const bound = heads.includes(daemon) ? 5 + seconds : fallbacks;
+      const bound = heads.has(daemon) ? 5 + seconds : fallbacks;
       expect(callsOf(daemon)).toBeLessThanOrEqual(bound);
     }
   });
--- a/packages/sidecar/src/__tests__/decode_fuzz_test.ts
+++ b/packages/sidecar/src/__tests__/decode_fuzz_test.ts
@@ -32,7 +32,10 @@
   waitUntil,
 } from "./harness.ts";
 
-const REQUESTS = 120;
+const MIN_REQUESTS = 120;
+/** More requests are made until this many answers have ended. */
+const MIN_ENDED = 21;
+const MAX_REQUESTS = 1_200;
 const WORKERS = 24;
 const MAX_TOKENS = 60;
 
@@ -162,8 +165,11 @@
   const faultInjection = breakConnections(random, stopFaults.signal);
   const scenarios = Object.values(Scenario);
   let number = 0;
+  const enough = () =>
+    number >= MAX_REQUESTS ||
+    (number >= MIN_REQUESTS && results.ended >= MIN_ENDED);
   const runWorker = async () => {
-    while (number < REQUESTS) {
+    while (!enough()) {
       const scenario = scenarios[number % scenarios.length] ??
         Scenario.Uninterrupted;
       await runRequest(`r${number++}`, scenario, random, results);
@@ -173,7 +179,7 @@
   stopFaults.abort();
   await faultInjection;
   expect(results.wrong).toEqual([]);
-  expect(results.ended).toBeGreaterThan(20);
+  expect(results.ended).toBeGreaterThanOrEqual(MIN_ENDED);
   await waitUntil("empty ledger", async () => {
     return (await sidecar.control.status()).inFlight === 0;
   });
--- a/packages/sidecar/src/__tests__/plain_test.ts
+++ b/packages/sidecar/src/__tests__/plain_test.ts
@@ -120,9 +120,10 @@
 
   test("a call that its caller gave up on can still be attached to", async () => {
     const { server, sidecar } = await env.plain();
-    server.setDelay(100);
+    // The call reaches the service before its timeout, also on a busy machine.
+    server.setDelay(1_500);
     await sidecar.control.reserve(reserve("p1"));
-    const impatient = await call(sidecar, "p1", { timeoutMs: 10 })
+    const impatient = await call(sidecar, "p1", { timeoutMs: 500 })
       .catch(() => undefined);
     expect(impatient?.state).not.toBe(PlainCallState.Answered);
     const late = await attach(sidecar, "p1", { waitMs: 5_000 });
