--- a/packages/gateway/src/backends/directory.ts
+++ b/packages/gateway/src/backends/directory.ts
@@ -99,6 +99,23 @@
     return this.#listed.get(id)?.backend;
   }
 
+  /** True while the store cannot be read, so that entries may be outdated. */
+  get outdated(): boolean {
+    return this.#storeUnreachable;
+  }
+
+  /**
+   * Changes the stage of an engine whose entry is known to be outdated. The
+   * next entry that the store lists replaces it.
+   */
+  assumeStage(id: string, stage: EngineStage): void {
+    const listed = this.#listed.get(id);
+    if (!listed || listed.backend.stage === stage) return;
+    listed.backend = { ...listed.backend, stage };
+    this.#ready = undefined;
+    this.#notify(DirectoryChange.Changed, listed.backend, "assumed");
+  }
+
   /** Marks the store as unreachable: known entries are kept. */
   markStoreUnreachable(): void {
     this.#storeUnreachable = true;
--- a/packages/gateway/src/balance/stage_balancer.ts
+++ b/packages/gateway/src/balance/stage_balancer.ts
@@ -86,6 +86,14 @@
   jitterMs: () => number;
 }
 
+/** Stages that engines are expected to have once a change has settled. */
+interface ExpectedStages {
+  engineIds: readonly string[];
+  stage: EngineStage;
+  /** When the change has settled, in milliseconds of the process clock. */
+  atMs: number;
+}
+
 /** Orders that were announced by the lease and are sent later. */
 interface AnnouncedOrders {
   changes: readonly StageChange[];
@@ -110,6 +118,8 @@
  * is used or expires within it.
  */
 const ANNOUNCEMENT_MS = 2_000;
+/** Time in which an engine under load ends its running requests, in ms. */
+const RUN_OUT_MS = 4_000;
 
 /** Decides on stage changes and orders them. */
 export class StageBalancer {
@@ -120,6 +130,7 @@
   >();
   readonly #settledAtMs = new Map<string, number>();
   #announced: AnnouncedOrders[] = [];
+  #expected: ExpectedStages[] = [];
 
   constructor(options: StageBalancerOptions) {
     this.#options = options;
@@ -130,6 +141,7 @@
     while (!signal.aborted) {
       await sleep(CHECK_INTERVAL_MS + this.#options.jitterMs(), signal);
       const services = [...this.#options.services()].filter((it) => it.engine);
+      this.#assumeSettled();
       await this.#sendDue(signal);
       for (const service of services) await this.#check(service, signal);
     }
@@ -138,6 +150,7 @@
   /** Suspends the engines that another router is about to change. */
   noteOrderedChanges(orderedChanges: OrderedChanges): void {
     const { directory, suspendBackend } = this.#options;
+    this.#expect(orderedChanges);
     for (const id of orderedChanges.engineIds) {
       const engine = directory.get(id);
       if (!engine || engine.stage === orderedChanges.stage) continue;
@@ -197,7 +210,8 @@
     const { clock, leases, suspendBackend } = this.#options;
     const [first] = changes;
     if (!first) return;
-    const settleMs = (service.engine?.stageSwitchMs ?? 0) + LISTING_DELAY_MS;
+    const settleMs = (service.engine?.stageSwitchMs ?? 0) + LISTING_DELAY_MS +
+      (atOnce ? 0 : ANNOUNCEMENT_MS + RUN_OUT_MS);
     const engineIds = changes.map((change) => change.engine.id);
     const orderedChanges = { engineIds, stage: first.stage, settleMs };
     const lease = await leases.acquire(orderedChanges, signal);
@@ -205,11 +219,32 @@
     this.#settledAtMs.set(service.name, clock.now() + settleMs);
     this.#imbalances.delete(service.name);
     for (const { engine } of changes) suspendBackend(engine, settleMs);
+    this.#expect(orderedChanges);
     const dueAtMs = clock.now() + (atOnce ? 0 : ANNOUNCEMENT_MS);
     this.#announced.push({ changes, lease, dueAtMs });
     await this.#sendDue(signal);
   }
 
+  #expect({ engineIds, stage, settleMs }: OrderedChanges): void {
+    const atMs = this.#options.clock.now() + settleMs;
+    this.#expected.push({ engineIds, stage, atMs });
+  }
+
+  /**
+   * While the store is away it cannot list the new stages, so engines are
+   * assumed to have changed once the change has settled.
+   */
+  #assumeSettled(): void {
+    const { clock, directory } = this.#options;
+    const nowMs = clock.now();
+    const settled = this.#expected.filter((it) => it.atMs <= nowMs);
+    this.#expected = this.#expected.filter((it) => it.atMs > nowMs);
+    if (!directory.outdated) return;
+    for (const { engineIds, stage } of settled) {
+      for (const id of engineIds) directory.assumeStage(id, stage);
+    }
+  }
+
   async #sendDue(signal: AbortSignal): Promise<void> {
     const nowMs = this.#options.clock.now();
     const due = this.#announced.filter((it) => it.dueAtMs <= nowMs);
--- a/packages/gateway/src/decide/engine_placement.ts
+++ b/packages/gateway/src/decide/engine_placement.ts
@@ -24,8 +24,11 @@
 
 /** How long an engine counts as full after a refusal, in milliseconds. */
 export const REFUSAL_TTL_MS = 120;
-/** Load added to engines in other availability zones, as a share of memory. */
-const OTHER_ZONE_LOAD_PENALTY = 0.06;
+/**
+ * Load added to engines in other availability zones, as a share of memory: the
+ * whole stream crosses zones. A full engine refuses, so little is risked.
+ */
+const OTHER_ZONE_LOAD_PENALTY = 0.25;
 /** Weight of prefills on a decode engine, which delay its streams. */
 const PREFILL_WEIGHT = 2;
 /**
--- a/packages/gateway/src/decide/stage_plan.ts
+++ b/packages/gateway/src/decide/stage_plan.ts
@@ -34,7 +34,7 @@
 /** Assumed share of prefill engines before any work is measured. */
 const PRIOR_PREFILL_SHARE = 0.2;
 /** Weight of the assumed share, in milliseconds of work. */
-const PRIOR_WORK_MS = 5_000;
+const PRIOR_WORK_MS = 15_000;
 /** Share of a decode engine's memory that can be in use at best. */
 const USABLE_DECODE_SHARE = 0.85;
 /**
--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -46,8 +46,8 @@
  * A call that takes this many times its expected duration may be queued behind
  * the prompts of other routers, or its engine may be dead: the engine is asked.
  */
-const SILENCE_FACTOR = 3;
-const MIN_SILENCE_MS = 350;
+const SILENCE_FACTOR = 1.5;
+const MIN_SILENCE_MS = 200;
 /** Longest prefill, in milliseconds: the reservation expires after it. */
 const MAX_CALL_MS = 1_500;
 
@@ -251,7 +251,7 @@
     const key = incarnationOf(engine);
     if (answered && result.status === 421) {
       const metadata = ctx.codec.parseResponse(421, result.headers);
-      recordMisdirected(ctx, engine, metadata.backendId);
+      recordMisdirected(ctx, engine, metadata.backendId, EngineStage.Decode);
       return;
     }
     if (answered) {
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -1,7 +1,11 @@
 /** Types and helpers shared by all kinds of requests. */
 import type { Clock, Logger, Random } from "@sassafrascleat/runtime";
 import type { BackendDirectory } from "../backends/directory.ts";
-import { type Backend, incarnationOf } from "../backends/backend.ts";
+import {
+  type Backend,
+  type EngineStage,
+  incarnationOf,
+} from "../backends/backend.ts";
 import type { Route, Service } from "../config/routing_table.ts";
 import type { EngineLoadTracker } from "../decide/engine_load_tracker.ts";
 import type { CallOutcome, HealthTracker } from "../decide/backend_health.ts";
@@ -219,21 +223,24 @@
 }
 
 /**
- * Records that a backend server rejected a request as misdirected: either another
- * server now has its address, or the server has just changed its stage.
+ * Records that a backend server rejected a request as misdirected. Either
+ * another server now has its address, or it is an engine at another stage than
+ * the store lists; `otherStage` is the one that it must have then.
  */
 export function recordMisdirected(
   ctx: RunContext,
   backend: Backend,
   respondedBy: string | undefined,
+  otherStage?: EngineStage,
 ): void {
   const key = incarnationOf(backend);
-  const replaced = respondedBy !== undefined && respondedBy !== backend.id;
   ctx.log("backend_misdirected", {
     backend: backend.id,
     answered_by: respondedBy,
   });
-  if (replaced) ctx.health.excludeReplaced(key);
+  if (respondedBy === undefined) ctx.health.eject(key);
+  else if (respondedBy !== backend.id) ctx.health.excludeReplaced(key);
+  else if (otherStage) ctx.directory.assumeStage(backend.id, otherStage);
   else ctx.health.eject(key);
 }
 
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -124,7 +124,12 @@
         result.status,
         result.headers,
       );
-      recordMisdirected(this.#ctx, reservation.engine, metadata.backendId);
+      recordMisdirected(
+        this.#ctx,
+        reservation.engine,
+        metadata.backendId,
+        EngineStage.Prefill,
+      );
     }
     const unprocessed = misdirected || result.status === 0;
     if (unprocessed || !source) {
