--- a/packages/gateway/src/decide/output_length_estimator.ts
+++ b/packages/gateway/src/decide/output_length_estimator.ts
@@ -21,20 +21,30 @@
   #sumY = 0;
   #sumXX = 0;
   #sumXY = 0;
+  #hintWeight = 0;
+  #sumHints = 0;
 
-  /** Predicts the number of generated tokens. */
+  /** Predicts the number of generated tokens; called once for each request. */
   predictTokens(prompt: PromptInfo): number {
     const hint = hintOf(prompt);
+    this.#hintWeight = this.#hintWeight * DECAY_PER_RESPONSE + 1;
+    this.#sumHints = this.#sumHints * DECAY_PER_RESPONSE + hint;
     const x = Math.log(hint);
     const { intercept, slope } = this.#fit();
     const expected = Math.exp(intercept + slope * x);
     return Math.min(prompt.maxOutputTokens, Math.max(1, expected));
   }
 
-  /** Average number of tokens in a response of this route. */
+  /**
+   * Average number of tokens in a response of this route. In a large fleet each
+   * router sees few responses end before the first burst, so the callers'
+   * estimates serve as the prior.
+   */
   meanTokens(prompt: PromptInfo): number {
-    const priorTokens = PRIOR_RESPONSES * prompt.maxOutputTokens *
-      DEFAULT_SHARE_OF_MAX;
+    const meanHint = this.#hintWeight > 0
+      ? this.#sumHints / this.#hintWeight
+      : hintOf(prompt);
+    const priorTokens = PRIOR_RESPONSES * meanHint;
     return (this.#sumTokens + priorTokens) / (this.#weight + PRIOR_RESPONSES);
   }
 
--- a/packages/gateway/src/policy.ts
+++ b/packages/gateway/src/policy.ts
@@ -15,11 +15,11 @@
   entries?: number;
   /** Longest wait for a decode engine with free memory, in ms. @default 250 */
   maxReservationWaitMs?: number;
-  /** Fraction of the expected output to reserve memory for. @default 1 */
+  /** Fraction of the expected output to reserve memory for. @default 0.35 */
   outputReserveRatio?: number;
   /**
    * Memory that must stay free on a decode engine after a new generation is
-   * placed, in multiples of a typical response. @default 1.25
+   * placed, in multiples of a typical response. @default 1.75
    */
   memoryMarginResponses?: number;
   /**
@@ -43,8 +43,8 @@
     retryWindowMs: raw.retryWindowMs ?? 10_000,
     entries: raw.entries ?? 16,
     maxReservationWaitMs: raw.maxReservationWaitMs ?? 250,
-    outputReserveRatio: raw.outputReserveRatio ?? 1,
-    memoryMarginResponses: raw.memoryMarginResponses ?? 1.25,
+    outputReserveRatio: raw.outputReserveRatio ?? 0.35,
+    memoryMarginResponses: raw.memoryMarginResponses ?? 1.75,
     prefillTokensPerMs: raw.prefillTokensPerMs ?? 30,
     maxReservationAttempts: raw.maxReservationAttempts ?? 8,
   };
--- a/packages/gateway/src/runs/generation.ts
+++ b/packages/gateway/src/runs/generation.ts
@@ -58,13 +58,6 @@
     return this.prompt.promptTokens + output;
   }
 
-  /** Memory to reserve for the prompt and `ratio` times the output, in tokens. */
-  tokensToReserve(ratio: number): number {
-    const output = Math.max(this.generatedTokens, this.expectedTokens) * ratio;
-    const tokens = Math.ceil(this.prompt.promptTokens + output);
-    return Math.min(this.capacity.kvTokens, tokens);
-  }
-
   /** Expected time until the generation completes, in milliseconds. */
   remainingMs(): number {
     const { events, firstEventAtMs, lastEventAtMs } = this.progress;
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -9,6 +9,7 @@
   incarnationOf,
 } from "../backends/backend.ts";
 import { CallOutcome } from "../decide/backend_health.ts";
+import { type MemoryDemand, memoryDemand } from "../decide/memory_demand.ts";
 import { PrefillPlace } from "../decide/prefill_plan.ts";
 import type { KvSource } from "../http/wire_codec.ts";
 import type { DecodeReservations, Reservation } from "./decode_reservations.ts";
@@ -42,8 +43,6 @@
 
 /** Share of a prefill result's lifetime in which another engine may use it. */
 const REUSABLE_LIFETIME_SHARE = 0.7;
-/** Upper limit of the margin, as a share of an engine's memory. */
-const MAX_MARGIN_SHARE = 0.25;
 const STATUS_MISDIRECTED = 421;
 
 /** Places one generation, and places it again after an engine rejected it. */
@@ -180,11 +179,12 @@
       onTimeDeadlineMs,
       req.arrivedMs + ctx.policy.maxReservationWaitMs,
     );
+    const demand = this.#memoryDemand();
     return this.#reservations.acquire({
       requestId: req.metadata.requestId,
       priority: req.route.priority,
-      tokens: this.#tokensToReserve(),
-      marginTokens: this.#marginTokens(),
+      tokens: demand.reserveTokens,
+      marginTokens: demand.marginTokens,
       onTimeDeadlineMs,
       expiresAtMs,
       signal,
@@ -192,19 +192,17 @@
     });
   }
 
-  #tokensToReserve(): number {
-    const ratio = this.#ctx.policy.outputReserveRatio;
-    return this.#generation.tokensToReserve(ratio);
-  }
-
-  /** Expected growth of all responses at an engine until one of them ends. */
-  #marginTokens(): number {
-    const { prompt, capacity } = this.#generation;
+  #memoryDemand(): MemoryDemand {
+    const { prompt, capacity, generatedTokens, expectedTokens } =
+      this.#generation;
     const estimator = this.#ctx.outputEstimatorOf(this.#req.route.name);
-    const responses = this.#ctx.policy.memoryMarginResponses;
-    const tokens = Math.floor(responses * estimator.meanTokens(prompt));
-    const maxTokens = Math.floor(capacity.kvTokens * MAX_MARGIN_SHARE);
-    return Math.min(tokens, maxTokens);
+    return memoryDemand({
+      promptTokens: prompt.promptTokens,
+      expectedOutputTokens: Math.max(generatedTokens, expectedTokens),
+      meanOutputTokens: estimator.meanTokens(prompt),
+      kvTokens: capacity.kvTokens,
+      ...this.#ctx.policy,
+    });
   }
 
   /** Prefills the prompt; undefined if the decode engine has to do it. */
@@ -262,7 +260,7 @@
     );
     this.#ctx.log("no_room", {
       req: this.#req.metadata.requestId,
-      tokens: this.#tokensToReserve(),
+      tokens: this.#memoryDemand().reserveTokens,
       decode_engines: engines.length,
       waiting: this.#reservations.waiting,
       age_ms: Math.round(ageMs(this.#ctx, this.#req)),
