fix(gateway): half of the output is reserved

Cause and change: of the values tried for the reserve and the margin none is best everywhere; (0.5, 1.75) lies between those that did best on few engines with many slots and on many engines with long outputs.

--- a/packages/gateway/src/policy.ts
+++ b/packages/gateway/src/policy.ts
@@ -15,7 +15,7 @@
   entries?: number;
   /** Longest wait for a decode engine with free memory, in ms. @default 250 */
   maxReservationWaitMs?: number;
-  /** Fraction of the expected output to reserve memory for. @default 0.35 */
+  /** Fraction of the expected output to reserve memory for. @default 0.5 */
   outputReserveRatio?: number;
   /**
    * Memory that must stay free on a decode engine after a new generation is
@@ -43,7 +43,7 @@
     retryWindowMs: raw.retryWindowMs ?? 10_000,
     entries: raw.entries ?? 16,
     maxReservationWaitMs: raw.maxReservationWaitMs ?? 250,
-    outputReserveRatio: raw.outputReserveRatio ?? 0.35,
+    outputReserveRatio: raw.outputReserveRatio ?? 0.5,
     memoryMarginResponses: raw.memoryMarginResponses ?? 1.75,
     prefillTokensPerMs: raw.prefillTokensPerMs ?? 30,
     maxReservationAttempts: raw.maxReservationAttempts ?? 8,
