refactor(gateway): usual words in comments; a test that a long response at once is complete

Cause: read as a newcomer, comments said that a store is away and that prompts are read. Change: unreachable and prefill.

--- a/packages/gateway/src/balance/stage_balancer.ts
+++ b/packages/gateway/src/balance/stage_balancer.ts
@@ -231,8 +231,8 @@
   }
 
   /**
-   * While the store is away it cannot list the new stages, so engines are
-   * assumed to have changed once the change has settled.
+   * While the store is unreachable it cannot list the new stages, so engines
+   * are assumed to have changed once the change has settled.
    */
   #assumeSettled(): void {
     const { clock, directory } = this.#options;
--- a/packages/gateway/src/decide/memory_demand.ts
+++ b/packages/gateway/src/decide/memory_demand.ts
@@ -2,7 +2,7 @@
  * Decides how much memory of a decode engine a generation needs to be admitted.
  * In a burst many generations begin at the same time and grow together, far
  * beyond their prompts; an engine that runs out of memory preempts the newest
- * ones, whose prompts are then read again while their streams pause. A
+ * ones, whose prompts are then prefilled again while their streams pause. A
  * reservation of whole outputs would waste the memory that the other
  * generations have not grown into yet. Each generation therefore reserves its
  * prompt and a part of its output, and the engine must have a margin free that
--- a/packages/gateway/src/decide/prefill_speed.ts
+++ b/packages/gateway/src/decide/prefill_speed.ts
@@ -1,8 +1,8 @@
 /**
- * Learns how fast the prefill engines of a service read prompts. The speed
+ * Learns the prefill throughput of a service's engines. The throughput
  * differs several times over between models, and both the balance of stages
  * and the expected duration of a prefill follow from it. Most prefills of a
- * burst wait in a queue, so the speed is taken from the fastest ones.
+ * burst wait in a queue, so the fastest ones are taken as the measure.
  */
 
 /** Number of prefills that the estimate is based on. */
--- a/packages/gateway/src/http/__tests__/response_limits_test.ts
+++ b/packages/gateway/src/http/__tests__/response_limits_test.ts
@@ -132,3 +132,16 @@
   // A second one may be opened while the first completes its response.
   expect(new Set(server.connectionNumbers).size).toBeLessThanOrEqual(2);
 });
+
+test("a long response that arrives at once is complete", async () => {
+  const body = "x".repeat(1024 * 1024);
+  server = await startRawServer((socket) =>
+    socket.write(
+      `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+    )
+  );
+  for (let i = 0; i < 100; i += 1) {
+    const result = await call();
+    expect(result).toMatchObject({ end: ExchangeOutcome.Answered });
+  }
+});
--- a/packages/gateway/src/reachability.ts
+++ b/packages/gateway/src/reachability.ts
@@ -2,9 +2,9 @@
  * Tells whether a service that is polled with long-running calls can be reached.
  * A connection can go silent without being closed, and a long poll on it would
  * notice that only at its end. The monitor therefore makes a short call at
- * intervals in which no other call had a response. While the service is away,
- * only the monitor calls it, so that an outage does not multiply the calls of
- * a large fleet.
+ * intervals in which no other call had a response. While the service is
+ * unreachable, only the monitor calls it, so that an outage does not multiply
+ * the calls of a large fleet.
  */
 import {
   childAbortController,
@@ -21,7 +21,7 @@
   probe: (signal: AbortSignal) => Promise<boolean>;
   /** Longest time without a response before a probe, in ms. @default 2000 */
   intervalMs?: number;
-  /** Mean delay between probes while the service is away, in ms. @default 400 */
+  /** Mean delay between probes while unreachable, in ms. @default 400 */
   retryMs?: number;
 }
 
@@ -44,7 +44,7 @@
   }
 
   /**
-   * Aborts when the service is found to be away, which ends long polls on
+   * Aborts when the service is found to be unreachable, which ends long polls on
    * connections that went silent, and when the monitor stops. Each outage has
    * a signal of its own.
    */
@@ -63,7 +63,7 @@
     this.#pause.abort();
   }
 
-  /** Resolves when the service is not known to be away, or `signal` aborts. */
+  /** Resolves when the service is not known to be unreachable, or on abort. */
   async untilReachable(signal: AbortSignal): Promise<void> {
     while (this.#lost.signal.aborted && !signal.aborted) {
       await new Promise<void>((resolve) => {
--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -44,7 +44,7 @@
 export const FIRST_EVENT_MS = 90;
 /**
  * A call that takes this many times its expected duration may be queued behind
- * the prompts of other routers, or its engine may be dead: the engine is asked.
+ * prompts of other routers, or its engine may be dead: its liveness is checked.
  */
 const SILENCE_FACTOR = 1.5;
 const MIN_SILENCE_MS = 200;
