--- a/packages/sidecar/src/__tests__/decode_fuzz_test.ts
+++ b/packages/sidecar/src/__tests__/decode_fuzz_test.ts
@@ -74,11 +74,19 @@
 afterEach(() => env.close());
 
 interface Results {
+  /** Requests that are over, in whatever way. */
+  finished: number;
   ended: number;
   failed: number;
   wrong: string[];
 }
 
+/** Requests that finish between two breaks of the connections. */
+const MIN_REQUESTS_BETWEEN_BREAKS = 3;
+const MAX_REQUESTS_BETWEEN_BREAKS = 7;
+const BREAK_POLL_MS = 10;
+const REFUSED_PAUSE_MS = 50;
+
 /** Reserves and prefills an attempt; undefined if either is refused. */
 async function prepareStart(
   requestId: string,
@@ -130,7 +138,8 @@
 ): Promise<void> {
   const prompt = `${requestId} #len=${random.int(5, MAX_TOKENS)}`;
   const req = await prepareStart(requestId, 1, prompt);
-  if (!req) return;
+  // As long as the engine is unreachable, the sidecar refuses at once.
+  if (!req) return await sleep(REFUSED_PAUSE_MS);
   const part = random.int(1, 10);
   if (scenario === Scenario.Uninterrupted) {
     return recordResult(results, prompt, await read(req));
@@ -146,13 +155,21 @@
   if (next) recordResult(results, prompt, await read(next));
 }
 
-/** Breaks the engine connections at random intervals until `signal` aborts. */
+/**
+ * Breaks the engine connections each time some requests have finished, until
+ * `signal` aborts. Faults at fixed times would leave a slow machine no answer.
+ */
 async function breakConnections(
   random: Random,
+  results: Results,
   signal: AbortSignal,
 ): Promise<void> {
   while (!signal.aborted) {
-    await sleep(random.int(100, 300), signal);
+    const next = results.finished +
+      random.int(MIN_REQUESTS_BETWEEN_BREAKS, MAX_REQUESTS_BETWEEN_BREAKS);
+    while (results.finished < next && !signal.aborted) {
+      await sleep(BREAK_POLL_MS, signal);
+    }
     if (random.float() < 0.5) proxy.blackholeOpenConnections();
     else proxy.resetAll();
   }
@@ -160,9 +177,9 @@
 
 test("under random faults, answers are complete and no request is left over", async () => {
   const random = createRandom(99);
-  const results: Results = { ended: 0, failed: 0, wrong: [] };
+  const results: Results = { finished: 0, ended: 0, failed: 0, wrong: [] };
   const stopFaults = new AbortController();
-  const faultInjection = breakConnections(random, stopFaults.signal);
+  const faultInjection = breakConnections(random, results, stopFaults.signal);
   const scenarios = Object.values(Scenario);
   let number = 0;
   const enough = () =>
@@ -173,6 +190,7 @@
       const scenario = scenarios[number % scenarios.length] ??
         Scenario.Uninterrupted;
       await runRequest(`r${number++}`, scenario, random, results);
+      results.finished += 1;
     }
   };
   await Promise.all(Array.from({ length: WORKERS }, runWorker));
--- a/playground/src/fuzz/steps.ts
+++ b/playground/src/fuzz/steps.ts
@@ -273,12 +273,24 @@
   ]),
 ]);
 
+/** An answer whose frames all arrive twice. */
+const repeatedFramesSequence: fc.Arbitrary<Step[]> = modelStep.map((call) => [
+  {
+    kind: StepKind.ProxyFault as const,
+    entry: call.entry,
+    node: 0,
+    fault: ProxyFault.RepeatFrames,
+  },
+  { ...call, tokens: SHORT_ANSWER_TOKENS, stream: true },
+]);
+
 /** Sequences of steps that set up one hazard each. */
 const HAZARD_SEQUENCES: fc.Arbitrary<Step[]>[] = [
   callerGoneSequence,
   allLeavingSequence,
   lateCallSequence,
   restartDuringCallSequence,
+  repeatedFramesSequence,
 ];
 
 /** Arbitraries of what one command performs: a single step or a sequence. */
