fix(gateway): a complete response of comments only keeps its headers and body

Cause, found by reading the diff: comments before the first event are held back until it arrives; when none came they were dropped, and a stream without events was answered under headers of our own. Change: at a complete end what was held back is sent under the engine's headers. Comments on public items that lacked one.

--- a/packages/gateway/src/balance/stage_balancer.ts
+++ b/packages/gateway/src/balance/stage_balancer.ts
@@ -204,14 +204,14 @@
   async #order(
     service: Service,
     changes: readonly StageChange[],
-    atOnce: boolean,
+    immediately: boolean,
     signal: AbortSignal,
   ): Promise<void> {
     const { clock, leases, suspendBackend } = this.#options;
     const [first] = changes;
     if (!first) return;
     const settleMs = (service.engine?.stageSwitchMs ?? 0) + LISTING_DELAY_MS +
-      (atOnce ? 0 : ANNOUNCEMENT_MS + RUN_OUT_MS);
+      (immediately ? 0 : ANNOUNCEMENT_MS + RUN_OUT_MS);
     const engineIds = changes.map((change) => change.engine.id);
     const orderedChanges = { engineIds, stage: first.stage, settleMs };
     const lease = await leases.acquire(orderedChanges, signal);
@@ -220,11 +220,12 @@
     this.#imbalances.delete(service.name);
     for (const { engine } of changes) suspendBackend(engine, settleMs);
     this.#expect(orderedChanges);
-    const dueAtMs = clock.now() + (atOnce ? 0 : ANNOUNCEMENT_MS);
+    const dueAtMs = clock.now() + (immediately ? 0 : ANNOUNCEMENT_MS);
     this.#announced.push({ changes, lease, dueAtMs });
     await this.#sendDue(signal);
   }
 
+  /** Remembers the stages that engines have once the changes have settled. */
   #expect({ engineIds, stage, settleMs }: OrderedChanges): void {
     const atMs = this.#options.clock.now() + settleMs;
     this.#expected.push({ engineIds, stage, atMs });
--- a/packages/gateway/src/http/response_limits.ts
+++ b/packages/gateway/src/http/response_limits.ts
@@ -66,6 +66,7 @@
     this.#onBytes = onBytes;
   }
 
+  /** Ends the calls of `onBytes`, unless another call uses the connection. */
   unwatch(onBytes: () => void): void {
     if (this.#onBytes === onBytes) this.#onBytes = undefined;
   }
@@ -80,6 +81,7 @@
     this.#maxBytes = maxBytes;
   }
 
+  /** Memory in use, in bytes. */
   get usedBytes(): number {
     return this.#usedBytes;
   }
@@ -90,6 +92,7 @@
     return !mayFail || this.#usedBytes <= this.#maxBytes;
   }
 
+  /** Returns memory that `add` has counted. */
   remove(bytes: number): void {
     this.#usedBytes -= bytes;
   }
--- a/packages/gateway/src/http/upstream_call.ts
+++ b/packages/gateway/src/http/upstream_call.ts
@@ -91,6 +91,7 @@
     signal.addEventListener("abort", this.#onAbort, { once: true });
   }
 
+  /** Sets the connection whose bytes are counted against the limits. */
   useConnection(connection: ConnectionBytes): void {
     this.#bytes = connection;
   }
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -61,6 +61,8 @@
   isLost: () => Promise<boolean>;
 }
 
+const EMPTY = Buffer.alloc(0);
+
 /** Forwards one stream until it ends. */
 export function runStreamCall(
   ctx: RunContext,
@@ -243,8 +245,10 @@
       return StreamEnd.NotExecuted;
     }
     if (this.#verdict !== ReplyVerdict.Good) return StreamEnd.BackendError;
-    const incomplete = this.#splitter.pendingBytes > 0;
-    return incomplete ? StreamEnd.Cut : StreamEnd.Complete;
+    if (this.#splitter.pendingBytes > 0) return StreamEnd.Cut;
+    // A response without events keeps its headers and its comments.
+    if (!this.#req.responder.started) this.#write(EMPTY);
+    return StreamEnd.Complete;
   }
 
   #endOfFailure(failure: CallFailure, sent: boolean): StreamEnd {
