--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -113,7 +113,7 @@
     const engine = this.#pick(zone);
     const { tokensPerMs } = this.#speed;
     return planPrefill({
-      prefillMs: this.#prompt.promptTokens / tokensPerMs + PREFILL_OVERHEAD_MS,
+      prefillMs: this.#prefillMs(this.#prompt.promptTokens),
       prefillWaitMs: engine &&
         prefillWaitMs(engine, tokensPerMs, this.#inputs(zone)),
       onTimeMs: this.#req.route.targetLatencyMs - FIRST_EVENT_MS -
@@ -125,6 +125,11 @@
     return this.#ctx.prefillSpeedOf(this.#req.service.name);
   }
 
+  /** Expected duration of a prefill without a queue, in milliseconds. */
+  #prefillMs(tokens: number): number {
+    return tokens / this.#speed.tokensPerMs + PREFILL_OVERHEAD_MS;
+  }
+
   #inputs(zone: string) {
     return { ...this.#ctx, zone, nowMs: this.#ctx.clock.now() };
   }
@@ -158,7 +163,7 @@
       tokensPerMs,
       this.#inputs(engine.zone),
     );
-    const prefillMs = tokens / tokensPerMs + PREFILL_OVERHEAD_MS;
+    const prefillMs = this.#prefillMs(tokens);
     const silenceMs = Math.max(
       MIN_SILENCE_MS,
       (waitMs + prefillMs) * SILENCE_FACTOR,
