--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,17 +26,20 @@
   type GatewayPolicyOptions,
   resolveGatewayPolicy,
 } from "./policy.ts";
+import { type CrashLog, LocalCrashLog } from "./quarantine/crash_log.ts";
+import { PromptQuarantine } from "./quarantine/prompt_quarantine.ts";
 import { DecodeReservations } from "./runs/decode_reservations.ts";
 import { runPlain } from "./runs/plain_run.ts";
 import {
   type CallerRequest,
   type EngineControl,
+  quarantineMs,
   type RunContext,
   type RunOutcome,
   RunReason,
 } from "./runs/run_context.ts";
 import { runStream } from "./runs/stream_run.ts";
-import { reject } from "./runs/reject.ts";
+import { reject, rejectQuarantined } from "./runs/reject.ts";
 
 /** Options of {@link Gateway}. */
 export interface GatewayOptions {
@@ -49,6 +52,11 @@
   /** Creates the client for control calls to engines. */
   createEngineControl: (upstream: Upstream) => EngineControl;
   policy?: GatewayPolicyOptions;
+  /**
+   * Returns the log of crashed engines that all routers share.
+   * @default a log of this router alone
+   */
+  crashLog?: () => CrashLog;
 }
 
 const STATUS_NOT_FOUND = 404;
@@ -67,6 +75,8 @@
   readonly metrics: GatewayMetrics;
   readonly ingress: Ingress;
   readonly upstream: Upstream;
+  /** Keeps prompts away from the engines that they would crash. */
+  readonly quarantine: PromptQuarantine;
   readonly #ctx: RunContext;
   readonly #decodeReservations = new Map<string, DecodeReservations>();
   readonly #retryBudgets = new Map<string, RetryBudget>();
@@ -86,6 +96,12 @@
     this.config = new ConfigHolder(clock, log);
     this.directory = new BackendDirectory({ clock, log });
     this.metrics = createGatewayMetrics();
+    this.quarantine = new PromptQuarantine({
+      clock,
+      log,
+      random,
+      crashLog: options.crashLog ?? localCrashLog(),
+    });
     this.upstream = new Upstream({
       log,
       maxConnectionsTo: (backend) => this.#maxConnectionsTo(backend),
@@ -101,6 +117,7 @@
       directory: this.directory,
       health: new HealthTracker(clock),
       engineLoads: new EngineLoadTracker(clock),
+      quarantine: this.quarantine,
       metrics: this.metrics,
       policy,
       inProgress: new Map(),
@@ -302,6 +319,9 @@
   }
 
   #dispatch(req: CallerRequest): Promise<RunOutcome> {
+    if (quarantineMs(this.#ctx, req) > 0) {
+      return Promise.resolve(rejectQuarantined(this.#ctx, req));
+    }
     if (req.route.kind !== RouteKind.Stream) return runPlain(this.#ctx, req);
     if (this.#rejectsNewStreams()) {
       const reason = RunReason.Draining;
@@ -317,6 +337,11 @@
   }
 }
 
+function localCrashLog(): () => CrashLog {
+  const crashLog = new LocalCrashLog();
+  return () => crashLog;
+}
+
 function retryLimitsOf(policy: GatewayPolicy): RetryLimits {
   return {
     ratio: policy.retryRatio,
--- a/packages/gateway/src/http/upstream_call.ts
+++ b/packages/gateway/src/http/upstream_call.ts
@@ -178,7 +178,7 @@
 }
 
 /** True if the response headers delimit the body; else it ends at close. */
-function declaresLength(headers: RawHeaders): boolean {
+export function declaresLength(headers: RawHeaders): boolean {
   return headers.some((item, index) =>
     index % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(item)
   );
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,8 @@
 export { Gateway, type GatewayOptions } from "./gateway.ts";
 export * from "./http/index.ts";
 export { createGatewayMetrics, type GatewayMetrics } from "./metrics.ts";
+export { type CrashRecord } from "./decide/crash_causes.ts";
+export * from "./quarantine/index.ts";
 export {
   ReachabilityMonitor,
   type ReachabilityOptions,
--- /dev/null
+++ b/packages/gateway/src/quarantine/__tests__/prompt_quarantine_test.ts
@@ -0,0 +1,127 @@
+import { beforeEach, describe, expect, test } from "@jest/globals";
+import { createRandom, ManualClock, sleep } from "@sassafrascleat/runtime";
+import type { CrashRecord } from "../../decide/crash_causes.ts";
+import { type CrashLog, LocalCrashLog } from "../crash_log.ts";
+import { PromptQuarantine } from "../prompt_quarantine.ts";
+
+const MINUTE_MS = 60_000;
+
+let clock: ManualClock;
+let crashLog: CrashLog;
+let quarantine: PromptQuarantine;
+
+beforeEach(() => {
+  clock = new ManualClock();
+  crashLog = new LocalCrashLog();
+  quarantine = create();
+});
+
+function create(log = () => crashLog): PromptQuarantine {
+  return new PromptQuarantine({
+    clock,
+    log: () => {},
+    random: createRandom(3),
+    crashLog: log,
+  });
+}
+
+function prompt(...parts: string[]) {
+  return {
+    model: "m",
+    promptTokens: 100,
+    maxOutputTokens: 10,
+    parts: [...parts, "own"].map((id) => ({ id, tokens: 10 })),
+  };
+}
+
+function remainingMs(...parts: string[]): number {
+  return quarantine.remainingMs("llm", prompt(...parts));
+}
+
+function crash(engine: string, ...parts: string[]): void {
+  quarantine.recordCrash("llm", engine, prompt(...parts));
+}
+
+describe("the quarantine of a prompt", () => {
+  test("begins with the second crash and doubles with each one after it", () => {
+    crash("e1", "bad");
+    expect(remainingMs("bad")).toBe(0);
+    crash("e2", "bad");
+    expect(remainingMs("bad")).toBe(MINUTE_MS);
+    clock.advance(MINUTE_MS);
+    expect(remainingMs("bad")).toBe(0);
+    crash("e3", "bad");
+    expect(remainingMs("bad")).toBe(2 * MINUTE_MS);
+  });
+
+  test("counts an engine that several requests were lost with once", () => {
+    crash("e1", "bad");
+    crash("e1", "bad");
+    expect(remainingMs("bad")).toBe(0);
+  });
+
+  test("holds for one service", () => {
+    crash("e1", "bad");
+    crash("e2", "bad");
+    expect(quarantine.remainingMs("other", prompt("bad"))).toBe(0);
+  });
+
+  test("ends when a request with the part runs", () => {
+    crash("e1", "part");
+    crash("e2", "part");
+    clock.advance(10);
+    quarantine.recordRun("llm", prompt("part"));
+    expect(remainingMs("part")).toBe(0);
+  });
+
+  test("the last part is never suspected", () => {
+    crash("e1");
+    crash("e2");
+    expect(remainingMs()).toBe(0);
+  });
+
+  test("a part that has run is suspected after three separate crashes", () => {
+    quarantine.recordRun("llm", prompt("part"));
+    for (const [engine, afterMs] of [["e1", 5], ["e2", 5], ["e3", 2_000]]) {
+      clock.advance(afterMs as number);
+      crash(engine as string, "part");
+    }
+    expect(remainingMs("part")).toBe(0);
+    for (const engine of ["e4", "e5"]) {
+      clock.advance(2_000);
+      crash(engine, "part");
+    }
+    expect(remainingMs("part")).toBe(MINUTE_MS);
+  });
+
+  test("records of other routers count, also after a restart", () => {
+    quarantine.observe([{ engine: "e1", parts: ["llm/bad"] }]);
+    crash("e2", "bad");
+    expect(remainingMs("bad")).toBe(MINUTE_MS);
+    quarantine = create();
+    quarantine.observe([
+      { engine: "e1", parts: ["llm/bad"] },
+      { engine: "e2", parts: ["llm/bad"] },
+    ]);
+    expect(remainingMs("bad")).toBe(MINUTE_MS);
+  });
+
+  test("what could not be written to the shared log is written later", async () => {
+    let records: readonly CrashRecord[] = [];
+    let failures = 2;
+    const failing: CrashLog = {
+      update: (change) => {
+        failures -= 1;
+        if (failures >= 0) return Promise.resolve(undefined);
+        records = change(records) ?? records;
+        return Promise.resolve(records);
+      },
+    };
+    quarantine = create(() => failing);
+    crash("e1", "bad");
+    crash("e2", "bad");
+    expect(remainingMs("bad")).toBe(MINUTE_MS);
+    await sleep(400);
+    expect(records.map((item) => item.engine)).toEqual(["e1", "e2"]);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/quarantine/crash_log.ts
@@ -0,0 +1,70 @@
+/**
+ * The crash records that all routers share. Each router sees few of the crashes
+ * that one prompt part causes, and learns of the others here.
+ */
+import type { CrashRecord } from "../decide/crash_causes.ts";
+
+/** Computes the records to store; undefined leaves the stored ones as they are. */
+export type CrashLogChange = (
+  stored: readonly CrashRecord[],
+) => readonly CrashRecord[] | undefined;
+
+/** A list of crash records that routers change by conditional writes. */
+export interface CrashLog {
+  /**
+   * Applies `change` to the stored records and returns what is stored then;
+   * undefined if the store could not be read or written. `change` may be called
+   * more than once when other routers write at the same time.
+   */
+  update(change: CrashLogChange): Promise<readonly CrashRecord[] | undefined>;
+}
+
+/** A crash log of one router, for deployments without a shared store. */
+export class LocalCrashLog implements CrashLog {
+  #records: readonly CrashRecord[] = [];
+
+  update(change: CrashLogChange): Promise<readonly CrashRecord[]> {
+    this.#records = change(this.#records) ?? this.#records;
+    return Promise.resolve(this.#records);
+  }
+}
+
+/** Most records that are kept; the oldest ones are dropped. */
+const MAX_RECORDS = 64;
+/** Most parts of one record, since many requests may be lost with an engine. */
+const MAX_PARTS_PER_RECORD = 16;
+
+/** Adds records to others; two records of one crash become one. */
+export function mergeCrashRecords(
+  stored: readonly CrashRecord[],
+  added: readonly CrashRecord[],
+): readonly CrashRecord[] {
+  const byEngine = new Map(stored.map((item) => [item.engine, item]));
+  for (const { engine, parts } of added) {
+    const known = byEngine.get(engine)?.parts ?? [];
+    const all = [...new Set([...known, ...parts])];
+    byEngine.set(engine, { engine, parts: all.slice(0, MAX_PARTS_PER_RECORD) });
+  }
+  return [...byEngine.values()].slice(-MAX_RECORDS);
+}
+
+/** Removes parts that are not suspected any more, and records without any. */
+export function removeParts(
+  records: readonly CrashRecord[],
+  isRemoved: (part: string, record: CrashRecord) => boolean,
+): readonly CrashRecord[] {
+  return records
+    .map((record) => ({
+      engine: record.engine,
+      parts: record.parts.filter((part) => !isRemoved(part, record)),
+    }))
+    .filter((record) => record.parts.length > 0);
+}
+
+/** True if both lists have the same engines and parts in the same order. */
+export function areSameRecords(
+  a: readonly CrashRecord[],
+  b: readonly CrashRecord[],
+): boolean {
+  return JSON.stringify(a) === JSON.stringify(b);
+}
--- a/packages/gateway/src/runs/plain_run.ts
+++ b/packages/gateway/src/runs/plain_run.ts
@@ -17,11 +17,13 @@
   type ExchangeResult,
 } from "../http/exchange.ts";
 import { CallFailure } from "../http/upstream_call.ts";
+import { recordExchangedPrompt } from "./crash_detection.ts";
 import { fail, reject } from "./reject.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
   ageMs,
   type CallerRequest,
+  quarantineMs,
   recordCallResult,
   recordMisdirected,
   remainingMs,
@@ -155,6 +157,7 @@
     const ctx = this.#ctx;
     const backend = this.#pickCandidate();
     if (!backend) return false;
+    if (quarantineMs(ctx, this.#req) > 0) return false;
     if (remainingMs(ctx, this.#req) < MIN_REMAINING_MS) return false;
     if (this.#sends > 0) {
       if (!tryAcquireRetry(ctx, this.#req, cause)) return false;
@@ -212,6 +215,8 @@
     ctx.inProgress.set(key, (ctx.inProgress.get(key) ?? 1) - 1);
     const verdict = this.#classify(result);
     this.#recordHealth(backend, result, verdict);
+    const { signal } = this.#controller;
+    await recordExchangedPrompt(ctx, req, backend, result, signal);
     return { backend, exchange: result, verdict };
   }
 
--- a/packages/gateway/src/runs/plain_stream.ts
+++ b/packages/gateway/src/runs/plain_stream.ts
@@ -13,10 +13,12 @@
   StreamEnd,
   type StreamResult,
 } from "./stream_call.ts";
+import { recordStreamedPrompt } from "./crash_detection.ts";
 import { createProgress, type StreamProgress } from "./generation.ts";
 import { reject } from "./reject.ts";
 import {
   type CallerRequest,
+  quarantineMs,
   recordCallResult,
   remainingMs,
   type RunContext,
@@ -50,6 +52,7 @@
     const backends = ctx.directory.ready(req.service.name);
     const backend = pickPlainBackend(backends, ctx, tried);
     if (!backend) break;
+    if (quarantineMs(ctx, req) > 0) return finisher.quarantined();
     if (finisher.sends > 0 && !tryAcquireRetry(ctx, req, "stream")) break;
     tried.add(incarnationOf(backend));
     finisher.sends += 1;
@@ -105,5 +108,6 @@
   ctx.inProgress.set(key, (ctx.inProgress.get(key) ?? 1) - 1);
   const outcome = callOutcomeOf(result.end);
   if (outcome && !signal.aborted) recordCallResult(ctx, backend, outcome, 0);
+  await recordStreamedPrompt(ctx, req, backend, result, signal);
   return result;
 }
--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -18,10 +18,12 @@
 import type { PrefillSpeedEstimator } from "../decide/prefill_speed.ts";
 import { exchange, ExchangeOutcome } from "../http/exchange.ts";
 import type { KvSource, PromptInfo } from "../http/wire_codec.ts";
+import { recordExchangedPrompt } from "./crash_detection.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
   ageMs,
   type CallerRequest,
+  quarantineMs,
   recordMisdirected,
   remainingMs,
   type RunContext,
@@ -78,7 +80,7 @@
   ): Promise<PrefillResult | undefined> {
     while (!signal.aborted && remainingMs(this.#ctx, this.#req) > 0) {
       const engine = this.#pick(zone);
-      if (!engine) return undefined;
+      if (!engine || quarantineMs(this.#ctx, this.#req) > 0) return undefined;
       const isRetry = this.#sentCalls > 0;
       if (isRetry && !tryAcquireRetry(this.#ctx, this.#req, "prefill")) {
         return undefined;
@@ -212,7 +214,9 @@
         return this.#createResult(engine, reply.source);
       }
     }
-    if (!signal.aborted) this.#recordFailure(engine, result);
+    if (signal.aborted) return undefined;
+    this.#recordFailure(engine, result);
+    await recordExchangedPrompt(ctx, req, engine, result, signal);
     return undefined;
   }
 
--- a/packages/gateway/src/runs/reject.ts
+++ b/packages/gateway/src/runs/reject.ts
@@ -2,6 +2,7 @@
 import { retryDelayMs } from "../decide/retry_delay.ts";
 import {
   type CallerRequest,
+  quarantineMs,
   remainingMs,
   type RunContext,
   RunEnd,
@@ -31,6 +32,29 @@
     remainingMs(ctx, req),
     ctx.random,
   );
+  return rejectFor(ctx, req, reason, retryAfterMs, attempts);
+}
+
+/**
+ * Tells the caller that its prompt is in quarantine, and for how long; the
+ * request did not run. `attempts` is as in {@link reject}.
+ */
+export function rejectQuarantined(
+  ctx: RunContext,
+  req: CallerRequest,
+  attempts = 0,
+): RunOutcome {
+  const retryAfterMs = quarantineMs(ctx, req);
+  return rejectFor(ctx, req, RunReason.Quarantined, retryAfterMs, attempts);
+}
+
+function rejectFor(
+  ctx: RunContext,
+  req: CallerRequest,
+  reason: RunReason,
+  retryAfterMs: number,
+  attempts: number,
+): RunOutcome {
   ctx.log("refused", {
     req: req.metadata.requestId,
     route: req.route.name,
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -22,6 +22,7 @@
 import type { Upstream } from "../http/upstream.ts";
 import type { GatewayMetrics } from "../metrics.ts";
 import type { GatewayPolicy } from "../policy.ts";
+import type { PromptQuarantine } from "../quarantine/prompt_quarantine.ts";
 
 /** One request of a caller, with its complete body. */
 export interface CallerRequest {
@@ -85,6 +86,8 @@
   StreamCut = "stream_cut",
   TimedOut = "timed_out",
   Draining = "entry_leaving",
+  /** A part of the prompt crashes engines. */
+  Quarantined = "quarantined",
 }
 
 /** How one request ended, for its log line and metrics. */
@@ -187,6 +190,7 @@
   directory: BackendDirectory;
   health: HealthTracker;
   engineLoads: EngineLoadTracker;
+  quarantine: PromptQuarantine;
   metrics: GatewayMetrics;
   policy: GatewayPolicy;
   /** Number of calls in progress to plain backend servers, by incarnation. */
@@ -211,6 +215,11 @@
   return ctx.clock.now() - req.arrivedMs;
 }
 
+/** How long engines must not get the request's prompt, in ms; 0 if they may. */
+export function quarantineMs(ctx: RunContext, req: CallerRequest): number {
+  return ctx.quarantine.remainingMs(req.service.name, req.metadata.prompt);
+}
+
 /** Takes one call from the service's retry budget; false if none is left. */
 export function tryAcquireRetry(
   ctx: RunContext,
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -10,6 +10,7 @@
 import { MAX_ERROR_BYTES, MAX_EVENT_BYTES } from "../http/response_limits.ts";
 import {
   CallFailure,
+  declaresLength,
   type ResponseFlowControl,
 } from "../http/upstream_call.ts";
 import type { Directives, RawHeaders } from "../http/wire_codec.ts";
@@ -128,7 +129,7 @@
           onHead: (status, headers, flow) =>
             this.#onHead(status, headers, flow),
           onData: (chunk) => this.#onData(chunk),
-          onEnd: () => settle(this.#endOfResponse()),
+          onEnd: () => void this.#endOfResponse().then(settle),
           onFailure: (failure, sent, message) =>
             settle(
               this.#endOfFailure(failure, sent),
@@ -240,17 +241,28 @@
     this.#controller.abort();
   }
 
-  #endOfResponse(): StreamEnd {
+  async #endOfResponse(): Promise<StreamEnd> {
     if (this.#verdict === ReplyVerdict.NotExecuted) {
       return StreamEnd.NotExecuted;
     }
     if (this.#verdict !== ReplyVerdict.Good) return StreamEnd.BackendError;
     if (this.#splitter.pendingBytes > 0) return StreamEnd.Cut;
+    if (this.#events === 0 && await this.#endedByCrash()) return StreamEnd.Cut;
     // A response without events keeps its headers and its comments.
     if (!this.#req.responder.started) this.#write(EMPTY);
     return StreamEnd.Complete;
   }
 
+  /**
+   * Whether the engine of a response without events is gone. Without a length the
+   * end of the connection ends the response, also when the engine crashed.
+   */
+  async #endedByCrash(): Promise<boolean> {
+    if (declaresLength(this.#headers)) return false;
+    const { backend, signal } = this.#options;
+    return !await this.#ctx.engines.isAlive(backend, signal);
+  }
+
   #endOfFailure(failure: CallFailure, sent: boolean): StreamEnd {
     if (this.#silent) return StreamEnd.Silent;
     if (failure === CallFailure.Aborted && !this.#invalidReason) {
--- a/packages/gateway/src/runs/stream_outcome.ts
+++ b/packages/gateway/src/runs/stream_outcome.ts
@@ -5,7 +5,7 @@
 import { EngineStage } from "../backends/backend.ts";
 import { StreamEnd, type StreamResult } from "./stream_call.ts";
 import type { StreamProgress } from "./generation.ts";
-import { fail, reject } from "./reject.ts";
+import { fail, reject, rejectQuarantined } from "./reject.ts";
 import { impliesNotExecuted } from "./reply_verdict.ts";
 import {
   type CallerRequest,
@@ -89,6 +89,12 @@
     );
   }
 
+  /** Ends a request whose prompt would crash the next engine too. */
+  quarantined(): RunOutcome {
+    if (this.attempts > 0) return this.#fail(RunReason.Quarantined);
+    return rejectQuarantined(this.#ctx, this.#req, this.sends);
+  }
+
   /** Ends a request for which no decode engine has capacity, or none exists. */
   noCapacity(): RunOutcome {
     const engines = this.#ctx.directory.readyAt(
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -19,6 +19,7 @@
 import {
   ageMs,
   type CallerRequest,
+  quarantineMs,
   recordMisdirected,
   type RunContext,
   tryAcquireRetry,
@@ -39,6 +40,8 @@
   NoRetryBudget = "no_allowance",
   /** The caller has disconnected or the deadline has passed. */
   Aborted = "aborted",
+  /** The prompt was found to crash engines. */
+  Quarantined = "quarantined",
 }
 
 /** Share of a prefill result's lifetime in which another engine may use it. */
@@ -89,12 +92,18 @@
       this.#recordNoCapacity();
       return PlacementFailure.NoCapacity;
     }
+    if (this.#isQuarantined()) {
+      return this.#cancel(PlacementFailure.Quarantined, reservation);
+    }
     const prefill = this.#unusedPrefill ??
       await this.#prefill(reservation.engine.zone, signal);
     this.#unusedPrefill = undefined;
     if (signal.aborted) {
       return this.#cancel(PlacementFailure.Aborted, reservation, prefill);
     }
+    if (this.#isQuarantined()) {
+      return this.#cancel(PlacementFailure.Quarantined, reservation, prefill);
+    }
     if (isRetry && !tryAcquireRetry(this.#ctx, this.#req, "decode")) {
       return this.#cancel(PlacementFailure.NoRetryBudget, reservation, prefill);
     }
@@ -169,6 +178,11 @@
     return reason;
   }
 
+  /** Other routers may have found out about the prompt in the meantime. */
+  #isQuarantined(): boolean {
+    return quarantineMs(this.#ctx, this.#req) > 0;
+  }
+
   #reserve(signal: AbortSignal): Promise<Reservation | undefined> {
     const { req, ctx } = { req: this.#req, ctx: this.#ctx };
     const timeToFirstEventMs = this.#prefiller.plan().expectedMs +
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -15,6 +15,7 @@
   StreamEnd,
   type StreamResult,
 } from "./stream_call.ts";
+import { recordStreamedPrompt } from "./crash_detection.ts";
 import { Generation } from "./generation.ts";
 import { moveFromDrainingEngine, watchEngine } from "./run_move.ts";
 import { runPlainStream } from "./plain_stream.ts";
@@ -132,6 +133,8 @@
     switch (reason) {
       case PlacementFailure.Aborted:
         return this.#finisher.aborted();
+      case PlacementFailure.Quarantined:
+        return this.#finisher.quarantined();
       case PlacementFailure.NoCapacity:
         return this.#finisher.noCapacity();
       case PlacementFailure.NoRetryBudget:
@@ -230,11 +233,13 @@
     placement: Placement,
     signal: AbortSignal,
   ): Promise<RunOutcome | undefined> {
+    const { ctx, req } = { ctx: this.#ctx, req: this.#req };
     const { reservation, prefill } = placement;
     if (prefill && result.events > 0) this.#placer.recordPrefillUsed(prefill);
     if (result.end === StreamEnd.Complete) {
       this.#recordHealth(result, reservation);
       this.#recordCompletion();
+      await recordStreamedPrompt(ctx, req, reservation.engine, result, signal);
       return this.#finisher.answered();
     }
     if (signal.aborted) {
@@ -251,6 +256,7 @@
     }
     this.#recordHealth(result, reservation);
     this.#logEnd(result, reservation);
+    await recordStreamedPrompt(ctx, req, reservation.engine, result, signal);
     if (result.end === StreamEnd.NotExecuted) {
       return this.#handleRejection(result, placement);
     }
