--- a/packages/gateway/src/decide/__tests__/output_length_estimator_test.ts
+++ b/packages/gateway/src/decide/__tests__/output_length_estimator_test.ts
@@ -8,7 +8,6 @@
     promptTokens: 3_000,
     maxOutputTokens: 1_870,
     expectedOutputTokens: hint,
-    parts: [],
   };
 }
 
--- a/packages/gateway/src/http/wire_codec.ts
+++ b/packages/gateway/src/http/wire_codec.ts
@@ -18,7 +18,6 @@
   maxOutputTokens: number;
   /** The caller's estimate of the generated tokens; often inaccurate. */
   expectedOutputTokens?: number;
-  parts: readonly PromptPart[];
 }
 
 /** Information from the headers of a caller's request. */
@@ -27,6 +26,8 @@
   /** Remaining time that the caller waits, in milliseconds. */
   deadlineMs?: number;
   prompt?: PromptInfo;
+  /** Parts of the prompt in order, also of a request without `prompt`. */
+  promptParts: readonly PromptPart[];
   /** Id of the last event received, if the caller resumes a stream. */
   lastEventId?: string;
 }
--- a/packages/gateway/src/quarantine/__tests__/prompt_quarantine_test.ts
+++ b/packages/gateway/src/quarantine/__tests__/prompt_quarantine_test.ts
@@ -26,12 +26,7 @@
 }
 
 function prompt(...parts: string[]) {
-  return {
-    model: "m",
-    promptTokens: 100,
-    maxOutputTokens: 10,
-    parts: [...parts, "own"].map((id) => ({ id, tokens: 10 })),
-  };
+  return [...parts, "own"].map((id) => ({ id, tokens: 10 }));
 }
 
 function remainingMs(...parts: string[]): number {
--- a/packages/gateway/src/quarantine/prompt_quarantine.ts
+++ b/packages/gateway/src/quarantine/prompt_quarantine.ts
@@ -13,7 +13,7 @@
   type CrashRecord,
   findCrashCauses,
 } from "../decide/crash_causes.ts";
-import type { PromptInfo } from "../http/wire_codec.ts";
+import type { PromptPart } from "../http/wire_codec.ts";
 import {
   areSameRecords,
   type CrashLog,
@@ -66,8 +66,8 @@
   }
 
   /** How long the prompt is rejected, in milliseconds; 0 if it is not. */
-  remainingMs(service: string, prompt: PromptInfo | undefined): number {
-    if (!prompt || this.#causes.length === 0) return 0;
+  remainingMs(service: string, prompt: readonly PromptPart[]): number {
+    if (this.#causes.length === 0) return 0;
     const parts = new Set(sharedParts(service, prompt));
     const ends = this.#causes
       .filter((cause) => contains(parts, cause))
@@ -76,7 +76,7 @@
   }
 
   /** Records that an engine ran a request with this prompt. */
-  recordRun(service: string, prompt: PromptInfo): void {
+  recordRun(service: string, prompt: readonly PromptPart[]): void {
     for (const part of sharedParts(service, prompt)) {
       this.#sound.recordRun(part);
     }
@@ -84,14 +84,19 @@
   }
 
   /** Records that an engine crashed before it began to run a request. */
-  recordCrash(service: string, engine: string, prompt: PromptInfo): void {
+  recordCrash(
+    service: string,
+    engine: string,
+    prompt: readonly PromptPart[],
+  ): void {
+    if (prompt.length === 0) return;
     const parts = sharedParts(service, prompt)
       .filter((part) => this.#sound.recordCrash(part));
     this.#options.log("crash_with_prompt", {
       engine,
       service,
       suspected: parts.join(","),
-      parts: prompt.parts.length,
+      parts: prompt.length,
     });
     if (parts.length === 0) return;
     const record = { engine, parts };
@@ -204,6 +209,9 @@
  * Keys of the parts that other requests may have in common. The last part belongs
  * to the request itself. Another service may run what crashes this one.
  */
-function sharedParts(service: string, { parts }: PromptInfo): string[] {
-  return parts.slice(0, -1).map((part) => `${service}/${part.id}`);
+function sharedParts(
+  service: string,
+  prompt: readonly PromptPart[],
+): string[] {
+  return prompt.slice(0, -1).map((part) => `${service}/${part.id}`);
 }
--- a/packages/gateway/src/runs/crash_detection.ts
+++ b/packages/gateway/src/runs/crash_detection.ts
@@ -7,6 +7,7 @@
 import { type Backend, incarnationOf } from "../backends/backend.ts";
 import { ExchangeOutcome, type ExchangeResult } from "../http/exchange.ts";
 import { CallFailure } from "../http/upstream_call.ts";
+import { ReplyVerdict } from "./reply_verdict.ts";
 import type { CallerRequest, RunContext } from "./run_context.ts";
 import { StreamEnd, type StreamResult } from "./stream_call.ts";
 
@@ -24,21 +25,32 @@
   { end, events }: StreamResult,
   signal: AbortSignal,
 ): Promise<void> {
-  const { prompt } = req.metadata;
-  if (!prompt) return;
   if (end === StreamEnd.Complete || events >= MIN_EVENTS_OF_RUN) {
-    return ctx.quarantine.recordRun(req.service.name, prompt);
+    return recordRun(ctx, req);
   }
   if (end === StreamEnd.Cut) {
     await recordIfCrashed(ctx, req, backend, signal);
   }
 }
 
+/** Records what a call to a plain service shows about its prompt. */
+export async function recordCalledPrompt(
+  ctx: RunContext,
+  req: CallerRequest,
+  backend: Backend,
+  result: ExchangeResult,
+  verdict: ReplyVerdict | undefined,
+  signal: AbortSignal,
+): Promise<void> {
+  if (verdict === ReplyVerdict.Good) return recordRun(ctx, req);
+  await recordPrefilledPrompt(ctx, req, backend, result, signal);
+}
+
 /**
- * Records what a call with a buffered response shows about its prompt. A success
- * is not recorded: a prefill says nothing about the generation.
+ * Records what a prefill shows about its prompt. A success shows nothing: the
+ * generation may still crash its engine.
  */
-export async function recordExchangedPrompt(
+export async function recordPrefilledPrompt(
   ctx: RunContext,
   req: CallerRequest,
   backend: Backend,
@@ -50,14 +62,19 @@
   await recordIfCrashed(ctx, req, backend, signal);
 }
 
+function recordRun(ctx: RunContext, req: CallerRequest): void {
+  ctx.quarantine.recordRun(req.service.name, req.metadata.promptParts);
+}
+
 async function recordIfCrashed(
   ctx: RunContext,
   req: CallerRequest,
   backend: Backend,
   signal: AbortSignal,
 ): Promise<void> {
-  const { prompt } = req.metadata;
-  if (!prompt || signal.aborted) return;
+  const { promptParts } = req.metadata;
+  if (promptParts.length === 0 || signal.aborted) return;
   if (await ctx.engines.isAlive(backend, signal) || signal.aborted) return;
-  ctx.quarantine.recordCrash(req.service.name, incarnationOf(backend), prompt);
+  const engine = incarnationOf(backend);
+  ctx.quarantine.recordCrash(req.service.name, engine, promptParts);
 }
--- a/packages/gateway/src/runs/plain_run.ts
+++ b/packages/gateway/src/runs/plain_run.ts
@@ -17,7 +17,7 @@
   type ExchangeResult,
 } from "../http/exchange.ts";
 import { CallFailure } from "../http/upstream_call.ts";
-import { recordExchangedPrompt } from "./crash_detection.ts";
+import { recordCalledPrompt } from "./crash_detection.ts";
 import { fail, reject } from "./reject.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
@@ -216,7 +216,7 @@
     const verdict = this.#classify(result);
     this.#recordHealth(backend, result, verdict);
     const { signal } = this.#controller;
-    await recordExchangedPrompt(ctx, req, backend, result, signal);
+    await recordCalledPrompt(ctx, req, backend, result, verdict, signal);
     return { backend, exchange: result, verdict };
   }
 
--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -18,7 +18,7 @@
 import type { PrefillSpeedEstimator } from "../decide/prefill_speed.ts";
 import { exchange, ExchangeOutcome } from "../http/exchange.ts";
 import type { KvSource, PromptInfo } from "../http/wire_codec.ts";
-import { recordExchangedPrompt } from "./crash_detection.ts";
+import { recordPrefilledPrompt } from "./crash_detection.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
   ageMs,
@@ -216,7 +216,7 @@
     }
     if (signal.aborted) return undefined;
     this.#recordFailure(engine, result);
-    await recordExchangedPrompt(ctx, req, engine, result, signal);
+    await recordPrefilledPrompt(ctx, req, engine, result, signal);
     return undefined;
   }
 
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -217,7 +217,8 @@
 
 /** How long engines must not get the request's prompt, in ms; 0 if they may. */
 export function quarantineMs(ctx: RunContext, req: CallerRequest): number {
-  return ctx.quarantine.remainingMs(req.service.name, req.metadata.prompt);
+  const { promptParts } = req.metadata;
+  return ctx.quarantine.remainingMs(req.service.name, promptParts);
 }
 
 /** Takes one call from the service's retry budget; false if none is left. */
