fix(gateway): backend servers get no more than the rate that they name (LIMIT)

Cause: the header was not read. Beside that, 5 to 68 routers share the limit and don't coordinate, so a limit that each kept for itself would be no limit.

Change: the limit is read from every response, in one place (Upstream). A few routers, four and one more for each request a second, may use a limited server; rendezvous hashing over the names in the store picks the same ones everywhere, and each has an equal share and may save up one request. So any four seconds see at most the limit and one request of each of them. Counted are prefills, decode calls, resumed and moved streams, plain calls, retries and hedges; reservations are not, they are what names the limit before anything is sent. The limit ends with a response, to a call sent after the limit was last named, that names none; a router without a share asks by an empty reservation, at most every two seconds and only for a request. If nothing can be sent before the request is late, it is rejected at once (reason rate_limited).

--- a/packages/gateway/src/decide/__tests__/decision_cost_test.ts
+++ b/packages/gateway/src/decide/__tests__/decision_cost_test.ts
@@ -13,6 +13,7 @@
 } from "../../backends/backend.ts";
 import { BackendDirectory } from "../../backends/directory.ts";
 import { HealthTracker } from "../backend_health.ts";
+import { RequestRateLimits } from "../request_rate_limits.ts";
 import { EngineLoadTracker } from "../engine_load_tracker.ts";
 import { orderDecodeEngines, pickPrefillEngine } from "../engine_placement.ts";
 
@@ -40,6 +41,12 @@
   const random = createRandom(count);
   const engineLoads = new EngineLoadTracker(clock);
   const health = new HealthTracker(clock);
+  const rateLimits = new RequestRateLimits({
+    clock,
+    random,
+    routerName: "r1",
+    assumedRouters: 1,
+  });
   const engines = Array.from({ length: count }, (_, index) => engine(index));
   directory.reset(engines);
   for (const item of engines) {
@@ -49,6 +56,7 @@
     const inputs = {
       engineLoads,
       health,
+      rateLimits,
       random,
       nowMs: clock.now(),
       zone: "z1",
--- a/packages/gateway/src/decide/__tests__/placement_test.ts
+++ b/packages/gateway/src/decide/__tests__/placement_test.ts
@@ -14,6 +14,7 @@
   pickPrefillEngine,
   REFUSAL_TTL_MS,
 } from "../engine_placement.ts";
+import { RequestRateLimits } from "../request_rate_limits.ts";
 import { pickPlainBackend } from "../plain_placement.ts";
 
 const KV_TOKENS = 40_000;
@@ -35,14 +36,21 @@
   const engineLoads = new EngineLoadTracker(clock);
   const health = new HealthTracker(clock);
   const random = createRandom(3);
+  const rateLimits = new RequestRateLimits({
+    clock,
+    random,
+    routerName: "r1",
+    assumedRouters: 1,
+  });
   const inputs = () => ({
     engineLoads,
     health,
+    rateLimits,
     random,
     nowMs: clock.now(),
     zone: "z1",
   });
-  return { clock, engineLoads, health, inputs };
+  return { clock, engineLoads, health, rateLimits, inputs };
 }
 
 function names(engines: readonly Backend[]): string[] {
@@ -156,9 +164,10 @@
   const b = engine("b");
 
   test("the one with fewer calls in progress is picked", () => {
-    const { health } = create();
+    const { health, rateLimits } = create();
     const inputs = {
       health,
+      rateLimits,
       inProgress: new Map([[incarnationOf(a), 6]]),
       random: createRandom(1),
       zone: "z1",
@@ -167,9 +176,10 @@
   });
 
   test("one with a high error rate is avoided", () => {
-    const { health } = create();
+    const { health, rateLimits } = create();
     const inputs = {
       health,
+      rateLimits,
       inProgress: new Map(),
       random: createRandom(1),
       zone: "z1",
@@ -182,10 +192,11 @@
   });
 
   test("an ejected one is picked if there is no other", () => {
-    const { health } = create();
+    const { health, rateLimits } = create();
     health.eject(incarnationOf(a));
     const inputs = {
       health,
+      rateLimits,
       inProgress: new Map(),
       random: createRandom(1),
       zone: "z1",
@@ -194,6 +205,19 @@
   });
 });
 
+test("one whose rate limit is used up is picked for nothing", () => {
+  const { rateLimits, inputs } = create();
+  const [a, b] = [engine("a"), engine("b")];
+  rateLimits.observe(incarnationOf(a), 1, 0);
+  rateLimits.charge(incarnationOf(a));
+  const order = orderDecodeEngines([a, b], 4_000, KV_TOKENS, inputs());
+  expect(names(order)).toEqual(["b"]);
+  expect(pickPrefillEngine([a, b], 30, inputs())?.id).toBe("b");
+  const plain = { ...inputs(), inProgress: new Map() };
+  expect(pickPlainBackend([a, b], plain)?.id).toBe("b");
+  expect(pickPlainBackend([a], plain)).toBeUndefined();
+});
+
 test.each([
   ["few routers", 290, 4, 58],
   ["many routers together stay below the limit", 230, 23, 8],
--- a/packages/gateway/src/decide/engine_placement.ts
+++ b/packages/gateway/src/decide/engine_placement.ts
@@ -4,18 +4,21 @@
  * without common accounting. Decode engines are therefore tried in turn, those
  * with the least work of this router first and those that have just refused a
  * request of this size or less last. Of the prefill engines, the one with the
- * shortest expected wait is used.
+ * shortest expected wait is used. An engine that limits the rate of its requests
+ * is passed over while this router's share of the rate is used up.
  */
 import type { Random } from "@sassafrascleat/runtime";
 import { type Backend, incarnationOf } from "../backends/backend.ts";
 import { sampleCandidates } from "./candidates.ts";
 import type { EngineLoadTracker } from "./engine_load_tracker.ts";
 import type { HealthTracker } from "./backend_health.ts";
+import type { RequestRateLimits } from "./request_rate_limits.ts";
 
 /** Inputs of a placement decision. */
 export interface PlacementInputs {
   engineLoads: EngineLoadTracker;
   health: HealthTracker;
+  rateLimits: RequestRateLimits;
   nowMs: number;
   random: Random;
   /** Preferred availability zone: of this router or of another engine. */
@@ -45,7 +48,7 @@
   inputs: PlacementInputs,
 ): Backend[] {
   const ranked = sampleCandidates(engines, inputs.random)
-    .filter((engine) => inputs.health.isUsable(incarnationOf(engine)))
+    .filter((engine) => isAvailable(engine, inputs))
     .map((engine) => ({
       engine,
       full: hasRecentlyRefused(engine, tokens, inputs),
@@ -66,6 +69,12 @@
   return recent && tokens >= load.refusedTokens;
 }
 
+/** Whether the engine is healthy and its rate limit allows a request. */
+function isAvailable(engine: Backend, inputs: PlacementInputs): boolean {
+  const key = incarnationOf(engine);
+  return inputs.health.isUsable(key) && inputs.rateLimits.allows(key);
+}
+
 function decodeLoad(
   engine: Backend,
   kvTokens: number,
@@ -90,7 +99,7 @@
   let bestMs = Infinity;
   for (const engine of sampleCandidates(engines, inputs.random)) {
     const key = incarnationOf(engine);
-    if (excluded.has(key) || !inputs.health.isUsable(key)) continue;
+    if (excluded.has(key) || !isAvailable(engine, inputs)) continue;
     const waitMs = prefillWaitMs(engine, tokensPerMs, inputs);
     if (waitMs < bestMs) {
       best = engine;
--- a/packages/gateway/src/decide/plain_placement.ts
+++ b/packages/gateway/src/decide/plain_placement.ts
@@ -9,10 +9,12 @@
 import { type Backend, incarnationOf } from "../backends/backend.ts";
 import { sampleCandidates } from "./candidates.ts";
 import type { HealthTracker } from "./backend_health.ts";
+import type { RequestRateLimits } from "./request_rate_limits.ts";
 
 /** Inputs of the placement of a plain call. */
 export interface PlainPlacementInputs {
   health: HealthTracker;
+  rateLimits: RequestRateLimits;
   /** This router's calls in progress, by incarnation. */
   inProgress: ReadonlyMap<string, number>;
   random: Random;
@@ -30,7 +32,7 @@
 
 /**
  * Picks a backend server, an ejected one if there is no other; undefined if all
- * are excluded.
+ * are excluded or at their rate limits.
  */
 export function pickPlainBackend(
   backends: readonly Backend[],
@@ -38,9 +40,10 @@
   excluded: ReadonlySet<string> = new Set(),
 ): Backend | undefined {
   const candidates = sampleCandidates(backends, inputs.random);
-  const allowed = candidates.filter((item) =>
-    !excluded.has(incarnationOf(item))
-  );
+  const allowed = candidates.filter((item) => {
+    const key = incarnationOf(item);
+    return !excluded.has(key) && inputs.rateLimits.allows(key);
+  });
   const usable = allowed.filter((item) =>
     inputs.health.isUsable(incarnationOf(item))
   );
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,10 +16,11 @@
 import { OutputLengthEstimator } from "./decide/output_length_estimator.ts";
 import { PrefillSpeedEstimator } from "./decide/prefill_speed.ts";
 import type { StageWork } from "./decide/stage_plan.ts";
+import { RequestRateLimits } from "./decide/request_rate_limits.ts";
 import { RetryBudget, type RetryLimits } from "./decide/retry_budget.ts";
 import { Ingress, type IngressRequest } from "./http/ingress.ts";
 import { Upstream } from "./http/upstream.ts";
-import type { HeaderCodec } from "./http/wire_codec.ts";
+import type { HeaderCodec, RawHeaders } from "./http/wire_codec.ts";
 import { createGatewayMetrics, type GatewayMetrics } from "./metrics.ts";
 import {
   type GatewayPolicy,
@@ -48,6 +49,8 @@
   random: Random;
   /** Availability zone of this host. */
   zone: string;
+  /** Name of this router, different from that of all others. @default "" */
+  routerName?: string;
   codec: HeaderCodec;
   /** Creates the client for control calls to engines. */
   createEngineControl: (upstream: Upstream) => EngineControl;
@@ -78,6 +81,7 @@
   /** Keeps prompts away from the engines that they would crash. */
   readonly quarantine: PromptQuarantine;
   readonly #ctx: RunContext;
+  readonly #rateLimits: RequestRateLimits;
   readonly #decodeReservations = new Map<string, DecodeReservations>();
   readonly #retryBudgets = new Map<string, RetryBudget>();
   readonly #outputEstimators = new Map<string, OutputLengthEstimator>();
@@ -96,6 +100,12 @@
     this.config = new ConfigHolder(clock, log);
     this.directory = new BackendDirectory({ clock, log });
     this.metrics = createGatewayMetrics();
+    this.#rateLimits = new RequestRateLimits({
+      clock,
+      random,
+      routerName: options.routerName ?? "",
+      assumedRouters: policy.entries,
+    });
     this.quarantine = new PromptQuarantine({
       clock,
       log,
@@ -105,6 +115,8 @@
     this.upstream = new Upstream({
       log,
       maxConnectionsTo: (backend) => this.#maxConnectionsTo(backend),
+      onResponse: (backend, headers, ageMs) =>
+        this.#observeRateLimit(backend, headers, ageMs),
     });
     this.#ctx = {
       clock,
@@ -118,6 +130,7 @@
       health: new HealthTracker(clock),
       engineLoads: new EngineLoadTracker(clock),
       quarantine: this.quarantine,
+      rateLimits: this.#rateLimits,
       metrics: this.metrics,
       policy,
       inProgress: new Map(),
@@ -178,8 +191,10 @@
     Object.assign(this.#ctx.policy, options);
   }
 
-  /** Sets how many router instances share retry and connection limits. */
-  setRouterCount(routerCount: number): void {
+  /** Sets the names of the router instances that share limits. */
+  setRouters(names: readonly string[]): void {
+    this.#rateLimits.setRouters(names);
+    const routerCount = Math.max(1, names.length);
     if (routerCount === this.#routerCount) return;
     this.#ctx.log("entries_counted", {
       entries: routerCount,
@@ -221,9 +236,23 @@
     const key = incarnationOf(backend);
     this.#ctx.health.forget(key);
     this.#ctx.engineLoads.forget(key);
+    this.#rateLimits.forget(key);
     this.upstream.retire(backend);
   }
 
+  #observeRateLimit(
+    backend: Backend,
+    headers: RawHeaders,
+    ageMs: number,
+  ): void {
+    const { clock, codec, log } = this.#ctx;
+    const perSecond = codec.parseRateLimit(headers);
+    const sentAtMs = clock.now() - ageMs;
+    const key = incarnationOf(backend);
+    if (!this.#rateLimits.observe(key, perSecond, sentAtMs)) return;
+    log("backend_rate_limit", { backend: backend.id, per_second: perSecond });
+  }
+
   #maxConnectionsTo(backend: Backend): number {
     const services = this.config.current?.table.services;
     const limit = services?.get(backend.service)?.maxConnections ?? 0;
--- a/packages/gateway/src/http/upstream.ts
+++ b/packages/gateway/src/http/upstream.ts
@@ -11,6 +11,7 @@
 import { type Backend, incarnationOf } from "../backends/backend.ts";
 import { MAX_CONNECTIONS } from "../decide/connection_share.ts";
 import { BufferBudget, ConnectionBytes } from "./response_limits.ts";
+import type { RawHeaders } from "./wire_codec.ts";
 import {
   TrackedClient,
   type TrackedDispatchOptions,
@@ -37,6 +38,8 @@
   maxConnectionsTo?: (backend: Backend) => number;
   /** Memory for buffered responses of all calls, in bytes. @default 33554432 */
   maxBufferedBytes?: number;
+  /** Called with the headers of each response and the age of its call. */
+  onResponse?: (backend: Backend, headers: RawHeaders, ageMs: number) => void;
 }
 
 const CONNECT_TIMEOUT_MS = 800;
@@ -71,6 +74,7 @@
       idleMs: options.idleMs ?? IDLE_MS,
       maxConnectionsTo: options.maxConnectionsTo ?? (() => MAX_CONNECTIONS),
       maxBufferedBytes: options.maxBufferedBytes ?? MAX_BUFFERED_BYTES,
+      onResponse: options.onResponse ?? (() => {}),
     };
     this.buffers = new BufferBudget(this.#options.maxBufferedBytes);
   }
@@ -90,7 +94,12 @@
       handler.onFailure(CallFailure.Aborted, false, "aborted before sending");
       return;
     }
+    const startMs = performance.now();
     const callHandler = new CallHandler(handler, signal, {
+      onHeaders: (headers) => {
+        const ageMs = performance.now() - startMs;
+        this.#options.onResponse(req.backend, headers, ageMs);
+      },
       resetting: () => this.#resetting,
       adjustCloseDelimitedCount: (change) => {
         this.#closeDelimitedResponses += change;
--- a/packages/gateway/src/http/wire_codec.ts
+++ b/packages/gateway/src/http/wire_codec.ts
@@ -78,6 +78,11 @@
   /** Builds the headers that the backend server receives. */
   buildBackendHeaders(headers: RawHeaders, directives: Directives): string[];
   parseResponse(status: number, headers: RawHeaders): ResponseMetadata;
+  /**
+   * Parses the limit that a backend server in need names in its responses, in
+   * requests per second over all routers.
+   */
+  parseRateLimit(headers: RawHeaders): number | undefined;
   /** Builds the response headers that the caller receives. */
   buildCallerHeaders(headers: RawHeaders): string[];
   /** Builds the headers of a response that the gateway generates itself. */
--- a/packages/gateway/src/runs/decode_reservations.ts
+++ b/packages/gateway/src/runs/decode_reservations.ts
@@ -20,6 +20,7 @@
   nextPending,
   type PendingPlacement,
 } from "../decide/placement_queue.ts";
+import { checkRateLimits, shortestLimitWaitMs } from "./rate_limit_check.ts";
 import { HoldEnd, type RunContext } from "./run_context.ts";
 
 /** Memory and a slot for one generation at a decode engine. */
@@ -82,10 +83,22 @@
       const reservation = await this.#reserve(req);
       if (reservation || req.signal.aborted) return reservation;
     }
-    if (this.#ctx.clock.now() >= req.expiresAtMs) return undefined;
+    if (this.#isHopeless(req)) return undefined;
     return await this.#wait(req);
   }
 
+  /** Whether no engine can be used in time, however the memory changes. */
+  #isHopeless(req: ReservationRequest): boolean {
+    const leftMs = req.expiresAtMs - this.#ctx.clock.now();
+    return leftMs <= 0 ||
+      shortestLimitWaitMs(this.#ctx, this.#engines()) > leftMs;
+  }
+
+  #engines(): readonly Backend[] {
+    const { directory } = this.#ctx;
+    return directory.readyAt(this.#service.name, EngineStage.Decode);
+  }
+
   #wait(req: ReservationRequest): Promise<Reservation | undefined> {
     return new Promise((resolve) => {
       const waiting: WaitingRequest = {
@@ -132,8 +145,8 @@
     const ctx = this.#ctx;
     const capacity = this.#service.engine;
     if (!capacity) return undefined;
-    const engines = ctx.directory
-      .readyAt(this.#service.name, EngineStage.Decode);
+    const engines = this.#engines();
+    checkRateLimits(ctx, engines);
     const inputs = { ...ctx, nowMs: ctx.clock.now() };
     const ordered = orderDecodeEngines(
       engines,
@@ -146,7 +159,7 @@
       .slice(0, ctx.policy.maxReservationAttempts);
     for (const engine of candidates) {
       if (req.signal.aborted) return undefined;
-      const reservation = await this.#reserveAt(
+      const reservation = await this.#reserveWithinLimit(
         engine,
         req,
         capacity.maxHoldMs,
@@ -156,6 +169,24 @@
     return undefined;
   }
 
+  /**
+   * Reserves memory and counts the request against the engine's rate limit. The
+   * engine may name a limit only in its response.
+   */
+  async #reserveWithinLimit(
+    engine: Backend,
+    req: ReservationRequest,
+    maxHoldMs: number,
+  ): Promise<Reservation | undefined> {
+    const { rateLimits } = this.#ctx;
+    const key = incarnationOf(engine);
+    if (!rateLimits.allows(key)) return undefined;
+    const reservation = await this.#reserveAt(engine, req, maxHoldMs);
+    if (!reservation || rateLimits.tryAcquire(key)) return reservation;
+    this.#drop(reservation);
+    return undefined;
+  }
+
   async #reserveAt(
     engine: Backend,
     req: ReservationRequest,
@@ -199,7 +230,7 @@
     if (hasMargin) engineLoads.accepted(key, req.tokens);
     else engineLoads.refused(key, req.tokens);
     if (hasMargin && !req.signal.aborted) return reservation;
-    this.cancel(reservation);
+    this.#drop(reservation);
     return undefined;
   }
 
@@ -232,6 +263,11 @@
 
   /** Cancels an unused reservation. */
   cancel(reservation: Reservation): void {
+    this.#ctx.rateLimits.refund(incarnationOf(reservation.engine));
+    this.#drop(reservation);
+  }
+
+  #drop(reservation: Reservation): void {
     reservation.release();
     if (reservation.holdId) {
       this.#ctx.engines.deleteHold(reservation.engine, reservation.holdId);
--- a/packages/gateway/src/runs/plain_run.ts
+++ b/packages/gateway/src/runs/plain_run.ts
@@ -18,6 +18,7 @@
 } from "../http/exchange.ts";
 import { CallFailure } from "../http/upstream_call.ts";
 import { recordCalledPrompt } from "./crash_detection.ts";
+import { checkRateLimits, shortestLimitWaitMs } from "./rate_limit_check.ts";
 import { fail, reject } from "./reject.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
@@ -100,14 +101,7 @@
 
   async #serve(): Promise<RunOutcome> {
     this.#ctx.retryBudgetOf(this.#req.service.name).countRequest();
-    if (!this.#send("first")) {
-      return reject(
-        this.#ctx,
-        this.#req,
-        RunReason.NoBackend,
-        MEAN_RETRY_DELAY_MS,
-      );
-    }
+    if (!this.#send("first")) return this.#rejectUnsent();
     while (this.#pending.size > 0) {
       const result = await this.#nextResult();
       if (!result) continue;
@@ -118,6 +112,17 @@
     return this.#finish();
   }
 
+  #rejectUnsent(): RunOutcome {
+    const ctx = this.#ctx;
+    const backends = ctx.directory.ready(this.#req.service.name);
+    const limitWaitMs = shortestLimitWaitMs(ctx, backends);
+    const reason = limitWaitMs > 0
+      ? RunReason.RateLimited
+      : RunReason.NoBackend;
+    const delayMs = Math.max(MEAN_RETRY_DELAY_MS, limitWaitMs);
+    return reject(ctx, this.#req, reason, delayMs);
+  }
+
   /** Waits for the next result; undefined if the hedge delay passed first. */
   async #nextResult(): Promise<CallResult | undefined> {
     const calls = [...this.#pending];
@@ -145,11 +150,9 @@
 
   #pickCandidate(): Backend | undefined {
     const ctx = this.#ctx;
-    return pickPlainBackend(
-      ctx.directory.ready(this.#req.service.name),
-      ctx,
-      this.#tried,
-    );
+    const backends = ctx.directory.ready(this.#req.service.name);
+    checkRateLimits(ctx, backends);
+    return pickPlainBackend(backends, ctx, this.#tried);
   }
 
   /** Sends the request to another backend server; false if that isn't possible. */
@@ -165,6 +168,7 @@
     this.#sends += 1;
     this.#possibleExecutions += 1;
     this.#tried.add(incarnationOf(backend));
+    ctx.rateLimits.charge(incarnationOf(backend));
     this.#lastBackendId = backend.id;
     ctx.log("plain_send", {
       req: this.#req.metadata.requestId,
--- a/packages/gateway/src/runs/plain_stream.ts
+++ b/packages/gateway/src/runs/plain_stream.ts
@@ -15,6 +15,7 @@
 } from "./stream_call.ts";
 import { recordStreamedPrompt } from "./crash_detection.ts";
 import { createProgress, type StreamProgress } from "./generation.ts";
+import { checkRateLimits } from "./rate_limit_check.ts";
 import { reject } from "./reject.ts";
 import {
   type CallerRequest,
@@ -50,11 +51,13 @@
   const tried = new Set<string>();
   while (finisher.sends < MAX_SENDS) {
     const backends = ctx.directory.ready(req.service.name);
+    checkRateLimits(ctx, backends);
     const backend = pickPlainBackend(backends, ctx, tried);
     if (!backend) break;
     if (quarantineMs(ctx, req) > 0) return finisher.quarantined();
     if (finisher.sends > 0 && !tryAcquireRetry(ctx, req, "stream")) break;
     tried.add(incarnationOf(backend));
+    ctx.rateLimits.charge(incarnationOf(backend));
     finisher.sends += 1;
     finisher.attempts += 1;
     finisher.lastBackendId = backend.id;
--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -19,6 +19,7 @@
 import { exchange, ExchangeOutcome } from "../http/exchange.ts";
 import type { KvSource, PromptInfo } from "../http/wire_codec.ts";
 import { recordPrefilledPrompt } from "./crash_detection.ts";
+import { checkRateLimits } from "./rate_limit_check.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
   ageMs,
@@ -141,6 +142,7 @@
       this.#req.service.name,
       EngineStage.Prefill,
     );
+    checkRateLimits(this.#ctx, engines);
     const { tokensPerMs } = this.#speed;
     return pickPrefillEngine(
       engines,
@@ -174,6 +176,7 @@
       remainingMs(ctx, req),
       Math.max(silenceMs, MAX_CALL_MS),
     );
+    ctx.rateLimits.charge(key);
     const finish = ctx.engineLoads.startPrefill(key, tokens);
     const controller = childAbortController(signal);
     void this.#abortIfDead(engine, silenceMs, controller);
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -9,6 +9,7 @@
 import type { Route, Service } from "../config/routing_table.ts";
 import type { EngineLoadTracker } from "../decide/engine_load_tracker.ts";
 import type { CallOutcome, HealthTracker } from "../decide/backend_health.ts";
+import type { RequestRateLimits } from "../decide/request_rate_limits.ts";
 import type { OutputLengthEstimator } from "../decide/output_length_estimator.ts";
 import type { PrefillSpeedEstimator } from "../decide/prefill_speed.ts";
 import type { StageWork } from "../decide/stage_plan.ts";
@@ -78,6 +79,8 @@
   None = "none",
   NoBackend = "no_backend",
   NoCapacity = "no_room",
+  /** The backend servers limit their rate, and this router's share is used up. */
+  RateLimited = "rate_limited",
   TooLate = "too_late",
   TooLarge = "too_large",
   NotExecuted = "not_executed",
@@ -168,6 +171,8 @@
     target: Backend,
     signal: AbortSignal,
   ): Promise<MoveResult>;
+  /** Makes a call without effect, for the headers of its response. */
+  ping(engine: Backend): Promise<void>;
   /** True when the engine responds on a new connection. */
   isAlive(engine: Backend, signal: AbortSignal): Promise<boolean>;
 }
@@ -191,6 +196,7 @@
   health: HealthTracker;
   engineLoads: EngineLoadTracker;
   quarantine: PromptQuarantine;
+  rateLimits: RequestRateLimits;
   metrics: GatewayMetrics;
   policy: GatewayPolicy;
   /** Number of calls in progress to plain backend servers, by incarnation. */
--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -80,6 +80,7 @@
     release();
     return undefined;
   }
+  ctx.rateLimits.charge(incarnationOf(next));
   const grantedAtMs = ctx.clock.now();
   const reservation = { engine: next, tokens, grantedAtMs, release };
   return { reservation, source: result.source };
--- a/packages/gateway/src/runs/stream_outcome.ts
+++ b/packages/gateway/src/runs/stream_outcome.ts
@@ -3,6 +3,7 @@
  * a suggested retry delay; one that may have run fails.
  */
 import { EngineStage } from "../backends/backend.ts";
+import { shortestLimitWaitMs } from "./rate_limit_check.ts";
 import { StreamEnd, type StreamResult } from "./stream_call.ts";
 import type { StreamProgress } from "./generation.ts";
 import { fail, reject, rejectQuarantined } from "./reject.ts";
@@ -105,7 +106,10 @@
       const reason = RunReason.NoBackend;
       return reject(this.#ctx, this.#req, reason, NO_ENGINE_RETRY_DELAY_MS);
     }
-    return this.rejectOrFail(RunReason.NoCapacity);
+    const limited = shortestLimitWaitMs(this.#ctx, engines) > 0;
+    return this.rejectOrFail(
+      limited ? RunReason.RateLimited : RunReason.NoCapacity,
+    );
   }
 
   /** Ends a request whose caller has disconnected or whose deadline has passed. */
