--- a/packages/gateway/src/decide/__tests__/crash_causes_test.ts
+++ b/packages/gateway/src/decide/__tests__/crash_causes_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from "@jest/globals";
-import { contains, findCrashCauses } from "../crash_causes.ts";
+import { findCrashCauses, hasAllParts } from "../crash_causes.ts";
 
 function crash(engine: string, ...parts: string[]) {
   return { engine, parts };
@@ -30,9 +30,9 @@
     ]);
     expect(cause?.parts).toEqual(["first", "bad"]);
     if (!cause) return;
-    expect(contains(new Set(["first", "bad", "own"]), cause)).toBe(true);
-    expect(contains(new Set(["first"]), cause)).toBe(false);
-    expect(contains(new Set(["bad"]), cause)).toBe(false);
+    expect(hasAllParts(new Set(["first", "bad", "own"]), cause)).toBe(true);
+    expect(hasAllParts(new Set(["first"]), cause)).toBe(false);
+    expect(hasAllParts(new Set(["bad"]), cause)).toBe(false);
   });
 
   test("two causes are told apart", () => {
--- a/packages/gateway/src/decide/crash_causes.ts
+++ b/packages/gateway/src/decide/crash_causes.ts
@@ -40,8 +40,8 @@
   }
 }
 
-/** True if a request with `parts` is known to be harmful. */
-export function contains(
+/** True if a request with `parts` has all parts of the cause. */
+export function hasAllParts(
   parts: ReadonlySet<string>,
   cause: CrashCause,
 ): boolean {
--- a/packages/gateway/src/quarantine/prompt_quarantine.ts
+++ b/packages/gateway/src/quarantine/prompt_quarantine.ts
@@ -8,10 +8,10 @@
 import { type Clock, type Logger, sleep } from "@sassafrascleat/runtime";
 import type { Random } from "@sassafrascleat/runtime";
 import {
-  contains,
   type CrashCause,
   type CrashRecord,
   findCrashCauses,
+  hasAllParts,
 } from "../decide/crash_causes.ts";
 import type { PromptPart } from "../http/wire_codec.ts";
 import {
@@ -70,7 +70,7 @@
     if (this.#causes.length === 0) return 0;
     const parts = new Set(sharedParts(service, prompt));
     const ends = this.#causes
-      .filter((cause) => contains(parts, cause))
+      .filter((cause) => hasAllParts(parts, cause))
       .map((cause) => this.#quarantineEndMs(cause));
     return Math.max(0, ...ends.map((end) => end - this.#options.clock.now()));
   }
--- a/packages/gateway/src/runs/crash_detection.ts
+++ b/packages/gateway/src/runs/crash_detection.ts
@@ -43,7 +43,7 @@
   signal: AbortSignal,
 ): Promise<void> {
   if (verdict === ReplyVerdict.Good) return recordRun(ctx, req);
-  await recordPrefilledPrompt(ctx, req, backend, result, signal);
+  if (isBroken(result)) await recordIfCrashed(ctx, req, backend, signal);
 }
 
 /**
@@ -57,9 +57,13 @@
   result: ExchangeResult,
   signal: AbortSignal,
 ): Promise<void> {
-  if (result.end !== ExchangeOutcome.Failed || !result.sent) return;
-  if (result.failure !== CallFailure.Broken) return;
-  await recordIfCrashed(ctx, req, backend, signal);
+  if (isBroken(result)) await recordIfCrashed(ctx, req, backend, signal);
+}
+
+/** Whether the connection ended after the request had been sent. */
+function isBroken(result: ExchangeResult): boolean {
+  return result.end === ExchangeOutcome.Failed && result.sent &&
+    result.failure === CallFailure.Broken;
 }
 
 function recordRun(ctx: RunContext, req: CallerRequest): void {
--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -16,7 +16,11 @@
 } from "../decide/engine_placement.ts";
 import { planPrefill, type PrefillPlan } from "../decide/prefill_plan.ts";
 import type { PrefillSpeedEstimator } from "../decide/prefill_speed.ts";
-import { exchange, ExchangeOutcome } from "../http/exchange.ts";
+import {
+  exchange,
+  ExchangeOutcome,
+  type ExchangeResult,
+} from "../http/exchange.ts";
 import type { KvSource, PromptInfo } from "../http/wire_codec.ts";
 import { recordPrefilledPrompt } from "./crash_detection.ts";
 import { checkRateLimits } from "./rate_limit_check.ts";
@@ -24,6 +28,7 @@
 import {
   ageMs,
   type CallerRequest,
+  type PrefillReply,
   quarantineMs,
   recordMisdirected,
   remainingMs,
@@ -158,24 +163,36 @@
     lastEventId: string | undefined,
     signal: AbortSignal,
   ): Promise<PrefillResult | undefined> {
+    const ctx = this.#ctx;
+    const prefillMs = this.#prefillMs(tokens);
+    const result = await this.#send(engine, tokens, lastEventId, signal);
+    if (result.end === ExchangeOutcome.Answered || result.sent) {
+      this.#sentCalls += 1;
+    }
+    ctx.metrics.prefill.observe(result.elapsedMs / 1000);
+    const reply = this.#parse(engine, result);
+    if (reply) {
+      this.#recordDelay(incarnationOf(engine), result.elapsedMs, prefillMs);
+      this.#speed.record(tokens, result.elapsedMs);
+      return this.#createResult(engine, reply.source);
+    }
+    if (signal.aborted) return undefined;
+    this.#recordFailure(engine, result);
+    await recordPrefilledPrompt(ctx, this.#req, engine, result, signal);
+    return undefined;
+  }
+
+  /** Sends the prompt, and gives up when the engine turns out to be dead. */
+  async #send(
+    engine: Backend,
+    tokens: number,
+    lastEventId: string | undefined,
+    signal: AbortSignal,
+  ): Promise<ExchangeResult> {
     const ctx = this.#ctx;
     const req = this.#req;
     const key = incarnationOf(engine);
-    const { tokensPerMs } = this.#speed;
-    const waitMs = prefillWaitMs(
-      engine,
-      tokensPerMs,
-      this.#inputs(engine.zone),
-    );
-    const prefillMs = this.#prefillMs(tokens);
-    const silenceMs = Math.max(
-      MIN_SILENCE_MS,
-      (waitMs + prefillMs) * SILENCE_FACTOR,
-    );
-    const timeoutMs = Math.min(
-      remainingMs(ctx, req),
-      Math.max(silenceMs, MAX_CALL_MS),
-    );
+    const { silenceMs, timeoutMs } = this.#timeouts(engine, tokens);
     ctx.rateLimits.charge(key);
     const finish = ctx.engineLoads.startPrefill(key, tokens);
     const controller = childAbortController(signal);
@@ -200,27 +217,42 @@
     );
     controller.abort();
     finish();
-    if (result.end === ExchangeOutcome.Answered || result.sent) {
-      this.#sentCalls += 1;
-    }
-    ctx.metrics.prefill.observe(result.elapsedMs / 1000);
-    if (result.end === ExchangeOutcome.Answered) {
-      const metadata = ctx.codec.parseResponse(result.status, result.headers);
-      const reply = result.status === 200 &&
-          classifyReply(result.status, metadata, req.metadata.requestId) ===
-            ReplyVerdict.Good
-        ? ctx.engines.parsePrefill(engine, result.body)
-        : undefined;
-      if (reply) {
-        this.#recordDelay(key, result.elapsedMs, prefillMs);
-        this.#speed.record(tokens, result.elapsedMs);
-        return this.#createResult(engine, reply.source);
-      }
+    return result;
+  }
+
+  /** Time until a silent engine is checked, and until the call is given up. */
+  #timeouts(
+    engine: Backend,
+    tokens: number,
+  ): { silenceMs: number; timeoutMs: number } {
+    const waitMs = prefillWaitMs(
+      engine,
+      this.#speed.tokensPerMs,
+      this.#inputs(engine.zone),
+    );
+    const silenceMs = Math.max(
+      MIN_SILENCE_MS,
+      (waitMs + this.#prefillMs(tokens)) * SILENCE_FACTOR,
+    );
+    const timeoutMs = Math.min(
+      remainingMs(this.#ctx, this.#req),
+      Math.max(silenceMs, MAX_CALL_MS),
+    );
+    return { silenceMs, timeoutMs };
+  }
+
+  /** Returns the engine's reply if the prefill succeeded. */
+  #parse(engine: Backend, result: ExchangeResult): PrefillReply | undefined {
+    const { codec, engines } = this.#ctx;
+    if (result.end !== ExchangeOutcome.Answered || result.status !== 200) {
+      return undefined;
     }
-    if (signal.aborted) return undefined;
-    this.#recordFailure(engine, result);
-    await recordPrefilledPrompt(ctx, req, engine, result, signal);
-    return undefined;
+    const metadata = codec.parseResponse(result.status, result.headers);
+    const { requestId } = this.#req.metadata;
+    const verdict = classifyReply(result.status, metadata, requestId);
+    return verdict === ReplyVerdict.Good
+      ? engines.parsePrefill(engine, result.body)
+      : undefined;
   }
 
   /** Aborts a silent call whose engine doesn't respond to another call either. */
@@ -248,7 +280,7 @@
 
   #recordFailure(
     engine: Backend,
-    result: Awaited<ReturnType<typeof exchange>>,
+    result: ExchangeResult,
   ): void {
     const ctx = this.#ctx;
     const answered = result.end === ExchangeOutcome.Answered;
