--- a/packages/gateway/src/backends/__tests__/directory_test.ts
+++ b/packages/gateway/src/backends/__tests__/directory_test.ts
@@ -79,3 +79,70 @@
   directory.put(backend("a"));
   expect(changes).toEqual([]);
 });
+
+test("an incarnation that is draining never takes that back", () => {
+  const { directory, ready } = create();
+  directory.put(backend("a", { state: BackendState.Draining }));
+  directory.put(backend("a"));
+  expect(ready()).toEqual(["b"]);
+  directory.put(backend("a", { startedAtMs: 2 }));
+  expect(ready().sort()).toEqual(["a", "b"]);
+});
+
+describe("a store that was restored from a copy", () => {
+  test("DRAIN: lists a backend server that was draining as ready", () => {
+    const { directory, ready } = create();
+    directory.put(backend("a", { state: BackendState.Draining }));
+    directory.markStoreRestored();
+    directory.reset([backend("a"), backend("b")]);
+    expect(ready()).toEqual(["b"]);
+  });
+
+  test("DRAIN: lists a backend server that has left", () => {
+    const { clock, directory, ready } = create();
+    directory.remove("a");
+    clock.advance(10_000);
+    directory.markStoreRestored();
+    directory.reset([backend("a"), backend("b")]);
+    expect(ready()).toEqual(["b"]);
+    clock.advance(4_000);
+    directory.remove("a");
+    clock.advance(4_000);
+    expect(ready()).toEqual(["b"]);
+  });
+
+  test("a backend server that was taken for gone is used if it keeps its entry", () => {
+    const { clock, directory, ready } = create();
+    directory.remove("a");
+    directory.markStoreRestored();
+    directory.reset([backend("a"), backend("b")]);
+    clock.advance(5_001);
+    expect(ready().sort()).toEqual(["a", "b"]);
+  });
+
+  test("a backend server that was taken for gone is used if it writes its entry", () => {
+    const { directory, ready } = create();
+    directory.remove("a");
+    directory.markStoreRestored();
+    directory.reset([backend("a"), backend("b")]);
+    directory.put(backend("a"));
+    expect(ready().sort()).toEqual(["a", "b"]);
+  });
+
+  test("keeps a backend server that is newer than the copy for a while", () => {
+    const { clock, directory, ready } = create();
+    directory.markStoreRestored();
+    directory.reset([backend("b")]);
+    expect(ready().sort()).toEqual(["a", "b"]);
+    clock.advance(1_801);
+    expect(ready()).toEqual(["b"]);
+  });
+
+  test("lists an earlier incarnation of a backend server", () => {
+    const { directory } = create();
+    directory.put(backend("a", { startedAtMs: 2 }));
+    directory.markStoreRestored();
+    directory.reset([backend("a"), backend("b")]);
+    expect(directory.get("a")?.startedAtMs).toBe(2);
+  });
+});
--- a/packages/gateway/src/backends/directory.ts
+++ b/packages/gateway/src/backends/directory.ts
@@ -3,8 +3,14 @@
  * at once, unless the store was unreachable just before: then it may have
  * expired only because its owner could not renew it. It stays usable for a
  * short grace period, in which a live owner is listed again.
+ *
+ * A store that was restored from a copy lists the past. One incarnation of a
+ * backend server never takes back that it is draining, and one that was removed
+ * or replaced before is used again only if its owner writes the entry anew or
+ * keeps it from expiring.
  */
 import type { Clock, Logger } from "@sassafrascleat/runtime";
+import { LRUCache } from "lru-cache";
 import {
   type Backend,
   BackendState,
@@ -29,9 +35,17 @@
    * milliseconds. @default 1800
    */
   expiryGraceMs?: number;
+  /**
+   * Time in which an entry expires that its owner doesn't renew, in
+   * milliseconds. @default 5000
+   */
+  entryLifetimeMs?: number;
 }
 
 const DEFAULT_EXPIRY_GRACE_MS = 1_800;
+const DEFAULT_ENTRY_LIFETIME_MS = 5_000;
+/** Most removed incarnations that are remembered. */
+const MAX_REMOVED = 4_096;
 
 type Listener = (change: DirectoryChange, backend: Backend) => void;
 
@@ -52,6 +66,13 @@
   readonly #clock: Clock;
   readonly #log: Logger;
   readonly #expiryGraceMs: number;
+  readonly #entryLifetimeMs: number;
+  /** Incarnations that were removed. */
+  readonly #removed = new LRUCache<string, true>({ max: MAX_REMOVED });
+  /** Removed incarnations that a restored store lists, by id. */
+  readonly #unconfirmed = new Map<string, Backend>();
+  /** When entries that nobody renewed after a restoration have expired. */
+  #unconfirmedUntilMs = -Infinity;
   readonly #listed = new Map<string, ListedBackend>();
   readonly #listeners: Listener[] = [];
   /** Ready backend servers by service; rebuilt after a change. */
@@ -64,6 +85,8 @@
     this.#clock = options.clock;
     this.#log = options.log;
     this.#expiryGraceMs = options.expiryGraceMs ?? DEFAULT_EXPIRY_GRACE_MS;
+    this.#entryLifetimeMs = options.entryLifetimeMs ??
+      DEFAULT_ENTRY_LIFETIME_MS;
   }
 
   /** True once the store has been read for the first time. */
@@ -128,24 +151,58 @@
     this.#storeReachableAtMs = this.#clock.now();
   }
 
+  /**
+   * Notes that the store was restored from a copy. What it lists next is from
+   * the past, until the owners of the entries have written them again.
+   */
+  markStoreRestored(): void {
+    const nowMs = this.#clock.now();
+    this.#storeReachableAtMs = nowMs;
+    this.#unconfirmedUntilMs = nowMs + this.#entryLifetimeMs;
+  }
+
   /** Replaces the whole list; missing entries are passed to `remove`. */
   reset(backends: readonly Backend[]): void {
     this.#loaded = true;
+    this.#unconfirmed.clear();
     const listedIds = new Set(backends.map((backend) => backend.id));
     for (const id of [...this.#listed.keys()]) {
       if (!listedIds.has(id)) this.remove(id);
     }
-    for (const backend of backends) this.put(backend);
+    for (const backend of backends) {
+      if (this.#mayBeOutdated(backend)) this.#setAside(backend);
+      else this.put(backend);
+    }
+  }
+
+  /** Whether a restored store may list an incarnation that is gone. */
+  #mayBeOutdated(backend: Backend): boolean {
+    if (this.#clock.now() >= this.#unconfirmedUntilMs) return false;
+    const known = this.#listed.get(backend.id)?.backend;
+    return this.#removed.has(incarnationOf(backend)) ||
+      (known !== undefined && isOlderIncarnation(backend, known));
+  }
+
+  #setAside(backend: Backend): void {
+    this.#log("backend_unconfirmed", {
+      backend: backend.id,
+      for_ms: Math.round(this.#unconfirmedUntilMs - this.#clock.now()),
+    });
+    this.#unconfirmed.set(backend.id, backend);
   }
 
   /** Adds or updates the entry of one backend server. */
-  put(backend: Backend): void {
-    const before = this.#listed.get(backend.id)?.backend;
+  put(entry: Backend): void {
+    const before = this.#listed.get(entry.id)?.backend;
+    const backend = keepDraining(entry, before);
+    this.#unconfirmed.delete(backend.id);
+    this.#removed.delete(incarnationOf(backend));
     this.#listed.set(backend.id, { backend });
     this.#ready = undefined;
     const change = changeBetween(before, backend);
     if (!change) return;
     if (before && incarnationOf(before) !== incarnationOf(backend)) {
+      this.#removed.set(incarnationOf(before), true);
       this.#notify(DirectoryChange.Removed, before, "restarted");
     }
     this.#notify(change, backend, "listed");
@@ -156,6 +213,7 @@
    * store and shortly after only once the grace period is over.
    */
   remove(id: string): void {
+    this.#unconfirmed.delete(id);
     const listed = this.#listed.get(id);
     if (!listed) return;
     if (this.#mayHaveExpired()) {
@@ -178,16 +236,25 @@
   }
 
   #dropExpired(): void {
+    this.#confirmUnexpired();
     if (this.#mayHaveExpired()) return;
     for (const [id, listed] of this.#listed) {
       if (listed.missingSinceMs !== undefined) this.#drop(id, "lapsed");
     }
   }
 
+  /** Uses entries again that a removed backend server would have lost by now. */
+  #confirmUnexpired(): void {
+    if (this.#unconfirmed.size === 0) return;
+    if (this.#clock.now() < this.#unconfirmedUntilMs) return;
+    for (const backend of [...this.#unconfirmed.values()]) this.put(backend);
+  }
+
   #drop(id: string, reason: string): void {
     const listed = this.#listed.get(id);
     if (!listed) return;
     this.#listed.delete(id);
+    this.#removed.set(incarnationOf(listed.backend), true);
     this.#ready = undefined;
     this.#notify(DirectoryChange.Removed, listed.backend, reason);
   }
@@ -228,6 +295,19 @@
   }
 }
 
+function isOlderIncarnation(entry: Backend, known: Backend): boolean {
+  return entry.startedAtMs !== undefined && known.startedAtMs !== undefined &&
+    entry.startedAtMs < known.startedAtMs;
+}
+
+/** An incarnation that is draining does so until its end. */
+function keepDraining(entry: Backend, known: Backend | undefined): Backend {
+  return known?.state === BackendState.Draining &&
+      incarnationOf(known) === incarnationOf(entry)
+    ? { ...entry, state: BackendState.Draining }
+    : entry;
+}
+
 function changeBetween(
   before: Backend | undefined,
   now: Backend,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,6 +55,11 @@
   /** Creates the client for control calls to engines. */
   createEngineControl: (upstream: Upstream) => EngineControl;
   policy?: GatewayPolicyOptions;
+  /**
+   * Time in which the store drops the entry of a backend server that doesn't
+   * renew it, in milliseconds. @default 5000
+   */
+  entryLifetimeMs?: number;
   /**
    * Returns the log of crashed engines that all routers share.
    * @default a log of this router alone
@@ -98,7 +103,11 @@
     this.#routerCount = policy.entries;
     this.#startMs = clock.now();
     this.config = new ConfigHolder(clock, log);
-    this.directory = new BackendDirectory({ clock, log });
+    this.directory = new BackendDirectory({
+      clock,
+      log,
+      entryLifetimeMs: options.entryLifetimeMs,
+    });
     this.metrics = createGatewayMetrics();
     this.#rateLimits = new RequestRateLimits({
       clock,
@@ -191,6 +200,14 @@
     Object.assign(this.#ctx.policy, options);
   }
 
+  /**
+   * Notes that the store was restored from a copy. Called before anything that
+   * it responds from then on is applied.
+   */
+  handleStoreRestored(): void {
+    this.directory.markStoreRestored();
+  }
+
   /** Sets the names of the router instances that share limits. */
   setRouters(names: readonly string[]): void {
     this.#rateLimits.setRouters(names);
