--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -206,6 +206,7 @@
    */
   handleStoreRestored(): void {
     this.directory.markStoreRestored();
+    this.quarantine.handleLogRestored();
   }
 
   /** Sets the names of the router instances that share limits. */
--- a/packages/gateway/src/quarantine/__tests__/prompt_quarantine_test.ts
+++ b/packages/gateway/src/quarantine/__tests__/prompt_quarantine_test.ts
@@ -119,4 +119,32 @@
     await sleep(400);
     expect(records.map((item) => item.engine)).toEqual(["e1", "e2"]);
   });
+
+  test("survives the loss of the shared log and is written again", async () => {
+    const records = [
+      { engine: "e1", parts: ["llm/bad"] },
+      { engine: "e2", parts: ["llm/bad"] },
+    ];
+    quarantine.observe(records);
+    quarantine.handleLogRestored();
+    quarantine.observe([]);
+    expect(remainingMs("bad")).toBe(MINUTE_MS);
+    await sleep(900);
+    expect(await crashLog.update(() => undefined)).toEqual(records);
+  });
+
+  test("does not return with an old copy of the shared log", () => {
+    const records = [
+      { engine: "e1", parts: ["llm/part"] },
+      { engine: "e2", parts: ["llm/part"] },
+    ];
+    quarantine.observe(records);
+    clock.advance(10);
+    quarantine.recordRun("llm", prompt("part"));
+    quarantine.observe([]);
+    clock.advance(10);
+    quarantine.handleLogRestored();
+    quarantine.observe(records);
+    expect(remainingMs("part")).toBe(0);
+  });
 });
--- a/packages/gateway/src/quarantine/prompt_quarantine.ts
+++ b/packages/gateway/src/quarantine/prompt_quarantine.ts
@@ -7,6 +7,7 @@
  */
 import { type Clock, type Logger, sleep } from "@sassafrascleat/runtime";
 import type { Random } from "@sassafrascleat/runtime";
+import { LRUCache } from "lru-cache";
 import {
   type CrashCause,
   type CrashRecord,
@@ -36,11 +37,14 @@
 const MAX_QUARANTINE_MS = 3_600_000;
 /** Records are forgotten after this time, in milliseconds. */
 const RECORD_TTL_MS = 2 * MAX_QUARANTINE_MS;
+/** Most crashed engines that are remembered. */
+const MAX_ENGINES = 4_096;
 /**
- * Many routers may know that a suspected part is harmless. They wait for a random
- * time up to this one, so that the first one spares the others the write; in ms.
+ * Many routers may know what the shared log lacks, or that a suspected part is
+ * harmless. They wait for a random time up to this one, so that the first one
+ * spares the others the write; in milliseconds.
  */
-const CLEAR_SPREAD_MS = 800;
+const PUBLISH_SPREAD_MS = 800;
 /** Pause before a failed write is repeated, in milliseconds. */
 const MIN_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 5_000;
@@ -53,8 +57,11 @@
   #shared: readonly CrashRecord[] = [];
   /** Records that are not in the shared log yet. */
   #unpublished: readonly CrashRecord[] = [];
-  /** When each crash became known here, in clock milliseconds, by engine. */
-  readonly #knownSinceMs = new Map<string, number>();
+  /**
+   * When each crash became known here, in clock milliseconds, by engine. Kept
+   * after the record is removed, in case a restored log brings it back.
+   */
+  readonly #knownSinceMs = new LRUCache<string, number>({ max: MAX_ENGINES });
   #causes: CrashCause[] = [];
   #publishing = false;
   #changed = false;
@@ -102,8 +109,16 @@
     const record = { engine, parts };
     this.#unpublished = mergeCrashRecords(this.#unpublished, [record]);
     this.#update();
-    this.#changed = true;
-    if (!this.#publishing) void this.#publish();
+    this.#startPublishing();
+  }
+
+  /**
+   * Notes that the shared log may have lost records or brought back old ones.
+   * What this router knows of them stays in force, and is written again.
+   */
+  handleLogRestored(): void {
+    this.#unpublished = this.#records;
+    if (this.#unpublished.length > 0) this.#publishLater();
   }
 
   /** Applies the records of all routers. */
@@ -125,10 +140,6 @@
         this.#knownSinceMs.set(engine, nowMs);
       }
     }
-    const known = new Set(records.map((item) => item.engine));
-    for (const engine of this.#knownSinceMs.keys()) {
-      if (!known.has(engine)) this.#knownSinceMs.delete(engine);
-    }
     this.#setCauses(findCrashCauses(removeParts(records, this.#isCleared)));
   }
 
@@ -163,15 +174,26 @@
     if (this.#clearing || !this.#hasClearedParts()) return;
     this.#clearing = true;
     this.#update();
-    const waitMs = this.#options.random.int(0, CLEAR_SPREAD_MS);
-    void sleep(waitMs).then(() => {
+    void this.#spread().then(() => {
       this.#clearing = false;
-      if (!this.#hasClearedParts()) return;
-      this.#changed = true;
-      if (!this.#publishing) void this.#publish();
+      if (this.#hasClearedParts()) this.#startPublishing();
     });
   }
 
+  /** Publishes what other routers have not published by then. */
+  #publishLater(): void {
+    void this.#spread().then(() => this.#startPublishing());
+  }
+
+  #spread(): Promise<void> {
+    return sleep(this.#options.random.int(0, PUBLISH_SPREAD_MS));
+  }
+
+  #startPublishing(): void {
+    this.#changed = true;
+    if (!this.#publishing) void this.#publish();
+  }
+
   #hasClearedParts(): boolean {
     const records = this.#records;
     return !areSameRecords(removeParts(records, this.#isCleared), records);
