--- a/packages/gateway/src/decide/crash_causes.ts
+++ b/packages/gateway/src/decide/crash_causes.ts
@@ -1,33 +1,37 @@
 /**
- * Finds out which prompt parts crash engines. An engine that crashes takes
- * several requests with it, each with several parts, and most of them are
- * harmless. A part is held to be the cause if it was present at more than one
- * crash and no request with it has run since. Parts that were present at the
- * same crashes can't be told apart: only a request with all of them is known to
- * be harmful, and a request with some of them shows which ones are harmless.
+ * Finds out which requests crash backend servers. One that crashes takes several
+ * requests with it, and most of them are harmless. What may be harmful about a
+ * request is a part of its prompt or the request as a whole; each has a key. A
+ * key is held to be the cause if it was present at more than one crash and no
+ * request with it has run since. Keys that were present at the same crashes
+ * can't be told apart: only a request with all of those that one of the lost
+ * requests had is known to be harmful, and a request with some of them shows
+ * which ones are harmless.
  */
 
-/** The requests that an engine had received but not begun when it crashed. */
+/** A request that a backend server had not finished when it crashed. */
 export interface CrashRecord {
-  /** Incarnation of the engine. */
+  /** Incarnation of the backend server. */
   engine: string;
-  /** Keys of those parts of the requests that may have caused the crash. */
+  /** Keys of what may have caused the crash. */
   parts: readonly string[];
 }
 
-/** Parts that together are held to be the cause of crashes. */
+/** What is held to be the cause of some crashes. */
 export interface CrashCause {
-  parts: readonly string[];
-  crashes: readonly CrashRecord[];
+  /** Requests with all keys of one of these combinations are harmful. */
+  combinations: readonly (readonly string[])[];
+  /** Incarnations of the backend servers that crashed. */
+  engines: readonly string[];
 }
 
-/** One crash may be a coincidence: requests are also lost with sick engines. */
+/** One crash may be a coincidence: requests are also lost with sick servers. */
 const MIN_CRASHES = 2;
 
 /**
- * Returns the causes of the recorded crashes. A crash is attributed to the parts
+ * Returns the causes of the recorded crashes. A crash is attributed to the keys
  * that explain the most crashes, and only what they leave unexplained is
- * attributed to other parts.
+ * attributed to other keys.
  */
 export function findCrashCauses(records: readonly CrashRecord[]): CrashCause[] {
   const causes: CrashCause[] = [];
@@ -36,50 +40,71 @@
     const cause = commonestCause(unexplained);
     if (!cause) return causes;
     causes.push(cause);
-    unexplained = unexplained.filter((item) => !cause.crashes.includes(item));
+    const explained = new Set(cause.engines);
+    unexplained = unexplained.filter((item) => !explained.has(item.engine));
   }
 }
 
-/** True if a request with `parts` has all parts of the cause. */
-export function hasAllParts(
-  parts: ReadonlySet<string>,
-  cause: CrashCause,
+/** True if a request with these keys is harmful. */
+export function isHarmful(
+  keys: ReadonlySet<string>,
+  { combinations }: CrashCause,
 ): boolean {
-  return cause.parts.every((part) => parts.has(part));
+  return combinations.some((item) => item.every((key) => keys.has(key)));
 }
 
 function commonestCause(
   records: readonly CrashRecord[],
 ): CrashCause | undefined {
-  const crashesOf = groupByPart(records);
-  let crashes: readonly CrashRecord[] = [];
-  for (const candidate of crashesOf.values()) {
-    if (candidate.length > crashes.length) crashes = candidate;
+  const enginesOf = groupByKey(records);
+  let engines: ReadonlySet<string> = new Set();
+  for (const candidate of enginesOf.values()) {
+    if (candidate.size > engines.size) engines = candidate;
   }
-  if (crashes.length < MIN_CRASHES) return undefined;
-  const parts = [...crashesOf.keys()].filter((part) =>
-    isSameList(crashesOf.get(part) ?? [], crashes)
+  if (engines.size < MIN_CRASHES) return undefined;
+  const suspected = new Set(
+    [...enginesOf.keys()].filter((key) =>
+      isSameSet(enginesOf.get(key) ?? new Set(), engines)
+    ),
   );
-  return { parts, crashes };
+  const combinations = records
+    .map((item) => item.parts.filter((key) => suspected.has(key)))
+    .filter((keys) => keys.length > 0);
+  return {
+    combinations: largestCombinations(combinations),
+    engines: [...engines],
+  };
 }
 
-function groupByPart(
+/** Crashed servers at which a request with the key was present, by key. */
+function groupByKey(
   records: readonly CrashRecord[],
-): Map<string, CrashRecord[]> {
-  const crashesOf = new Map<string, CrashRecord[]>();
-  for (const record of records) {
-    for (const part of record.parts) {
-      const crashes = crashesOf.get(part) ?? [];
-      crashesOf.set(part, crashes);
-      crashes.push(record);
+): Map<string, Set<string>> {
+  const enginesOf = new Map<string, Set<string>>();
+  for (const { engine, parts } of records) {
+    for (const key of parts) {
+      const engines = enginesOf.get(key) ?? new Set();
+      enginesOf.set(key, engines.add(engine));
     }
   }
-  return crashesOf;
+  return enginesOf;
 }
 
-function isSameList(
-  a: readonly CrashRecord[],
-  b: readonly CrashRecord[],
-): boolean {
-  return a.length === b.length && a.every((item, index) => item === b[index]);
+/** Drops repeated combinations, and those that another one includes. */
+function largestCombinations(
+  combinations: readonly (readonly string[])[],
+): readonly (readonly string[])[] {
+  const largest: string[][] = [];
+  const byLength = [...combinations].sort((a, b) => b.length - a.length);
+  for (const keys of byLength) {
+    const included = largest.some((other) =>
+      keys.every((key) => other.includes(key))
+    );
+    if (!included) largest.push([...keys]);
+  }
+  return largest;
+}
+
+function isSameSet(a: ReadonlySet<string>, b: ReadonlySet<string>): boolean {
+  return a.size === b.size && [...a].every((item) => b.has(item));
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,8 +28,10 @@
   resolveGatewayPolicy,
 } from "./policy.ts";
 import { type CrashLog, LocalCrashLog } from "./quarantine/crash_log.ts";
-import { PromptQuarantine } from "./quarantine/prompt_quarantine.ts";
+import { RequestKeys } from "./quarantine/request_keys.ts";
+import { RequestQuarantine } from "./quarantine/request_quarantine.ts";
 import { DecodeReservations } from "./runs/decode_reservations.ts";
+import { LivenessChecks } from "./runs/liveness_checks.ts";
 import { runPlain } from "./runs/plain_run.ts";
 import {
   type CallerRequest,
@@ -83,8 +85,8 @@
   readonly metrics: GatewayMetrics;
   readonly ingress: Ingress;
   readonly upstream: Upstream;
-  /** Keeps prompts away from the engines that they would crash. */
-  readonly quarantine: PromptQuarantine;
+  /** Keeps requests away from the backend servers that they would crash. */
+  readonly quarantine: RequestQuarantine;
   readonly #ctx: RunContext;
   readonly #rateLimits: RequestRateLimits;
   readonly #decodeReservations = new Map<string, DecodeReservations>();
@@ -115,7 +117,7 @@
       routerName: options.routerName ?? "",
       assumedRouters: policy.entries,
     });
-    this.quarantine = new PromptQuarantine({
+    this.quarantine = new RequestQuarantine({
       clock,
       log,
       random,
@@ -127,13 +129,18 @@
       onResponse: (backend, headers, ageMs) =>
         this.#observeRateLimit(backend, headers, ageMs),
     });
+    const engines = options.createEngineControl(this.upstream);
     this.#ctx = {
       clock,
       log,
       random,
       zone: options.zone,
       codec: options.codec,
-      engines: options.createEngineControl(this.upstream),
+      engines,
+      liveness: new LivenessChecks({
+        clock,
+        isAlive: (backend) => engines.isAlive(backend),
+      }),
       upstream: this.upstream,
       directory: this.directory,
       health: new HealthTracker(clock),
@@ -255,6 +262,7 @@
     this.#ctx.health.forget(key);
     this.#ctx.engineLoads.forget(key);
     this.#rateLimits.forget(key);
+    this.#ctx.liveness.forget(backend);
     this.upstream.retire(backend);
   }
 
@@ -329,6 +337,11 @@
     await this.#run({
       ...req,
       metadata,
+      keys: new RequestKeys({
+        ...req,
+        service: service.name,
+        promptParts: metadata.promptParts,
+      }),
       route,
       service,
       configVersion: activeConfig.table.version,
--- a/packages/gateway/src/quarantine/__tests__/request_quarantine_test.ts
+++ b/packages/gateway/src/quarantine/__tests__/request_quarantine_test.ts
@@ -2,13 +2,14 @@
 import { createRandom, ManualClock, sleep } from "@sassafrascleat/runtime";
 import type { CrashRecord } from "../../decide/crash_causes.ts";
 import { type CrashLog, LocalCrashLog } from "../crash_log.ts";
-import { PromptQuarantine } from "../prompt_quarantine.ts";
+import { RequestKeys } from "../request_keys.ts";
+import { RequestQuarantine } from "../request_quarantine.ts";
 
 const MINUTE_MS = 60_000;
 
 let clock: ManualClock;
 let crashLog: CrashLog;
-let quarantine: PromptQuarantine;
+let quarantine: RequestQuarantine;
 
 beforeEach(() => {
   clock = new ManualClock();
@@ -16,8 +17,8 @@
   quarantine = create();
 });
 
-function create(log = () => crashLog): PromptQuarantine {
-  return new PromptQuarantine({
+function create(log = () => crashLog): RequestQuarantine {
+  return new RequestQuarantine({
     clock,
     log: () => {},
     random: createRandom(3),
@@ -25,16 +26,35 @@
   });
 }
 
-function prompt(...parts: string[]) {
-  return [...parts, "own"].map((id) => ({ id, tokens: 10 }));
+let requests = 0;
+
+/** Keys of a request with these shared parts and a body of its own. */
+function prompt(...parts: string[]): RequestKeys {
+  requests += 1;
+  return request(`body ${requests}`, parts);
+}
+
+function request(
+  body: string,
+  parts: string[] = [],
+  service = "llm",
+): RequestKeys {
+  return new RequestKeys({
+    service,
+    method: "POST",
+    host: "co.example",
+    target: "/x",
+    body: Buffer.from(body),
+    promptParts: [...parts, "own"].map((id) => ({ id, tokens: 10 })),
+  });
 }
 
 function remainingMs(...parts: string[]): number {
-  return quarantine.remainingMs("llm", prompt(...parts));
+  return quarantine.remainingMs(prompt(...parts));
 }
 
 function crash(engine: string, ...parts: string[]): void {
-  quarantine.recordCrash("llm", engine, prompt(...parts));
+  quarantine.recordCrash(engine, prompt(...parts));
 }
 
 describe("the quarantine of a prompt", () => {
@@ -58,17 +78,37 @@
   test("holds for one service", () => {
     crash("e1", "bad");
     crash("e2", "bad");
-    expect(quarantine.remainingMs("other", prompt("bad"))).toBe(0);
+    expect(quarantine.remainingMs(request("", ["bad"], "other"))).toBe(0);
   });
 
   test("ends when a request with the part runs", () => {
     crash("e1", "part");
     crash("e2", "part");
     clock.advance(10);
-    quarantine.recordRun("llm", prompt("part"));
+    quarantine.recordRun(prompt("part"));
     expect(remainingMs("part")).toBe(0);
   });
 
+  test("holds for a whole request without shared parts, and for it alone", () => {
+    for (const engine of ["e1", "e2"]) {
+      quarantine.recordCrash(engine, request("bad"));
+      quarantine.recordCrash(engine, prompt());
+    }
+    expect(quarantine.remainingMs(request("bad"))).toBe(MINUTE_MS);
+    expect(quarantine.remainingMs(request("sound"))).toBe(0);
+    expect(quarantine.remainingMs(request("bad", [], "other"))).toBe(0);
+    clock.advance(MINUTE_MS);
+    expect(quarantine.remainingMs(request("bad"))).toBe(0);
+  });
+
+  test("a request that runs again and again is not suspected", () => {
+    quarantine.recordRun(request("poll"));
+    for (const engine of ["e1", "e2"]) {
+      quarantine.recordCrash(engine, request("poll"));
+    }
+    expect(quarantine.remainingMs(request("poll"))).toBe(0);
+  });
+
   test("the last part is never suspected", () => {
     crash("e1");
     crash("e2");
@@ -76,7 +116,7 @@
   });
 
   test("a part that has run is suspected after three separate crashes", () => {
-    quarantine.recordRun("llm", prompt("part"));
+    quarantine.recordRun(prompt("part"));
     for (const [engine, afterMs] of [["e1", 5], ["e2", 5], ["e3", 2_000]]) {
       clock.advance(afterMs as number);
       crash(engine as string, "part");
@@ -140,7 +180,7 @@
     ];
     quarantine.observe(records);
     clock.advance(10);
-    quarantine.recordRun("llm", prompt("part"));
+    quarantine.recordRun(prompt("part"));
     quarantine.observe([]);
     clock.advance(10);
     quarantine.handleLogRestored();
--- a/packages/gateway/src/quarantine/crash_log.ts
+++ b/packages/gateway/src/quarantine/crash_log.ts
@@ -1,6 +1,6 @@
 /**
  * The crash records that all routers share. Each router sees few of the crashes
- * that one prompt part causes, and learns of the others here.
+ * that one request or prompt part causes, and learns of the others here.
  */
 import type { CrashRecord } from "../decide/crash_causes.ts";
 
@@ -30,22 +30,28 @@
 }
 
 /** Most records that are kept; the oldest ones are dropped. */
-const MAX_RECORDS = 64;
-/** Most parts of one record, since many requests may be lost with an engine. */
-const MAX_PARTS_PER_RECORD = 16;
+const MAX_RECORDS = 256;
+/** Most records of one crash, since many requests may be lost with a server. */
+const MAX_RECORDS_PER_CRASH = 16;
+/** Most keys of one record; the key of the whole request is the first one. */
+const MAX_KEYS_PER_RECORD = 16;
 
-/** Adds records to others; two records of one crash become one. */
+/** Adds records to others, without those that are there already. */
 export function mergeCrashRecords(
   stored: readonly CrashRecord[],
   added: readonly CrashRecord[],
 ): readonly CrashRecord[] {
-  const byEngine = new Map(stored.map((item) => [item.engine, item]));
-  for (const { engine, parts } of added) {
-    const known = byEngine.get(engine)?.parts ?? [];
-    const all = [...new Set([...known, ...parts])];
-    byEngine.set(engine, { engine, parts: all.slice(0, MAX_PARTS_PER_RECORD) });
+  const merged = new Map<string, CrashRecord>();
+  const countOf = new Map<string, number>();
+  for (const { engine, parts } of [...stored, ...added]) {
+    const record = { engine, parts: parts.slice(0, MAX_KEYS_PER_RECORD) };
+    const id = JSON.stringify(record);
+    const count = countOf.get(engine) ?? 0;
+    if (merged.has(id) || count >= MAX_RECORDS_PER_CRASH) continue;
+    merged.set(id, record);
+    countOf.set(engine, count + 1);
   }
-  return [...byEngine.values()].slice(-MAX_RECORDS);
+  return [...merged.values()].slice(-MAX_RECORDS);
 }
 
 /** Removes parts that are not suspected any more, and records without any. */
--- a/packages/gateway/src/quarantine/index.ts
+++ b/packages/gateway/src/quarantine/index.ts
@@ -4,6 +4,6 @@
   LocalCrashLog,
 } from "./crash_log.ts";
 export {
-  PromptQuarantine,
-  type PromptQuarantineOptions,
-} from "./prompt_quarantine.ts";
+  RequestQuarantine,
+  type RequestQuarantineOptions,
+} from "./request_quarantine.ts";
--- a/packages/gateway/src/quarantine/request_quarantine.ts
+++ b/packages/gateway/src/quarantine/request_quarantine.ts
@@ -1,9 +1,9 @@
 /**
- * Keeps prompts away from the engines that they would crash. A prompt part may
- * trigger a fault that crashes each engine which begins to run a request with
- * it, together with all other requests there. Routers share what they see of
- * such crashes, and reject requests with the parts that caused them until the
- * quarantine ends; it lasts longer with each crash.
+ * Keeps requests away from the backend servers that they would crash. A request,
+ * or a part of its prompt, may trigger a fault that crashes each server which
+ * begins to run it, together with all other requests there. Routers share what
+ * they see of such crashes, and reject requests that caused them, or that have
+ * the parts that did, until the quarantine ends; it lasts longer with each crash.
  */
 import { type Clock, type Logger, sleep } from "@sassafrascleat/runtime";
 import type { Random } from "@sassafrascleat/runtime";
@@ -12,19 +12,19 @@
   type CrashCause,
   type CrashRecord,
   findCrashCauses,
-  hasAllParts,
+  isHarmful,
 } from "../decide/crash_causes.ts";
-import type { PromptPart } from "../http/wire_codec.ts";
 import {
   areSameRecords,
   type CrashLog,
   mergeCrashRecords,
   removeParts,
 } from "./crash_log.ts";
-import { SoundParts } from "./sound_parts.ts";
+import type { RequestKeys } from "./request_keys.ts";
+import { SoundKeys } from "./sound_keys.ts";
 
-/** Options of {@link PromptQuarantine}. */
-export interface PromptQuarantineOptions {
+/** Options of {@link RequestQuarantine}. */
+export interface RequestQuarantineOptions {
   clock: Clock;
   log: Logger;
   random: Random;
@@ -49,10 +49,10 @@
 const MIN_BACKOFF_MS = 50;
 const MAX_BACKOFF_MS = 5_000;
 
-/** Knows which prompts crash engines. */
-export class PromptQuarantine {
-  readonly #options: PromptQuarantineOptions;
-  readonly #sound: SoundParts;
+/** Knows which requests crash backend servers. */
+export class RequestQuarantine {
+  readonly #options: RequestQuarantineOptions;
+  readonly #sound: SoundKeys;
   /** The shared records, as this router last saw them. */
   #shared: readonly CrashRecord[] = [];
   /** Records that are not in the shared log yet. */
@@ -67,43 +67,34 @@
   #changed = false;
   #clearing = false;
 
-  constructor(options: PromptQuarantineOptions) {
+  constructor(options: RequestQuarantineOptions) {
     this.#options = options;
-    this.#sound = new SoundParts(options.clock);
+    this.#sound = new SoundKeys(options.clock);
   }
 
-  /** How long the prompt is rejected, in milliseconds; 0 if it is not. */
-  remainingMs(service: string, prompt: readonly PromptPart[]): number {
+  /** How long the request is rejected, in milliseconds; 0 if it is not. */
+  remainingMs(keys: RequestKeys): number {
     if (this.#causes.length === 0) return 0;
-    const parts = new Set(sharedParts(service, prompt));
+    const all = new Set(keys.all);
     const ends = this.#causes
-      .filter((cause) => hasAllParts(parts, cause))
+      .filter((cause) => isHarmful(all, cause))
       .map((cause) => this.#quarantineEndMs(cause));
     return Math.max(0, ...ends.map((end) => end - this.#options.clock.now()));
   }
 
-  /** Records that an engine ran a request with this prompt. */
-  recordRun(service: string, prompt: readonly PromptPart[]): void {
-    for (const part of sharedParts(service, prompt)) {
-      this.#sound.recordRun(part);
-    }
+  /** Records that a backend server ran the request. */
+  recordRun(keys: RequestKeys): void {
+    for (const key of keys.all) this.#sound.recordRun(key);
     this.#clearLater();
   }
 
-  /** Records that an engine crashed before it began to run a request. */
-  recordCrash(
-    service: string,
-    engine: string,
-    prompt: readonly PromptPart[],
-  ): void {
-    if (prompt.length === 0) return;
-    const parts = sharedParts(service, prompt)
-      .filter((part) => this.#sound.recordCrash(part));
-    this.#options.log("crash_with_prompt", {
+  /** Records that a backend server crashed before it had run the request. */
+  recordCrash(engine: string, keys: RequestKeys): void {
+    const parts = keys.all.filter((key) => this.#sound.recordCrash(key));
+    this.#options.log("crash_with_request", {
       engine,
-      service,
       suspected: parts.join(","),
-      parts: prompt.length,
+      keys: keys.all.length,
     });
     if (parts.length === 0) return;
     const record = { engine, parts };
@@ -147,17 +138,19 @@
     const before = JSON.stringify(this.#causes);
     this.#causes = causes;
     if (JSON.stringify(causes) === before) return;
-    this.#options.log("prompts_quarantined", {
-      causes: causes.map((cause) => cause.parts.join("+")).join(" "),
-      crashes: causes.map((cause) => cause.crashes.length).join(" "),
+    this.#options.log("requests_quarantined", {
+      causes: causes.map(({ combinations }) =>
+        combinations.map((keys) => keys.join("+")).join("|")
+      ).join(" "),
+      crashes: causes.map(({ engines }) => engines.length).join(" "),
     });
   }
 
-  #quarantineEndMs({ crashes }: CrashCause): number {
+  #quarantineEndMs({ engines }: CrashCause): number {
     const lastMs = Math.max(
-      ...crashes.map(({ engine }) => this.#knownSinceMs.get(engine) ?? 0),
+      ...engines.map((engine) => this.#knownSinceMs.get(engine) ?? 0),
     );
-    const durationMs = BASE_QUARANTINE_MS * 2 ** (crashes.length - 2);
+    const durationMs = BASE_QUARANTINE_MS * 2 ** (engines.length - 2);
     return lastMs + Math.min(MAX_QUARANTINE_MS, durationMs);
   }
 
@@ -169,7 +162,7 @@
       this.#sound.hasRunSince(part, sinceMs);
   };
 
-  /** Removes parts from the shared log that this router knows to be harmless. */
+  /** Removes keys from the shared log that this router knows to be harmless. */
   #clearLater(): void {
     if (this.#clearing || !this.#hasClearedParts()) return;
     this.#clearing = true;
@@ -226,14 +219,3 @@
     this.#publishing = false;
   }
 }
-
-/**
- * Keys of the parts that other requests may have in common. The last part belongs
- * to the request itself. Another service may run what crashes this one.
- */
-function sharedParts(
-  service: string,
-  prompt: readonly PromptPart[],
-): string[] {
-  return prompt.slice(0, -1).map((part) => `${service}/${part.id}`);
-}
--- a/packages/gateway/src/runs/crash_detection.ts
+++ b/packages/gateway/src/runs/crash_detection.ts
@@ -1,8 +1,8 @@
 /**
- * Tells the quarantine which prompts engines have run, and which ones an engine
- * had received when it crashed. A connection that ends early is a crash only if
- * the engine does not respond on a new connection either: engines also break off
- * single responses.
+ * Tells the quarantine which requests backend servers have run, and which ones
+ * a server had received when it crashed. A connection that ends early is a crash
+ * only if the server does not respond on a new connection either: servers also
+ * break off single responses.
  */
 import { type Backend, incarnationOf } from "../backends/backend.ts";
 import { ExchangeOutcome, type ExchangeResult } from "../http/exchange.ts";
@@ -12,13 +12,13 @@
 import { StreamEnd, type StreamResult } from "./stream_call.ts";
 
 /**
- * Events after which a crash is not attributed to the stream's prompt. Engines
- * crash on a prompt as soon as they begin to generate.
+ * Events after which a crash is not attributed to the stream. Engines crash on a
+ * request as soon as they begin to generate.
  */
 const MIN_EVENTS_OF_RUN = 3;
 
-/** Records what a stream shows about its prompt. */
-export async function recordStreamedPrompt(
+/** Records what a stream shows about its request. */
+export async function recordStream(
   ctx: RunContext,
   req: CallerRequest,
   backend: Backend,
@@ -26,15 +26,15 @@
   signal: AbortSignal,
 ): Promise<void> {
   if (end === StreamEnd.Complete || events >= MIN_EVENTS_OF_RUN) {
-    return recordRun(ctx, req);
+    return ctx.quarantine.recordRun(req.keys);
   }
   if (end === StreamEnd.Cut) {
     await recordIfCrashed(ctx, req, backend, signal);
   }
 }
 
-/** Records what a call to a plain service shows about its prompt. */
-export async function recordCalledPrompt(
+/** Records what a call to a plain service shows about its request. */
+export async function recordCall(
   ctx: RunContext,
   req: CallerRequest,
   backend: Backend,
@@ -42,15 +42,17 @@
   verdict: ReplyVerdict | undefined,
   signal: AbortSignal,
 ): Promise<void> {
-  if (verdict === ReplyVerdict.Good) return recordRun(ctx, req);
+  if (verdict === ReplyVerdict.Good || verdict === ReplyVerdict.Error) {
+    return ctx.quarantine.recordRun(req.keys);
+  }
   if (isBroken(result)) await recordIfCrashed(ctx, req, backend, signal);
 }
 
 /**
- * Records what a prefill shows about its prompt. A success shows nothing: the
+ * Records what a prefill shows about its request. A success shows nothing: the
  * generation may still crash its engine.
  */
-export async function recordPrefilledPrompt(
+export async function recordPrefill(
   ctx: RunContext,
   req: CallerRequest,
   backend: Backend,
@@ -66,19 +68,12 @@
     result.failure === CallFailure.Broken;
 }
 
-function recordRun(ctx: RunContext, req: CallerRequest): void {
-  ctx.quarantine.recordRun(req.service.name, req.metadata.promptParts);
-}
-
 async function recordIfCrashed(
   ctx: RunContext,
   req: CallerRequest,
   backend: Backend,
   signal: AbortSignal,
 ): Promise<void> {
-  const { promptParts } = req.metadata;
-  if (promptParts.length === 0 || signal.aborted) return;
-  if (await ctx.engines.isAlive(backend, signal) || signal.aborted) return;
-  const engine = incarnationOf(backend);
-  ctx.quarantine.recordCrash(req.service.name, engine, promptParts);
+  if (signal.aborted || await ctx.liveness.isAlive(backend)) return;
+  ctx.quarantine.recordCrash(incarnationOf(backend), req.keys);
 }
--- a/packages/gateway/src/runs/plain_run.ts
+++ b/packages/gateway/src/runs/plain_run.ts
@@ -17,7 +17,7 @@
   type ExchangeResult,
 } from "../http/exchange.ts";
 import { CallFailure } from "../http/upstream_call.ts";
-import { recordCalledPrompt } from "./crash_detection.ts";
+import { recordCall } from "./crash_detection.ts";
 import { checkRateLimits, shortestLimitWaitMs } from "./rate_limit_check.ts";
 import { fail, reject } from "./reject.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
@@ -220,7 +220,8 @@
     const verdict = this.#classify(result);
     this.#recordHealth(backend, result, verdict);
     const { signal } = this.#controller;
-    await recordCalledPrompt(ctx, req, backend, result, verdict, signal);
+    // A retry doesn't wait for the result: the caller's time is short.
+    void recordCall(ctx, req, backend, result, verdict, signal);
     return { backend, exchange: result, verdict };
   }
 
--- a/packages/gateway/src/runs/plain_stream.ts
+++ b/packages/gateway/src/runs/plain_stream.ts
@@ -13,7 +13,7 @@
   StreamEnd,
   type StreamResult,
 } from "./stream_call.ts";
-import { recordStreamedPrompt } from "./crash_detection.ts";
+import { recordStream } from "./crash_detection.ts";
 import { createProgress, type StreamProgress } from "./generation.ts";
 import { checkRateLimits } from "./rate_limit_check.ts";
 import { reject } from "./reject.ts";
@@ -111,6 +111,6 @@
   ctx.inProgress.set(key, (ctx.inProgress.get(key) ?? 1) - 1);
   const outcome = callOutcomeOf(result.end);
   if (outcome && !signal.aborted) recordCallResult(ctx, backend, outcome, 0);
-  await recordStreamedPrompt(ctx, req, backend, result, signal);
+  await recordStream(ctx, req, backend, result, signal);
   return result;
 }
--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -22,7 +22,7 @@
   type ExchangeResult,
 } from "../http/exchange.ts";
 import type { KvSource, PromptInfo } from "../http/wire_codec.ts";
-import { recordPrefilledPrompt } from "./crash_detection.ts";
+import { recordPrefill } from "./crash_detection.ts";
 import { checkRateLimits } from "./rate_limit_check.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
@@ -178,7 +178,7 @@
     }
     if (signal.aborted) return undefined;
     this.#recordFailure(engine, result);
-    await recordPrefilledPrompt(ctx, this.#req, engine, result, signal);
+    await recordPrefill(ctx, this.#req, engine, result, signal);
     return undefined;
   }
 
@@ -264,7 +264,7 @@
     const { signal } = controller;
     await sleep(silenceMs, signal);
     if (signal.aborted) return;
-    const alive = await this.#ctx.engines.isAlive(engine, signal);
+    const alive = await this.#ctx.liveness.isAlive(engine);
     if (!alive) controller.abort();
   }
 
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -23,11 +23,15 @@
 import type { Upstream } from "../http/upstream.ts";
 import type { GatewayMetrics } from "../metrics.ts";
 import type { GatewayPolicy } from "../policy.ts";
-import type { PromptQuarantine } from "../quarantine/prompt_quarantine.ts";
+import type { RequestKeys } from "../quarantine/request_keys.ts";
+import type { RequestQuarantine } from "../quarantine/request_quarantine.ts";
+import type { LivenessChecks } from "./liveness_checks.ts";
 
 /** One request of a caller, with its complete body. */
 export interface CallerRequest {
   metadata: RequestMetadata;
+  /** What may crash backend servers about it. */
+  keys: RequestKeys;
   method: string;
   /** Path and query. */
   target: string;
@@ -89,7 +93,7 @@
   StreamCut = "stream_cut",
   TimedOut = "timed_out",
   Draining = "entry_leaving",
-  /** A part of the prompt crashes engines. */
+  /** The request, or a part of its prompt, crashes backend servers. */
   Quarantined = "quarantined",
 }
 
@@ -174,7 +178,7 @@
   /** Makes a call without effect, for the headers of its response. */
   ping(engine: Backend): Promise<void>;
   /** True when the engine responds on a new connection. */
-  isAlive(engine: Backend, signal: AbortSignal): Promise<boolean>;
+  isAlive(engine: Backend): Promise<boolean>;
 }
 
 /** A running generation that is notified when its engine is drained. */
@@ -195,7 +199,8 @@
   directory: BackendDirectory;
   health: HealthTracker;
   engineLoads: EngineLoadTracker;
-  quarantine: PromptQuarantine;
+  quarantine: RequestQuarantine;
+  liveness: LivenessChecks;
   rateLimits: RequestRateLimits;
   metrics: GatewayMetrics;
   policy: GatewayPolicy;
@@ -221,10 +226,9 @@
   return ctx.clock.now() - req.arrivedMs;
 }
 
-/** How long engines must not get the request's prompt, in ms; 0 if they may. */
+/** How long no backend server may get the request, in ms; 0 if one may. */
 export function quarantineMs(ctx: RunContext, req: CallerRequest): number {
-  const { promptParts } = req.metadata;
-  return ctx.quarantine.remainingMs(req.service.name, promptParts);
+  return ctx.quarantine.remainingMs(req.keys);
 }
 
 /** Takes one call from the service's retry budget; false if none is left. */
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -259,8 +259,7 @@
    */
   async #endedByCrash(): Promise<boolean> {
     if (declaresLength(this.#headers)) return false;
-    const { backend, signal } = this.#options;
-    return !await this.#ctx.engines.isAlive(backend, signal);
+    return !await this.#ctx.liveness.isAlive(this.#options.backend);
   }
 
   #endOfFailure(failure: CallFailure, sent: boolean): StreamEnd {
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -15,7 +15,7 @@
   StreamEnd,
   type StreamResult,
 } from "./stream_call.ts";
-import { recordStreamedPrompt } from "./crash_detection.ts";
+import { recordStream } from "./crash_detection.ts";
 import { Generation } from "./generation.ts";
 import { moveFromDrainingEngine, watchEngine } from "./run_move.ts";
 import { runPlainStream } from "./plain_stream.ts";
@@ -209,7 +209,7 @@
   async #isLost(engine: Backend, signal: AbortSignal): Promise<boolean> {
     const ctx = this.#ctx;
     if (!this.#mayResume()) return false;
-    if (await ctx.engines.isAlive(engine, signal)) return false;
+    if (await ctx.liveness.isAlive(engine)) return false;
     ctx.log("engine_unreachable", {
       req: this.#req.metadata.requestId,
       backend: engine.id,
@@ -239,7 +239,7 @@
     if (result.end === StreamEnd.Complete) {
       this.#recordHealth(result, reservation);
       this.#recordCompletion();
-      await recordStreamedPrompt(ctx, req, reservation.engine, result, signal);
+      await recordStream(ctx, req, reservation.engine, result, signal);
       return this.#finisher.answered();
     }
     if (signal.aborted) {
@@ -256,7 +256,7 @@
     }
     this.#recordHealth(result, reservation);
     this.#logEnd(result, reservation);
-    await recordStreamedPrompt(ctx, req, reservation.engine, result, signal);
+    await recordStream(ctx, req, reservation.engine, result, signal);
     if (result.end === StreamEnd.NotExecuted) {
       return this.#handleRejection(result, placement);
     }
