--- a/packages/gateway/src/runs/plain_stream.ts
+++ b/packages/gateway/src/runs/plain_stream.ts
@@ -109,7 +109,7 @@
     },
   });
   ctx.inProgress.set(key, (ctx.inProgress.get(key) ?? 1) - 1);
-  const outcome = callOutcomeOf(result.end);
+  const outcome = callOutcomeOf(result);
   if (outcome && !signal.aborted) recordCallResult(ctx, backend, outcome, 0);
   await recordStream(ctx, req, backend, result, signal);
   return result;
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -82,6 +82,8 @@
   readonly #errorBody: Buffer[] = [];
   #errorBytes = 0;
   #verdict: ReplyVerdict | undefined;
+  /** The body consists of events for the caller, and is no error's text. */
+  #hasEvents = false;
   #status = 0;
   #headers: RawHeaders = [];
   #events = 0;
@@ -155,17 +157,25 @@
       metadata,
       this.#req.metadata.requestId,
     );
+    this.#hasEvents = this.#verdict === ReplyVerdict.Good &&
+      this.#mayHaveEvents(status);
     if (this.#verdict !== ReplyVerdict.InvalidResponse) return;
     this.#giveUp("response to another request");
   }
 
+  /** Only a 200 continues a stream that another server has begun. */
+  #mayHaveEvents(status: number): boolean {
+    if (this.#req.responder.started) return status === 200;
+    return status >= 200 && status < 300;
+  }
+
   #giveUp(reason: string): void {
     this.#invalidReason = reason;
     this.#controller.abort();
   }
 
   #onData(chunk: Buffer): void {
-    if (this.#verdict !== ReplyVerdict.Good) {
+    if (!this.#hasEvents) {
       this.#errorBody.push(chunk);
       this.#errorBytes += chunk.length;
       if (this.#errorBytes <= MAX_ERROR_BYTES) return;
@@ -245,7 +255,7 @@
     if (this.#verdict === ReplyVerdict.NotExecuted) {
       return StreamEnd.NotExecuted;
     }
-    if (this.#verdict !== ReplyVerdict.Good) return StreamEnd.BackendError;
+    if (!this.#hasEvents) return StreamEnd.BackendError;
     if (this.#splitter.pendingBytes > 0) return StreamEnd.Cut;
     if (this.#events === 0 && await this.#endedByCrash()) return StreamEnd.Cut;
     // A response without events keeps its headers and its comments.
@@ -283,12 +293,14 @@
 }
 
 /** Outcome of a call for health, from the way its stream ended. */
-export function callOutcomeOf(end: StreamEnd): CallOutcome | undefined {
+export function callOutcomeOf(
+  { end, status }: StreamResult,
+): CallOutcome | undefined {
   switch (end) {
     case StreamEnd.Complete:
       return CallOutcome.Good;
     case StreamEnd.BackendError:
-      return CallOutcome.Error;
+      return status < 500 ? CallOutcome.Good : CallOutcome.Error;
     case StreamEnd.Cut:
     case StreamEnd.Silent:
       return CallOutcome.NoResponse;
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -299,7 +299,7 @@
   }
 
   #recordHealth(result: StreamResult, reservation: Reservation): void {
-    const outcome = callOutcomeOf(result.end);
+    const outcome = callOutcomeOf(result);
     if (outcome) recordCallResult(this.#ctx, reservation.engine, outcome, 0);
   }
 
