fix(gateway): a refusal proves nothing unless it names its request (REFUSED, TWICE)

What callers saw, in reports from other operators: 'not run, try again' for a request that ran, or a request that ran at a second server too. A faulty server had written an earlier refusal once more on a kept connection.

Cause: only a success had to name its request; a refusal without an id was taken for the answer of whichever request waited on the connection. And a request that was sent to the same decode engine again could be refused by the copy of its own earlier refusal, with the right id.

Change: any answer without the id of the request is invalid, and its connection is closed. A second send of a request to one engine uses a new connection.

Result: three of four tests of a repeated refusal fail before (with an own id it was recognized already), none now.

--- a/packages/gateway/src/runs/reply_verdict.ts
+++ b/packages/gateway/src/runs/reply_verdict.ts
@@ -30,11 +30,10 @@
   metadata: ResponseMetadata,
   requestId: string,
 ): ReplyVerdict {
-  const good = status >= 200 && status < 300;
-  const invalid = metadata.requestId === undefined
-    ? good
-    : metadata.requestId !== requestId;
-  if (invalid || metadata.hasContentCoding) return ReplyVerdict.InvalidResponse;
+  // A request without an id is answered without one.
+  const expectedId = requestId === "" ? undefined : requestId;
+  const foreign = metadata.requestId !== expectedId;
+  if (foreign || metadata.hasContentCoding) return ReplyVerdict.InvalidResponse;
   if (metadata.notExecuted) return ReplyVerdict.NotExecuted;
   if (impliesNotExecuted(status)) return ReplyVerdict.Unproved;
   return status >= 500 ? ReplyVerdict.Error : ReplyVerdict.Good;
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -74,6 +74,8 @@
   readonly #generation: Generation;
   readonly #placer: StreamPlacer;
   readonly #finisher: StreamFinisher;
+  /** Engines that the request was sent to. */
+  readonly #sentTo = new Set<string>();
   /** A move to another engine that is in progress. */
   #pendingMove: Promise<Placement | undefined> | undefined;
   /** Where a moved run continues. */
@@ -151,6 +153,7 @@
     this.#finisher.sends += 1;
     this.#finisher.attempts += 1;
     this.#finisher.lastBackendId = reservation.engine.id;
+    this.#avoidOldConnections(reservation.engine);
     ctx.log("decode_send", {
       req: req.metadata.requestId,
       backend: reservation.engine.id,
@@ -195,6 +198,16 @@
     return result;
   }
 
+  /**
+   * An engine that writes its refusal once more would refuse the second send of
+   * the same request with it, although it runs that one.
+   */
+  #avoidOldConnections(engine: Backend): void {
+    const key = incarnationOf(engine);
+    if (this.#sentTo.has(key)) this.#ctx.upstream.retire(engine);
+    this.#sentTo.add(key);
+  }
+
   /** Tokens to prefill at an engine that holds none of the generation's memory. */
   #prefillTokens(): number {
     return this.#generation.prompt.promptTokens +
