fix(gateway): a server that says that it leaves gets no new requests (DRAIN)

Cause: the header was not read; leaving was known from the store alone, which may list it late, never, or take it back with a copy.

Change: what a server says of itself is parsed from every response, also from those to reservations. One that leaves counts as draining from then on, and no incarnation takes that back, listed again or not. Runs there are moved as for one that the store lists as draining.

--- a/packages/gateway/src/backends/directory.ts
+++ b/packages/gateway/src/backends/directory.ts
@@ -44,8 +44,8 @@
 
 const DEFAULT_EXPIRY_GRACE_MS = 1_800;
 const DEFAULT_ENTRY_LIFETIME_MS = 5_000;
-/** Most removed incarnations that are remembered. */
-const MAX_REMOVED = 4_096;
+/** Most incarnations that are remembered after they were removed. */
+const MAX_REMEMBERED = 4_096;
 
 type Listener = (change: DirectoryChange, backend: Backend) => void;
 
@@ -67,8 +67,10 @@
   readonly #log: Logger;
   readonly #expiryGraceMs: number;
   readonly #entryLifetimeMs: number;
+  /** Incarnations that were found to be draining, which they never take back. */
+  readonly #draining = new LRUCache<string, true>({ max: MAX_REMEMBERED });
   /** Incarnations that were removed. */
-  readonly #removed = new LRUCache<string, true>({ max: MAX_REMOVED });
+  readonly #removed = new LRUCache<string, true>({ max: MAX_REMEMBERED });
   /** Removed incarnations that a restored store lists, by id. */
   readonly #unconfirmed = new Map<string, Backend>();
   /** When entries that nobody renewed after a restoration have expired. */
@@ -139,6 +141,21 @@
     this.#notify(DirectoryChange.Changed, listed.backend, "assumed");
   }
 
+  /**
+   * Marks a backend server as draining that says so itself; the store may list
+   * that later or never.
+   */
+  markDraining(backend: Backend): void {
+    const key = incarnationOf(backend);
+    if (this.#draining.has(key)) return;
+    this.#draining.set(key, true);
+    const listed = this.#listed.get(backend.id);
+    if (!listed || incarnationOf(listed.backend) !== key) return;
+    listed.backend = { ...listed.backend, state: BackendState.Draining };
+    this.#ready = undefined;
+    this.#notify(DirectoryChange.Draining, listed.backend, "responded");
+  }
+
   /** Marks the store as unreachable: known entries are kept. */
   markStoreUnreachable(): void {
     this.#storeUnreachable = true;
@@ -194,7 +211,7 @@
   /** Adds or updates the entry of one backend server. */
   put(entry: Backend): void {
     const before = this.#listed.get(entry.id)?.backend;
-    const backend = keepDraining(entry, before);
+    const backend = this.#keepDraining(entry);
     this.#unconfirmed.delete(backend.id);
     this.#removed.delete(incarnationOf(backend));
     this.#listed.set(backend.id, { backend });
@@ -208,6 +225,14 @@
     this.#notify(change, backend, "listed");
   }
 
+  #keepDraining(entry: Backend): Backend {
+    const key = incarnationOf(entry);
+    if (entry.state === BackendState.Draining) this.#draining.set(key, true);
+    return this.#draining.has(key)
+      ? { ...entry, state: BackendState.Draining }
+      : entry;
+  }
+
   /**
    * Removes an entry that the store no longer lists, during an outage of the
    * store and shortly after only once the grace period is over.
@@ -300,14 +325,6 @@
     entry.startedAtMs < known.startedAtMs;
 }
 
-/** An incarnation that is draining does so until its end. */
-function keepDraining(entry: Backend, known: Backend | undefined): Backend {
-  return known?.state === BackendState.Draining &&
-      incarnationOf(known) === incarnationOf(entry)
-    ? { ...entry, state: BackendState.Draining }
-    : entry;
-}
-
 function changeBetween(
   before: Backend | undefined,
   now: Backend,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -127,7 +127,7 @@
       log,
       maxConnectionsTo: (backend) => this.#maxConnectionsTo(backend),
       onResponse: (backend, headers, ageMs) =>
-        this.#observeRateLimit(backend, headers, ageMs),
+        this.#observeServerState(backend, headers, ageMs),
     });
     const engines = options.createEngineControl(this.upstream);
     this.#ctx = {
@@ -266,13 +266,22 @@
     this.upstream.retire(backend);
   }
 
-  #observeRateLimit(
+  #observeServerState(
     backend: Backend,
     headers: RawHeaders,
     ageMs: number,
   ): void {
-    const { clock, codec, log } = this.#ctx;
-    const perSecond = codec.parseRateLimit(headers);
+    const state = this.#ctx.codec.parseServerState(headers);
+    if (state.leaving) this.directory.markDraining(backend);
+    this.#observeRateLimit(backend, state.rateLimitPerSecond, ageMs);
+  }
+
+  #observeRateLimit(
+    backend: Backend,
+    perSecond: number | undefined,
+    ageMs: number,
+  ): void {
+    const { clock, log } = this.#ctx;
     const sentAtMs = clock.now() - ageMs;
     const key = incarnationOf(backend);
     if (!this.#rateLimits.observe(key, perSecond, sentAtMs)) return;
--- a/packages/gateway/src/http/wire_codec.ts
+++ b/packages/gateway/src/http/wire_codec.ts
@@ -69,6 +69,14 @@
   hasContentCoding: boolean;
 }
 
+/** What a backend server says of itself, whatever it responds to. */
+export interface ServerState {
+  /** Requests per second that it takes from all routers together. */
+  rateLimitPerSecond?: number;
+  /** It leaves: it finishes what it runs, and accepts nothing new. */
+  leaving: boolean;
+}
+
 /** Alternating header names and values, in wire order. */
 export type RawHeaders = readonly string[];
 
@@ -78,11 +86,8 @@
   /** Builds the headers that the backend server receives. */
   buildBackendHeaders(headers: RawHeaders, directives: Directives): string[];
   parseResponse(status: number, headers: RawHeaders): ResponseMetadata;
-  /**
-   * Parses the limit that a backend server in need names in its responses, in
-   * requests per second over all routers.
-   */
-  parseRateLimit(headers: RawHeaders): number | undefined;
+  /** Parses what a backend server says of itself in each of its responses. */
+  parseServerState(headers: RawHeaders): ServerState;
   /** Builds the response headers that the caller receives. */
   buildCallerHeaders(headers: RawHeaders): string[];
   /** Builds the headers of a response that the gateway generates itself. */
