--- a/packages/gateway/src/decide/request_rate_limits.ts
+++ b/packages/gateway/src/decide/request_rate_limits.ts
@@ -1,5 +1,6 @@
 /**
- * Keeps to the request rates that backend servers in need ask for. A limit holds
+ * Keeps to the request rates and the pauses that backend servers in need ask for.
+ * A pause is asked of one router and is a limit of nothing. A rate limit holds
  * for all routers together, and they don't coordinate: each backend server has
  * a few routers that may use it while it is limited, the same for all routers
  * that know each other's names, and each of these has an equal share. Many
@@ -47,19 +48,35 @@
 /** Time after which a router without a share asks again, in milliseconds. */
 const ASK_AGAIN_MS = 2_000;
 
-/** The limits of backend servers, by incarnation, and this router's shares. */
+/** The limits and pauses of backend servers, and this router's shares. */
 export class RequestRateLimits {
   readonly #options: RequestRateLimitsOptions;
   readonly #states = new Map<string, LimitState>();
+  /** Ends of pauses, in clock milliseconds, by incarnation. */
+  readonly #pausedUntilMs = new Map<string, number>();
   #routerNames: readonly string[] = [];
 
   constructor(options: RequestRateLimitsOptions) {
     this.#options = options;
   }
 
-  /** Number of backend servers that limit their rate. */
+  /** Number of backend servers that limit their rate or paused lately. */
   get count(): number {
-    return this.#states.size;
+    return this.#states.size + this.#pausedUntilMs.size;
+  }
+
+  /** Sends the backend server nothing for a while; true if that is news. */
+  pause(key: string, forMs: number): boolean {
+    const isNew = !this.isPaused(key);
+    const untilMs = this.#options.clock.now() + forMs;
+    const knownMs = this.#pausedUntilMs.get(key) ?? -Infinity;
+    this.#pausedUntilMs.set(key, Math.max(untilMs, knownMs));
+    return isNew;
+  }
+
+  /** Whether the backend server has asked for a pause that isn't over. */
+  isPaused(key: string): boolean {
+    return this.#pauseMs(key) > 0;
   }
 
   /** Sets the names of all routers that share the limits. */
@@ -110,6 +127,7 @@
 
   /** Whether a request may be sent to the backend server now. */
   allows(key: string): boolean {
+    if (this.isPaused(key)) return false;
     const state = this.#states.get(key);
     if (!state) return true;
     this.#refill(state);
@@ -137,17 +155,13 @@
 
   /** Time until a request may be sent, in ms; infinite without a share. */
   waitMs(key: string): number {
-    const state = this.#states.get(key);
-    if (!state) return 0;
-    this.#refill(state);
-    if (state.tokens >= 1) return 0;
-    return (1 - state.tokens) / state.sharePerSecond * 1000;
+    return Math.max(this.#pauseMs(key), this.#limitWaitMs(key));
   }
 
   /** True if the router should ask whether the limit still holds. */
   shouldAsk(key: string): boolean {
     const state = this.#states.get(key);
-    if (!state) return false;
+    if (!state || this.isPaused(key)) return false;
     const nowMs = this.#options.clock.now();
     const lastMs = Math.max(state.namedAtMs, state.askedAtMs);
     if (nowMs - lastMs < ASK_AGAIN_MS) return false;
@@ -158,6 +172,24 @@
   /** Deletes the limit of an incarnation that has been removed. */
   forget(key: string): void {
     this.#states.delete(key);
+    this.#pausedUntilMs.delete(key);
+  }
+
+  /** Time until the pause of the backend server ends, in milliseconds. */
+  #pauseMs(key: string): number {
+    const untilMs = this.#pausedUntilMs.get(key);
+    if (untilMs === undefined) return 0;
+    const leftMs = untilMs - this.#options.clock.now();
+    if (leftMs <= 0) this.#pausedUntilMs.delete(key);
+    return Math.max(0, leftMs);
+  }
+
+  #limitWaitMs(key: string): number {
+    const state = this.#states.get(key);
+    if (!state) return 0;
+    this.#refill(state);
+    if (state.tokens >= 1) return 0;
+    return (1 - state.tokens) / state.sharePerSecond * 1000;
   }
 
   #refill(state: LimitState): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,8 +19,8 @@
 import { RequestRateLimits } from "./decide/request_rate_limits.ts";
 import { RetryBudget, type RetryLimits } from "./decide/retry_budget.ts";
 import { Ingress, type IngressRequest } from "./http/ingress.ts";
-import { Upstream } from "./http/upstream.ts";
-import type { HeaderCodec, RawHeaders } from "./http/wire_codec.ts";
+import { type ResponseHead, Upstream } from "./http/upstream.ts";
+import type { HeaderCodec } from "./http/wire_codec.ts";
 import { createGatewayMetrics, type GatewayMetrics } from "./metrics.ts";
 import {
   type GatewayPolicy,
@@ -126,8 +126,7 @@
     this.upstream = new Upstream({
       log,
       maxConnectionsTo: (backend) => this.#maxConnectionsTo(backend),
-      onResponse: (backend, headers, ageMs) =>
-        this.#observeServerState(backend, headers, ageMs),
+      onResponse: (backend, head) => this.#observeServerState(backend, head),
     });
     const engines = options.createEngineControl(this.upstream);
     this.#ctx = {
@@ -268,14 +267,19 @@
 
   #observeServerState(
     backend: Backend,
-    headers: RawHeaders,
-    ageMs: number,
+    { status, headers, ageMs }: ResponseHead,
   ): void {
-    const state = this.#ctx.codec.parseServerState(headers);
+    const state = this.#ctx.codec.parseServerState(status, headers);
     if (state.leaving) this.directory.markDraining(backend);
+    if (state.pauseMs !== undefined) this.#pause(backend, state.pauseMs);
     this.#observeRateLimit(backend, state.rateLimitPerSecond, ageMs);
   }
 
+  #pause(backend: Backend, forMs: number): void {
+    if (!this.#rateLimits.pause(incarnationOf(backend), forMs)) return;
+    this.#ctx.log("backend_paused", { backend: backend.id, for_ms: forMs });
+  }
+
   #observeRateLimit(
     backend: Backend,
     perSecond: number | undefined,
--- a/packages/gateway/src/http/index.ts
+++ b/packages/gateway/src/http/index.ts
@@ -1,6 +1,10 @@
 /** HTTP connections to callers and to backend servers. */
 export * from "./wire_codec.ts";
-export { Upstream, type UpstreamOptions } from "./upstream.ts";
+export {
+  type ResponseHead,
+  Upstream,
+  type UpstreamOptions,
+} from "./upstream.ts";
 export {
   CallFailure,
   type ResponseFlowControl,
--- a/packages/gateway/src/http/upstream.ts
+++ b/packages/gateway/src/http/upstream.ts
@@ -38,8 +38,16 @@
   maxConnectionsTo?: (backend: Backend) => number;
   /** Memory for buffered responses of all calls, in bytes. @default 33554432 */
   maxBufferedBytes?: number;
-  /** Called with the headers of each response and the age of its call. */
-  onResponse?: (backend: Backend, headers: RawHeaders, ageMs: number) => void;
+  /** Called with the head of each response. */
+  onResponse?: (backend: Backend, head: ResponseHead) => void;
+}
+
+/** The head of a response. */
+export interface ResponseHead {
+  status: number;
+  headers: RawHeaders;
+  /** Time since the request was sent, in milliseconds. */
+  ageMs: number;
 }
 
 const CONNECT_TIMEOUT_MS = 800;
@@ -96,9 +104,9 @@
     }
     const startMs = performance.now();
     const callHandler = new CallHandler(handler, signal, {
-      onHeaders: (headers) => {
+      onHead: (status, headers) => {
         const ageMs = performance.now() - startMs;
-        this.#options.onResponse(req.backend, headers, ageMs);
+        this.#options.onResponse(req.backend, { status, headers, ageMs });
       },
       resetting: () => this.#resetting,
       adjustCloseDelimitedCount: (change) => {
--- a/packages/gateway/src/http/upstream_call.ts
+++ b/packages/gateway/src/http/upstream_call.ts
@@ -60,8 +60,8 @@
   resetting: () => boolean;
   /** Adjusts the number of close-delimited responses in progress. */
   adjustCloseDelimitedCount: (change: 1 | -1) => void;
-  /** Called with the headers of the response. */
-  onHeaders: (headers: RawHeaders) => void;
+  /** Called with the head of the response. */
+  onHead: (status: number, headers: RawHeaders) => void;
 }
 
 /** Forwards the events of one dispatched request to its handler. */
@@ -124,7 +124,7 @@
       this.#closeDelimited = true;
       this.#connection.adjustCloseDelimitedCount(1);
     }
-    this.#connection.onHeaders(headers);
+    this.#connection.onHead(status, headers);
     this.#handler.onHead(status, headers, controller);
   }
 
--- a/packages/gateway/src/http/wire_codec.ts
+++ b/packages/gateway/src/http/wire_codec.ts
@@ -73,6 +73,8 @@
 export interface ServerState {
   /** Requests per second that it takes from all routers together. */
   rateLimitPerSecond?: number;
+  /** Time in which it wants no requests from this router, in milliseconds. */
+  pauseMs?: number;
   /** It leaves: it finishes what it runs, and accepts nothing new. */
   leaving: boolean;
 }
@@ -87,7 +89,7 @@
   buildBackendHeaders(headers: RawHeaders, directives: Directives): string[];
   parseResponse(status: number, headers: RawHeaders): ResponseMetadata;
   /** Parses what a backend server says of itself in each of its responses. */
-  parseServerState(headers: RawHeaders): ServerState;
+  parseServerState(status: number, headers: RawHeaders): ServerState;
   /** Builds the response headers that the caller receives. */
   buildCallerHeaders(headers: RawHeaders): string[];
   /** Builds the headers of a response that the gateway generates itself. */
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -104,6 +104,11 @@
     if (this.#isQuarantined()) {
       return this.#cancel(PlacementFailure.Quarantined, reservation, prefill);
     }
+    if (this.#ctx.rateLimits.isPaused(incarnationOf(reservation.engine))) {
+      this.#reservations.cancel(reservation);
+      if (prefill) this.#keepOrDiscard(prefill, true);
+      return await this.place(isRetry, signal);
+    }
     if (isRetry && !tryAcquireRetry(this.#ctx, this.#req, "decode")) {
       return this.#cancel(PlacementFailure.NoRetryBudget, reservation, prefill);
     }
