--- a/packages/gateway/src/runs/plain_stream.ts
+++ b/packages/gateway/src/runs/plain_stream.ts
@@ -21,6 +21,7 @@
   type CallerRequest,
   quarantineMs,
   recordCallResult,
+  recordMisdirected,
   remainingMs,
   type RunContext,
   type RunOutcome,
@@ -31,6 +32,7 @@
 
 /** Maximum number of backend servers that one request is sent to, in turn. */
 const MAX_SENDS = 4;
+const STATUS_MISDIRECTED = 421;
 
 /** Handles one stream until it has an outcome. */
 export function runPlainStream(
@@ -109,6 +111,10 @@
     },
   });
   ctx.inProgress.set(key, (ctx.inProgress.get(key) ?? 1) - 1);
+  if (result.status === STATUS_MISDIRECTED) {
+    const metadata = ctx.codec.parseResponse(result.status, result.headers);
+    recordMisdirected(ctx, backend, metadata.backendId);
+  }
   const outcome = callOutcomeOf(result);
   if (outcome && !signal.aborted) recordCallResult(ctx, backend, outcome, 0);
   await recordStream(ctx, req, backend, result, signal);
