--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,21 +5,17 @@
  * its configuration and its list of backend servers.
  */
 import type { Clock, Logger, Random } from "@sassafrascleat/runtime";
-import { BackendDirectory, DirectoryChange } from "./backends/directory.ts";
+import { BackendDirectory } from "./backends/directory.ts";
 import { type Backend, incarnationOf } from "./backends/backend.ts";
 import { ConfigHolder } from "./config/config_holder.ts";
-import { pickService } from "./config/route_index.ts";
-import { RouteKind } from "./config/routing_table.ts";
 import { HealthTracker } from "./decide/backend_health.ts";
 import { connectionShare } from "./decide/connection_share.ts";
 import { EngineLoadTracker } from "./decide/engine_load_tracker.ts";
-import { OutputLengthEstimator } from "./decide/output_length_estimator.ts";
-import { PrefillSpeedEstimator } from "./decide/prefill_speed.ts";
 import type { StageWork } from "./decide/stage_plan.ts";
 import { RequestRateLimits } from "./decide/request_rate_limits.ts";
-import { RetryBudget, type RetryLimits } from "./decide/retry_budget.ts";
-import { Ingress, type IngressRequest } from "./http/ingress.ts";
-import { type ResponseHead, Upstream } from "./http/upstream.ts";
+import type { RetryLimits } from "./decide/retry_budget.ts";
+import { Ingress } from "./http/ingress.ts";
+import { Upstream } from "./http/upstream.ts";
 import type { HeaderCodec } from "./http/wire_codec.ts";
 import { createGatewayMetrics, type GatewayMetrics } from "./metrics.ts";
 import {
@@ -28,21 +24,17 @@
   resolveGatewayPolicy,
 } from "./policy.ts";
 import { type CrashLog, LocalCrashLog } from "./quarantine/crash_log.ts";
-import { RequestKeys } from "./quarantine/request_keys.ts";
 import { RequestQuarantine } from "./quarantine/request_quarantine.ts";
 import { DecodeReservations } from "./runs/decode_reservations.ts";
 import { LivenessChecks } from "./runs/liveness_checks.ts";
-import { runPlain } from "./runs/plain_run.ts";
-import {
-  type CallerRequest,
-  type EngineControl,
-  quarantineMs,
-  type RunContext,
-  type RunOutcome,
-  RunReason,
+import type {
+  CallerRequest,
+  EngineControl,
+  RunContext,
 } from "./runs/run_context.ts";
-import { runStream } from "./runs/stream_run.ts";
-import { reject, rejectQuarantined } from "./runs/reject.ts";
+import { RequestHandler } from "./request_handler.ts";
+import { ServerObserver } from "./server_observer.ts";
+import { getOrCreate, ServiceStates } from "./service_states.ts";
 
 /** Options of {@link Gateway}. */
 export interface GatewayOptions {
@@ -69,10 +61,6 @@
   crashLog?: () => CrashLog;
 }
 
-const STATUS_NOT_FOUND = 404;
-const STATUS_UNAVAILABLE = 503;
-/** Retry-After sent before the first configuration has arrived, in ms. */
-const NOT_READY_RETRY_AFTER_MS = 300;
 /** How long a rejection for lack of decode memory counts, in milliseconds. */
 const DECODE_SHORTAGE_TTL_MS = 10_000;
 /** After draining for this long, new streams are rejected; in milliseconds. */
@@ -89,21 +77,17 @@
   readonly quarantine: RequestQuarantine;
   readonly #ctx: RunContext;
   readonly #rateLimits: RequestRateLimits;
+  readonly #services: ServiceStates;
+  readonly #servers: ServerObserver;
   readonly #decodeReservations = new Map<string, DecodeReservations>();
-  readonly #retryBudgets = new Map<string, RetryBudget>();
-  readonly #outputEstimators = new Map<string, OutputLengthEstimator>();
-  readonly #prefillSpeeds = new Map<string, PrefillSpeedEstimator>();
-  readonly #stageWork = new Map<string, StageWork>();
   #drainStartMs: number | undefined;
   /** Number of router instances that share retry and connection limits. */
   #routerCount: number;
-  readonly #startMs: number;
 
   constructor(options: GatewayOptions) {
     const { clock, log, random } = options;
     const policy = resolveGatewayPolicy(options.policy);
     this.#routerCount = policy.entries;
-    this.#startMs = clock.now();
     this.config = new ConfigHolder(clock, log);
     this.directory = new BackendDirectory({
       clock,
@@ -123,10 +107,20 @@
       random,
       crashLog: options.crashLog ?? localCrashLog(),
     });
+    this.#services = new ServiceStates({
+      retryBudget: {
+        clock,
+        limits: () => retryLimitsOf(policy),
+        startMs: clock.now(),
+        routerCount: () => this.#routerCount,
+      },
+      prefillTokensPerMs: policy.prefillTokensPerMs,
+    });
     this.upstream = new Upstream({
       log,
       maxConnectionsTo: (backend) => this.#maxConnectionsTo(backend),
-      onResponse: (backend, head) => this.#observeServerState(backend, head),
+      onResponse: (backend, head) =>
+        this.#servers.observeResponse(backend, head),
     });
     const engines = options.createEngineControl(this.upstream);
     this.#ctx = {
@@ -151,25 +145,22 @@
       inProgress: new Map(),
       activeStreams: new Map(),
       decodeShortages: new Map(),
-      retryBudgetOf: (service) => this.#retryBudgetOf(service),
-      outputEstimatorOf: (route) =>
-        getOrCreate(
-          this.#outputEstimators,
-          route,
-          () => new OutputLengthEstimator(),
-        ),
-      prefillSpeedOf: (service) =>
-        getOrCreate(
-          this.#prefillSpeeds,
-          service,
-          () => new PrefillSpeedEstimator(policy.prefillTokensPerMs),
-        ),
-      stageWorkOf: (service) => this.stageWorkOf(service),
+      retryBudgetOf: (service) => this.#services.retryBudgetOf(service),
+      outputEstimatorOf: (route) => this.#services.outputEstimatorOf(route),
+      prefillSpeedOf: (service) => this.#services.prefillSpeedOf(service),
+      stageWorkOf: (service) => this.#services.stageWorkOf(service),
     };
+    this.#servers = new ServerObserver(this.#ctx);
+    const handler = new RequestHandler({
+      ctx: this.#ctx,
+      config: this.config,
+      reservationsOf: (service) => this.#decodeReservationsOf(service),
+      rejectsNewStreams: () => this.#rejectsNewStreams(),
+    });
     this.ingress = new Ingress({
       log,
       now: () => clock.now(),
-      handler: (req) => this.#serve(req),
+      handler: (req) => handler.handle(req),
       closing: () => this.#drainStartMs !== undefined,
     });
     this.config.onChange((table) => {
@@ -177,17 +168,9 @@
       this.metrics.configVersion.set(table.version);
       this.#decodeReservations.clear();
     });
-    this.directory.onChange((change, backend) => {
-      const key = incarnationOf(backend);
-      if (change === DirectoryChange.Removed) this.#removeBackend(backend);
-      if (change === DirectoryChange.Joined) return;
-      if (change === DirectoryChange.Changed) {
-        this.#ctx.health.resume(key);
-        return;
-      }
-      const streams = this.#ctx.activeStreams.get(key) ?? [];
-      for (const stream of streams) stream.onEngineDraining();
-    });
+    this.directory.onChange((change, backend) =>
+      this.#servers.observeChange(change, backend)
+    );
   }
 
   /** True if requests can be served and the process is not draining. */
@@ -229,8 +212,7 @@
 
   /** Estimated work of a service's generations that ended at this router. */
   stageWorkOf(service: string): StageWork {
-    const create = () => ({ prefillMs: 0, decodeMs: 0 });
-    return getOrCreate(this.#stageWork, service, create);
+    return this.#services.stageWorkOf(service);
   }
 
   /** Number of generations that this router has placed on an engine. */
@@ -256,153 +238,17 @@
     return this.#ctx.clock.now() - lastMs < DECODE_SHORTAGE_TTL_MS;
   }
 
-  #removeBackend(backend: Backend): void {
-    const key = incarnationOf(backend);
-    this.#ctx.health.forget(key);
-    this.#ctx.engineLoads.forget(key);
-    this.#rateLimits.forget(key);
-    this.#ctx.liveness.forget(backend);
-    this.upstream.retire(backend);
-  }
-
-  #observeServerState(
-    backend: Backend,
-    { status, headers, ageMs }: ResponseHead,
-  ): void {
-    const state = this.#ctx.codec.parseServerState(status, headers);
-    if (state.leaving) this.directory.markDraining(backend);
-    if (state.pauseMs !== undefined) this.#pause(backend, state.pauseMs);
-    this.#observeRateLimit(backend, state.rateLimitPerSecond, ageMs);
-  }
-
-  #pause(backend: Backend, forMs: number): void {
-    if (!this.#rateLimits.pause(incarnationOf(backend), forMs)) return;
-    this.#ctx.log("backend_paused", { backend: backend.id, for_ms: forMs });
-  }
-
-  #observeRateLimit(
-    backend: Backend,
-    perSecond: number | undefined,
-    ageMs: number,
-  ): void {
-    const { clock, log } = this.#ctx;
-    const sentAtMs = clock.now() - ageMs;
-    const key = incarnationOf(backend);
-    if (!this.#rateLimits.observe(key, perSecond, sentAtMs)) return;
-    log("backend_rate_limit", { backend: backend.id, per_second: perSecond });
-  }
-
   #maxConnectionsTo(backend: Backend): number {
     const services = this.config.current?.table.services;
     const limit = services?.get(backend.service)?.maxConnections ?? 0;
     return connectionShare(limit, this.#routerCount);
   }
 
-  #retryBudgetOf(service: string): RetryBudget {
-    const { clock } = this.#ctx;
-    const create = () =>
-      new RetryBudget({
-        clock,
-        limits: () => retryLimitsOf(this.#ctx.policy),
-        startMs: this.#startMs,
-        routerCount: () => this.#routerCount,
-      });
-    return getOrCreate(this.#retryBudgets, service, create);
-  }
-
   #decodeReservationsOf(service: CallerRequest["service"]): DecodeReservations {
     const create = () => new DecodeReservations(this.#ctx, service);
     return getOrCreate(this.#decodeReservations, service.name, create);
   }
 
-  async #serve(req: IngressRequest): Promise<void> {
-    const activeConfig = this.config.current;
-    const metadata = this.#ctx.codec.parseRequest(req.headers);
-    if (!activeConfig) {
-      const headers = this.#ctx.codec.buildLocalReplyHeaders(
-        metadata.requestId,
-        NOT_READY_RETRY_AFTER_MS,
-      );
-      this.#ctx.log("refused", {
-        req: metadata.requestId,
-        reason: "no_config",
-      });
-      req.responder.reply(STATUS_UNAVAILABLE, headers);
-      return;
-    }
-    const route = activeConfig.routes.find(req.host, req.target);
-    if (!route) {
-      this.#ctx.log("no_route", {
-        req: metadata.requestId,
-        host: req.host,
-        config: activeConfig.table.version,
-      });
-      const headers = this.#ctx.codec.buildLocalReplyHeaders(
-        metadata.requestId,
-      );
-      req.responder.reply(STATUS_NOT_FOUND, headers);
-      return;
-    }
-    const name = pickService(route, this.#ctx.random) ?? "";
-    const service = activeConfig.table.services.get(name) ??
-      { name, maxConnections: 0 };
-    const waitMs = Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs);
-    await this.#run({
-      ...req,
-      metadata,
-      keys: new RequestKeys({
-        ...req,
-        service: service.name,
-        promptParts: metadata.promptParts,
-      }),
-      route,
-      service,
-      configVersion: activeConfig.table.version,
-      deadlineAtMs: req.arrivedMs + waitMs,
-    });
-  }
-
-  async #run(req: CallerRequest): Promise<void> {
-    const { metrics, log, clock } = this.#ctx;
-    metrics.inProgress.inc();
-    const outcome = await this.#dispatch(req);
-    metrics.inProgress.dec();
-    const { kind, name } = req.route;
-    metrics.requests.inc({ kind, end: outcome.end, reason: outcome.reason });
-    if (outcome.firstByteMs !== undefined) {
-      metrics.firstByte.observe({ kind }, outcome.firstByteMs / 1000);
-    }
-    log("request_end", {
-      req: req.metadata.requestId,
-      route: name,
-      service: req.service.name,
-      end: outcome.end,
-      reason: outcome.reason,
-      status: outcome.status,
-      backend: outcome.backendId,
-      attempts: outcome.attempts,
-      events: outcome.events,
-      first_ms: round(outcome.firstByteMs),
-      longest_gap_ms: round(outcome.longestGapMs),
-      total_ms: round(clock.now() - req.arrivedMs),
-      target_ms: req.route.targetLatencyMs,
-      gap_target_ms: req.route.maxEventGapMs || undefined,
-      config: req.configVersion,
-    });
-  }
-
-  #dispatch(req: CallerRequest): Promise<RunOutcome> {
-    if (quarantineMs(this.#ctx, req) > 0) {
-      return Promise.resolve(rejectQuarantined(this.#ctx, req));
-    }
-    if (req.route.kind !== RouteKind.Stream) return runPlain(this.#ctx, req);
-    if (this.#rejectsNewStreams()) {
-      const reason = RunReason.Draining;
-      return Promise.resolve(reject(this.#ctx, req, reason, 0));
-    }
-    return runStream(this.#ctx, req, this.#decodeReservationsOf(req.service));
-  }
-
   #rejectsNewStreams(): boolean {
     const sinceMs = this.#drainStartMs;
     return sinceMs !== undefined &&
@@ -422,16 +268,3 @@
     windowMs: policy.retryWindowMs,
   };
 }
-
-/** Returns the value of `key`, creating it if absent. */
-function getOrCreate<K, V>(map: Map<K, V>, key: K, create: () => V): V {
-  const known = map.get(key);
-  if (known !== undefined) return known;
-  const fresh = create();
-  map.set(key, fresh);
-  return fresh;
-}
-
-function round(ms: number | undefined): number | undefined {
-  return ms === undefined ? undefined : Math.round(ms);
-}
--- /dev/null
+++ b/packages/gateway/src/request_handler.ts
@@ -0,0 +1,150 @@
+/**
+ * Handles one request of a caller: matches it to a route of the active
+ * configuration, runs it, and records its outcome.
+ */
+import type { ActiveConfig, ConfigHolder } from "./config/config_holder.ts";
+import { pickService } from "./config/route_index.ts";
+import { type Route, RouteKind } from "./config/routing_table.ts";
+import type { IngressRequest } from "./http/ingress.ts";
+import type { RequestMetadata } from "./http/wire_codec.ts";
+import { RequestKeys } from "./quarantine/request_keys.ts";
+import type { DecodeReservations } from "./runs/decode_reservations.ts";
+import { runPlain } from "./runs/plain_run.ts";
+import { reject, rejectQuarantined } from "./runs/reject.ts";
+import {
+  type CallerRequest,
+  quarantineMs,
+  type RunContext,
+  type RunOutcome,
+  RunReason,
+} from "./runs/run_context.ts";
+import { runStream } from "./runs/stream_run.ts";
+
+/** Options of {@link RequestHandler}. */
+export interface RequestHandlerOptions {
+  ctx: RunContext;
+  config: ConfigHolder;
+  /** Returns the reservations at the decode engines of a service. */
+  reservationsOf: (service: CallerRequest["service"]) => DecodeReservations;
+  /** Whether the router shuts down and has no time for new streams. */
+  rejectsNewStreams: () => boolean;
+}
+
+const STATUS_NOT_FOUND = 404;
+const STATUS_UNAVAILABLE = 503;
+/** Retry-After sent before the first configuration has arrived, in ms. */
+const NOT_READY_RETRY_AFTER_MS = 300;
+
+/** Handles the requests of one router process. */
+export class RequestHandler {
+  readonly #options: RequestHandlerOptions;
+
+  constructor(options: RequestHandlerOptions) {
+    this.#options = options;
+  }
+
+  /** Handles one request until its response has ended. */
+  async handle(req: IngressRequest): Promise<void> {
+    const { ctx, config } = this.#options;
+    const active = config.current;
+    const metadata = ctx.codec.parseRequest(req.headers);
+    if (!active) return this.#rejectWithoutConfig(req, metadata);
+    const route = active.routes.find(req.host, req.target);
+    if (!route) return this.#rejectWithoutRoute(req, metadata, active);
+    await this.#run(this.#toCallerRequest(req, metadata, active, route));
+  }
+
+  #rejectWithoutConfig(
+    { responder }: IngressRequest,
+    { requestId }: RequestMetadata,
+  ): void {
+    const { codec, log } = this.#options.ctx;
+    const headers = codec.buildLocalReplyHeaders(
+      requestId,
+      NOT_READY_RETRY_AFTER_MS,
+    );
+    log("refused", { req: requestId, reason: "no_config" });
+    responder.reply(STATUS_UNAVAILABLE, headers);
+  }
+
+  #rejectWithoutRoute(
+    { host, responder }: IngressRequest,
+    { requestId }: RequestMetadata,
+    { table }: ActiveConfig,
+  ): void {
+    const { codec, log } = this.#options.ctx;
+    log("no_route", { req: requestId, host, config: table.version });
+    responder.reply(STATUS_NOT_FOUND, codec.buildLocalReplyHeaders(requestId));
+  }
+
+  #toCallerRequest(
+    req: IngressRequest,
+    metadata: RequestMetadata,
+    { table }: ActiveConfig,
+    route: Route,
+  ): CallerRequest {
+    const name = pickService(route, this.#options.ctx.random) ?? "";
+    const service = table.services.get(name) ?? { name, maxConnections: 0 };
+    const waitMs = Math.min(metadata.deadlineMs ?? Infinity, route.timeoutMs);
+    const { promptParts } = metadata;
+    return {
+      ...req,
+      metadata,
+      keys: new RequestKeys({ ...req, service: name, promptParts }),
+      route,
+      service,
+      configVersion: table.version,
+      deadlineAtMs: req.arrivedMs + waitMs,
+    };
+  }
+
+  async #run(req: CallerRequest): Promise<void> {
+    const { metrics } = this.#options.ctx;
+    metrics.inProgress.inc();
+    const outcome = await this.#dispatch(req);
+    metrics.inProgress.dec();
+    const { kind } = req.route;
+    metrics.requests.inc({ kind, end: outcome.end, reason: outcome.reason });
+    if (outcome.firstByteMs !== undefined) {
+      metrics.firstByte.observe({ kind }, outcome.firstByteMs / 1000);
+    }
+    this.#logEnd(req, outcome);
+  }
+
+  #dispatch(req: CallerRequest): Promise<RunOutcome> {
+    const { ctx, reservationsOf, rejectsNewStreams } = this.#options;
+    if (quarantineMs(ctx, req) > 0) {
+      return Promise.resolve(rejectQuarantined(ctx, req));
+    }
+    if (req.route.kind !== RouteKind.Stream) return runPlain(ctx, req);
+    if (rejectsNewStreams()) {
+      return Promise.resolve(reject(ctx, req, RunReason.Draining, 0));
+    }
+    return runStream(ctx, req, reservationsOf(req.service));
+  }
+
+  #logEnd(req: CallerRequest, outcome: RunOutcome): void {
+    const { log, clock } = this.#options.ctx;
+    log("request_end", {
+      req: req.metadata.requestId,
+      route: req.route.name,
+      service: req.service.name,
+      end: outcome.end,
+      reason: outcome.reason,
+      status: outcome.status,
+      backend: outcome.backendId,
+      attempts: outcome.attempts,
+      events: outcome.events,
+      first_ms: round(outcome.firstByteMs),
+      longest_gap_ms: round(outcome.longestGapMs),
+      total_ms: round(clock.now() - req.arrivedMs),
+      target_ms: req.route.targetLatencyMs,
+      gap_target_ms: req.route.maxEventGapMs || undefined,
+      config: req.configVersion,
+    });
+  }
+}
+
+function round(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
