--- a/packages/gateway/src/quarantine/request_quarantine.ts
+++ b/packages/gateway/src/quarantine/request_quarantine.ts
@@ -63,6 +63,8 @@
    */
   readonly #knownSinceMs = new LRUCache<string, number>({ max: MAX_ENGINES });
   #causes: CrashCause[] = [];
+  /** Keys in any record. */
+  #suspected: ReadonlySet<string> = new Set();
   #publishing = false;
   #changed = false;
   #clearing = false;
@@ -85,7 +87,7 @@
   /** Records that a backend server ran the request. */
   recordRun(keys: RequestKeys): void {
     for (const key of keys.all) this.#sound.recordRun(key);
-    this.#clearLater();
+    if (keys.all.some((key) => this.#suspected.has(key))) this.#clearLater();
   }
 
   /** Records that a backend server crashed before it had run the request. */
@@ -126,6 +128,7 @@
   #update(): void {
     const nowMs = this.#options.clock.now();
     const records = this.#records;
+    this.#suspected = new Set(records.flatMap((item) => item.parts));
     for (const { engine } of records) {
       if (!this.#knownSinceMs.has(engine)) {
         this.#knownSinceMs.set(engine, nowMs);
