--- a/packages/gateway/src/decide/__tests__/crash_causes_test.ts
+++ b/packages/gateway/src/decide/__tests__/crash_causes_test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, test } from "@jest/globals";
 import { findCrashCauses, isHarmful } from "../crash_causes.ts";
 
-function crash(engine: string, ...parts: string[]) {
-  return { engine, parts };
+function crash(engine: string, ...keys: string[]) {
+  return { engine, keys };
 }
 
 function causesOf(...crashes: ReturnType<typeof crash>[]) {
--- a/packages/gateway/src/decide/crash_causes.ts
+++ b/packages/gateway/src/decide/crash_causes.ts
@@ -14,7 +14,7 @@
   /** Incarnation of the backend server. */
   engine: string;
   /** Keys of what may have caused the crash. */
-  parts: readonly string[];
+  keys: readonly string[];
 }
 
 /** What is held to be the cause of some crashes. */
@@ -68,7 +68,7 @@
     ),
   );
   const combinations = records
-    .map((item) => item.parts.filter((key) => suspected.has(key)))
+    .map((item) => item.keys.filter((key) => suspected.has(key)))
     .filter((keys) => keys.length > 0);
   return {
     combinations: largestCombinations(combinations),
@@ -81,8 +81,8 @@
   records: readonly CrashRecord[],
 ): Map<string, Set<string>> {
   const enginesOf = new Map<string, Set<string>>();
-  for (const { engine, parts } of records) {
-    for (const key of parts) {
+  for (const { engine, keys } of records) {
+    for (const key of keys) {
       const engines = enginesOf.get(key) ?? new Set();
       enginesOf.set(key, engines.add(engine));
     }
--- a/packages/gateway/src/quarantine/__tests__/request_quarantine_test.ts
+++ b/packages/gateway/src/quarantine/__tests__/request_quarantine_test.ts
@@ -130,13 +130,13 @@
   });
 
   test("records of other routers count, also after a restart", () => {
-    quarantine.observe([{ engine: "e1", parts: ["llm/bad"] }]);
+    quarantine.observe([{ engine: "e1", keys: ["llm/bad"] }]);
     crash("e2", "bad");
     expect(remainingMs("bad")).toBe(MINUTE_MS);
     quarantine = create();
     quarantine.observe([
-      { engine: "e1", parts: ["llm/bad"] },
-      { engine: "e2", parts: ["llm/bad"] },
+      { engine: "e1", keys: ["llm/bad"] },
+      { engine: "e2", keys: ["llm/bad"] },
     ]);
     expect(remainingMs("bad")).toBe(MINUTE_MS);
   });
@@ -162,8 +162,8 @@
 
   test("survives the loss of the shared log and is written again", async () => {
     const records = [
-      { engine: "e1", parts: ["llm/bad"] },
-      { engine: "e2", parts: ["llm/bad"] },
+      { engine: "e1", keys: ["llm/bad"] },
+      { engine: "e2", keys: ["llm/bad"] },
     ];
     quarantine.observe(records);
     quarantine.handleLogRestored();
@@ -175,8 +175,8 @@
 
   test("does not return with an old copy of the shared log", () => {
     const records = [
-      { engine: "e1", parts: ["llm/part"] },
-      { engine: "e2", parts: ["llm/part"] },
+      { engine: "e1", keys: ["llm/part"] },
+      { engine: "e2", keys: ["llm/part"] },
     ];
     quarantine.observe(records);
     clock.advance(10);
--- a/packages/gateway/src/quarantine/crash_log.ts
+++ b/packages/gateway/src/quarantine/crash_log.ts
@@ -43,8 +43,8 @@
 ): readonly CrashRecord[] {
   const merged = new Map<string, CrashRecord>();
   const countOf = new Map<string, number>();
-  for (const { engine, parts } of [...stored, ...added]) {
-    const record = { engine, parts: parts.slice(0, MAX_KEYS_PER_RECORD) };
+  for (const { engine, keys } of [...stored, ...added]) {
+    const record = { engine, keys: keys.slice(0, MAX_KEYS_PER_RECORD) };
     const id = JSON.stringify(record);
     const count = countOf.get(engine) ?? 0;
     if (merged.has(id) || count >= MAX_RECORDS_PER_CRASH) continue;
@@ -54,20 +54,20 @@
   return [...merged.values()].slice(-MAX_RECORDS);
 }
 
-/** Removes parts that are not suspected any more, and records without any. */
-export function removeParts(
+/** Removes keys that are not suspected any more, and records without any. */
+export function removeKeys(
   records: readonly CrashRecord[],
-  isRemoved: (part: string, record: CrashRecord) => boolean,
+  isRemoved: (key: string, record: CrashRecord) => boolean,
 ): readonly CrashRecord[] {
   return records
     .map((record) => ({
       engine: record.engine,
-      parts: record.parts.filter((part) => !isRemoved(part, record)),
+      keys: record.keys.filter((key) => !isRemoved(key, record)),
     }))
-    .filter((record) => record.parts.length > 0);
+    .filter((record) => record.keys.length > 0);
 }
 
-/** True if both lists have the same engines and parts in the same order. */
+/** True if both lists have the same engines and keys in the same order. */
 export function areSameRecords(
   a: readonly CrashRecord[],
   b: readonly CrashRecord[],
--- a/packages/gateway/src/quarantine/request_keys.ts
+++ b/packages/gateway/src/quarantine/request_keys.ts
@@ -6,7 +6,7 @@
 import { createHash } from "node:crypto";
 import type { PromptPart } from "../http/wire_codec.ts";
 
-/** The parts of a request that identify it and its prompt. */
+/** What identifies a request and its prompt. */
 export interface KeyedRequest {
   service: string;
   method: string;
--- a/packages/gateway/src/quarantine/request_quarantine.ts
+++ b/packages/gateway/src/quarantine/request_quarantine.ts
@@ -18,7 +18,7 @@
   areSameRecords,
   type CrashLog,
   mergeCrashRecords,
-  removeParts,
+  removeKeys,
 } from "./crash_log.ts";
 import type { RequestKeys } from "./request_keys.ts";
 import { SoundKeys } from "./sound_keys.ts";
@@ -92,14 +92,14 @@
 
   /** Records that a backend server crashed before it had run the request. */
   recordCrash(engine: string, keys: RequestKeys): void {
-    const parts = keys.all.filter((key) => this.#sound.recordCrash(key));
+    const suspected = keys.all.filter((key) => this.#sound.recordCrash(key));
     this.#options.log("crash_with_request", {
       engine,
-      suspected: parts.join(","),
+      suspected: suspected.join(","),
       keys: keys.all.length,
     });
-    if (parts.length === 0) return;
-    const record = { engine, parts };
+    if (suspected.length === 0) return;
+    const record = { engine, keys: suspected };
     this.#unpublished = mergeCrashRecords(this.#unpublished, [record]);
     this.#update();
     this.#startPublishing();
@@ -128,13 +128,13 @@
   #update(): void {
     const nowMs = this.#options.clock.now();
     const records = this.#records;
-    this.#suspected = new Set(records.flatMap((item) => item.parts));
+    this.#suspected = new Set(records.flatMap((item) => item.keys));
     for (const { engine } of records) {
       if (!this.#knownSinceMs.has(engine)) {
         this.#knownSinceMs.set(engine, nowMs);
       }
     }
-    this.#setCauses(findCrashCauses(removeParts(records, this.#isCleared)));
+    this.#setCauses(findCrashCauses(removeKeys(records, this.#isCleared)));
   }
 
   #setCauses(causes: CrashCause[]): void {
@@ -157,22 +157,22 @@
     return lastMs + Math.min(MAX_QUARANTINE_MS, durationMs);
   }
 
-  /** Whether a part ran here since the crash, or the crash is long ago. */
-  readonly #isCleared = (part: string, { engine }: CrashRecord): boolean => {
+  /** Whether a key ran here since the crash, or the crash is long ago. */
+  readonly #isCleared = (key: string, { engine }: CrashRecord): boolean => {
     const nowMs = this.#options.clock.now();
     const sinceMs = this.#knownSinceMs.get(engine) ?? nowMs;
     return nowMs - sinceMs > RECORD_TTL_MS ||
-      this.#sound.hasRunSince(part, sinceMs);
+      this.#sound.hasRunSince(key, sinceMs);
   };
 
   /** Removes keys from the shared log that this router knows to be harmless. */
   #clearLater(): void {
-    if (this.#clearing || !this.#hasClearedParts()) return;
+    if (this.#clearing || !this.#hasClearedKeys()) return;
     this.#clearing = true;
     this.#update();
     void this.#spread().then(() => {
       this.#clearing = false;
-      if (this.#hasClearedParts()) this.#startPublishing();
+      if (this.#hasClearedKeys()) this.#startPublishing();
     });
   }
 
@@ -190,9 +190,9 @@
     if (!this.#publishing) void this.#publish();
   }
 
-  #hasClearedParts(): boolean {
+  #hasClearedKeys(): boolean {
     const records = this.#records;
-    return !areSameRecords(removeParts(records, this.#isCleared), records);
+    return !areSameRecords(removeKeys(records, this.#isCleared), records);
   }
 
   /** Writes this router's changes until the shared log has them. */
@@ -204,7 +204,7 @@
       const added = this.#unpublished;
       const stored = await this.#options.crashLog().update((records) => {
         const merged = mergeCrashRecords(records, added);
-        const next = removeParts(merged, this.#isCleared);
+        const next = removeKeys(merged, this.#isCleared);
         return areSameRecords(next, records) ? undefined : next;
       });
       if (stored) {
