test(entry): a transfer on a busy machine is not given up

Cause: "answers every caller with its own whole answer" saw 31 or 32 prefills where 30 are expected, twice in ten runs at a load of 19 on 8 cores. The log of a failed run: the transfer of a prefill result was given up after 400 ms (attempt_ended outcome=transfer_failed, 836 ms after the prefill), and the prompt was prefilled again, as it should be. The rig had lengthened the lifetime of results for this reason, and not the timeout of their transfer.

Change: both are 20 s in the rig. The test still expects exactly 30.

--- a/packages/entry/src/__tests__/real_rig.ts
+++ b/packages/entry/src/__tests__/real_rig.ts
@@ -31,8 +31,8 @@
 const SECRET = new Secret("system", "between us");
 const TIME_SCALE = 0.2;
 /**
- * Lifetime of prefill results, in real milliseconds: longer than a busy machine
- * delays the step from prefill to decode.
+ * Lifetime of prefill results and timeout of their transfer, in real
+ * milliseconds: longer than a busy machine delays the step from prefill to decode.
  */
 const RESULT_LIFETIME_MS = 20_000;
 
@@ -100,7 +100,11 @@
     const engine = createHttpEngine({ baseUrl: server.address });
     this.#cleanups.push(() => server.close(), () => engine.close());
     const node = { role, pool: role, name, address: server.address };
-    return this.#node(server, node, { ...overrides, engine });
+    return this.#node(server, node, {
+      transferTimeoutMs: RESULT_LIFETIME_MS,
+      ...overrides,
+      engine,
+    });
   }
 
   async #plain(name: string): Promise<ProxiedBackend<PlainServer>> {
