--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -10,7 +10,11 @@
 import { RequestKeys } from "./quarantine/request_keys.ts";
 import type { DecodeReservations } from "./runs/decode_reservations.ts";
 import { runPlain } from "./runs/plain_run.ts";
-import { reject, rejectQuarantined } from "./runs/reject.ts";
+import {
+  reject,
+  rejectQuarantined,
+  STATUS_UNAVAILABLE,
+} from "./runs/reject.ts";
 import {
   type CallerRequest,
   quarantineMs,
@@ -31,7 +35,6 @@
 }
 
 const STATUS_NOT_FOUND = 404;
-const STATUS_UNAVAILABLE = 503;
 /** Retry-After sent before the first configuration has arrived, in ms. */
 const NOT_READY_RETRY_AFTER_MS = 300;
 
--- a/packages/gateway/src/runs/plain_run.ts
+++ b/packages/gateway/src/runs/plain_run.ts
@@ -32,6 +32,7 @@
   RunEnd,
   type RunOutcome,
   RunReason,
+  STATUS_MISDIRECTED,
   tryAcquireRetry,
 } from "./run_context.ts";
 
@@ -240,8 +241,14 @@
     verdict: ReplyVerdict | undefined,
   ): void {
     if (this.#controller.signal.aborted) return;
-    if (result.end === ExchangeOutcome.Answered && result.status === 421) {
-      const metadata = this.#ctx.codec.parseResponse(421, result.headers);
+    if (
+      result.end === ExchangeOutcome.Answered &&
+      result.status === STATUS_MISDIRECTED
+    ) {
+      const metadata = this.#ctx.codec.parseResponse(
+        result.status,
+        result.headers,
+      );
       recordMisdirected(this.#ctx, backend, metadata.backendId);
       return;
     }
--- a/packages/gateway/src/runs/plain_stream.ts
+++ b/packages/gateway/src/runs/plain_stream.ts
@@ -26,13 +26,13 @@
   type RunContext,
   type RunOutcome,
   RunReason,
+  STATUS_MISDIRECTED,
   tryAcquireRetry,
 } from "./run_context.ts";
 import { MEAN_RETRY_DELAY_MS, StreamFinisher } from "./stream_outcome.ts";
 
 /** Maximum number of backend servers that one request is sent to, in turn. */
 const MAX_SENDS = 4;
-const STATUS_MISDIRECTED = 421;
 
 /** Handles one stream until it has an outcome. */
 export function runPlainStream(
--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -33,6 +33,7 @@
   recordMisdirected,
   remainingMs,
   type RunContext,
+  STATUS_MISDIRECTED,
   tryAcquireRetry,
 } from "./run_context.ts";
 
@@ -293,8 +294,8 @@
       elapsed_ms: Math.round(result.elapsedMs),
     });
     const key = incarnationOf(engine);
-    if (answered && result.status === 421) {
-      const metadata = ctx.codec.parseResponse(421, result.headers);
+    if (answered && result.status === STATUS_MISDIRECTED) {
+      const metadata = ctx.codec.parseResponse(result.status, result.headers);
       recordMisdirected(ctx, engine, metadata.backendId, EngineStage.Decode);
       return;
     }
--- a/packages/gateway/src/runs/reject.ts
+++ b/packages/gateway/src/runs/reject.ts
@@ -10,7 +10,8 @@
   RunReason,
 } from "./run_context.ts";
 
-const STATUS_UNAVAILABLE = 503;
+/** The request did not run and never will. */
+export const STATUS_UNAVAILABLE = 503;
 const STATUS_BAD_GATEWAY = 502;
 const STATUS_GATEWAY_TIMEOUT = 504;
 
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -242,6 +242,9 @@
   return allowed;
 }
 
+/** Another server, or an engine at another stage, has the address. */
+export const STATUS_MISDIRECTED = 421;
+
 /**
  * Records that a backend server rejected a request as misdirected. Either
  * another server now has its address, or it is an engine at another stage than
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -22,6 +22,7 @@
   quarantineMs,
   recordMisdirected,
   type RunContext,
+  STATUS_MISDIRECTED,
   tryAcquireRetry,
 } from "./run_context.ts";
 
@@ -46,7 +47,6 @@
 
 /** Share of a prefill result's lifetime in which another engine may use it. */
 const REUSABLE_LIFETIME_SHARE = 0.7;
-const STATUS_MISDIRECTED = 421;
 
 /** Places one generation, and places it again after an engine rejected it. */
 export class StreamPlacer {
