fix(gateway): a server that stands still has not crashed

What callers saw: sound requests rejected with 503 for a minute after two servers had broken off an answer and stood still for 200 ms. Cause: liveness was a boolean; a check without an answer in 200 ms meant that the server was dead, and the request that it had broken off was recorded as the cause of a crash. Class of fault: silence taken for proof. Change: Liveness is alive, gone or silent. Gone needs a connection that was refused or reset, or a 421. Only then a crash is recorded; a silent server is asked again for up to 3 s, for which no request waits. Other users of the check behave as before. A check has a connection of its own, instead of retiring the pool, whose calls in progress kept their connections beyond the server's limit.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -132,7 +132,7 @@
       engines,
       liveness: new LivenessChecks({
         clock,
-        isAlive: (backend) => engines.isAlive(backend),
+        ask: (backend) => engines.checkLiveness(backend),
       }),
       upstream: this.upstream,
       directory: this.directory,
--- a/packages/gateway/src/http/exchange.ts
+++ b/packages/gateway/src/http/exchange.ts
@@ -29,6 +29,8 @@
   /** The timeout of this exchange expired; false if `signal` aborted it. */
   timedOut: boolean;
   message: string;
+  /** Error code of the connection. */
+  code?: string;
   elapsedMs: number;
 }
 
@@ -97,13 +99,14 @@
           elapsedMs: performance.now() - startMs,
         });
       },
-      onFailure(failure, sent, message) {
+      onFailure(failure, sent, message, code) {
         settle({
           end: ExchangeOutcome.Failed,
           failure: invalidReason ? CallFailure.InvalidResponse : failure,
           sent,
           timedOut,
           message: invalidReason ?? message,
+          code,
           elapsedMs: performance.now() - startMs,
         });
       },
--- a/packages/gateway/src/http/upstream.ts
+++ b/packages/gateway/src/http/upstream.ts
@@ -66,6 +66,8 @@
   readonly buffers: BufferBudget;
   readonly #options: Required<UpstreamOptions>;
   readonly #pools = new Map<string, Pool>();
+  /** Pools of calls that have a connection of their own. */
+  readonly #singles = new Set<Pool>();
   #opened = 0;
   /** True while the listeners of a connection that was reset are running. */
   #resetting = false;
@@ -120,7 +122,8 @@
       body: req.body && req.body.length > 0 ? req.body : null,
       onConnection: (connection) => callHandler.useConnection(connection),
     };
-    this.#pool(req.backend).dispatch(options, callHandler);
+    if (req.newConnection) this.#dispatchSingle(req, options, callHandler);
+    else this.#pool(req.backend).dispatch(options, callHandler);
   }
 
   /**
@@ -132,7 +135,24 @@
     const pool = this.#pools.get(key);
     if (!pool) return;
     this.#pools.delete(key);
-    pool.close().catch((err: Error) => {
+    void this.#closePool(pool, backend);
+  }
+
+  #dispatchSingle(
+    { backend }: UpstreamRequest,
+    options: TrackedDispatchOptions,
+    handler: CallHandler,
+  ): void {
+    const pool = this.#createPool(backend, 1);
+    this.#singles.add(pool);
+    pool.dispatch(options, handler);
+    void this.#closePool(pool, backend)
+      .finally(() => this.#singles.delete(pool));
+  }
+
+  /** Closes a pool once its calls in progress are done. */
+  #closePool(pool: Pool, backend: Backend): Promise<void> {
+    return pool.close().catch((err: Error) => {
       this.#options.log("pool_close_failed", {
         backend: backend.id,
         message: err.message,
@@ -142,7 +162,7 @@
 
   /** Closes every connection immediately, also those with calls in progress. */
   async close(): Promise<void> {
-    const pools = [...this.#pools.values()];
+    const pools = [...this.#pools.values(), ...this.#singles];
     this.#pools.clear();
     await Promise.all(pools.map((pool) => pool.destroy()));
   }
@@ -197,9 +217,16 @@
     const key = incarnationOf(backend);
     const known = this.#pools.get(key);
     if (known) return known;
+    const connections = this.#options.maxConnectionsTo(backend);
+    const pool = this.#createPool(backend, connections);
+    this.#pools.set(key, pool);
+    return pool;
+  }
+
+  #createPool(backend: Backend, connections: number): Pool {
     const options = this.#options;
     const pool = new Pool(`http://${backend.address}`, {
-      connections: options.maxConnectionsTo(backend),
+      connections,
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -212,7 +239,6 @@
     pool.on("connect", () => {
       this.#opened += 1;
     });
-    this.#pools.set(key, pool);
     return pool;
   }
 }
--- a/packages/gateway/src/http/upstream_call.ts
+++ b/packages/gateway/src/http/upstream_call.ts
@@ -32,6 +32,8 @@
   path: string;
   headers: string[];
   body?: Buffer;
+  /** Uses a connection of its own, which is closed after the response. */
+  newConnection?: boolean;
 }
 
 /** Flow control for a response that is being received. */
@@ -50,9 +52,14 @@
   onEnd(): void;
   /**
    * No complete response will follow. `sent` is true if the request may have
-   * reached the backend server.
+   * reached the backend server; `code` is the error code of its connection.
    */
-  onFailure(failure: CallFailure, sent: boolean, message: string): void;
+  onFailure(
+    failure: CallFailure,
+    sent: boolean,
+    message: string,
+    code?: string,
+  ): void;
 }
 /** State that a call shares with the connections. */
 export interface ConnectionTracker {
@@ -145,11 +152,11 @@
 
   onResponseError(
     _controller: Dispatcher.DispatchController,
-    err: Error,
+    err: NodeJS.ErrnoException,
   ): void {
     if (!this.#finish()) return;
     const failure = this.#sent ? CallFailure.Broken : CallFailure.Unreachable;
-    this.#handler.onFailure(failure, this.#sent, err.message);
+    this.#handler.onFailure(failure, this.#sent, err.message, err.code);
   }
 
   /** Gives up a response that has grown without becoming one. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -24,6 +24,7 @@
   type GatewayPolicyOptions,
   resolveGatewayPolicy,
 } from "./policy.ts";
+export { Liveness, livenessOf } from "./runs/liveness.ts";
 export {
   type EngineControl,
   HoldEnd,
--- /dev/null
+++ b/packages/gateway/src/runs/__tests__/liveness_test.ts
@@ -0,0 +1,83 @@
+import { describe, expect, test } from "@jest/globals";
+import { sleep, systemClock } from "@sassafrascleat/runtime";
+import { type Backend, BackendState } from "../../backends/backend.ts";
+import { ExchangeOutcome, type ExchangeResult } from "../../http/exchange.ts";
+import { CallFailure } from "../../http/upstream_call.ts";
+import { Liveness, livenessOf } from "../liveness.ts";
+import { LivenessChecks } from "../liveness_checks.ts";
+
+const backend: Backend = {
+  id: "a",
+  service: "s",
+  address: "127.0.0.1:1",
+  zone: "z",
+  slots: 1,
+  state: BackendState.Ready,
+};
+
+/** Checks whose calls respond with `answers`, one after another. */
+function checksWith(answers: [Liveness, number][]) {
+  let asked = 0;
+  const checks = new LivenessChecks({
+    clock: systemClock,
+    ask: async () => {
+      const [liveness, delayMs] = answers[asked] ?? [Liveness.Silent, 100];
+      asked += 1;
+      await sleep(delayMs);
+      return liveness;
+    },
+  });
+  return { checks, asked: () => asked };
+}
+
+test.each([
+  ["ECONNREFUSED", Liveness.Gone],
+  ["ECONNRESET", Liveness.Gone],
+  ["UND_ERR_SOCKET", Liveness.Gone],
+  ["UND_ERR_CONNECT_TIMEOUT", Liveness.Silent],
+  ["EHOSTUNREACH", Liveness.Silent],
+  [undefined, Liveness.Silent],
+])(
+  "a call that failed with %s shows that the server is %s",
+  (code, expected) => {
+    const result: ExchangeResult = {
+      end: ExchangeOutcome.Failed,
+      failure: CallFailure.Unreachable,
+      sent: false,
+      timedOut: false,
+      message: "",
+      code,
+      elapsedMs: 1,
+    };
+    expect(livenessOf(result)).toBe(expected);
+  },
+);
+
+test.each([[200, Liveness.Alive], [503, Liveness.Alive], [421, Liveness.Gone]])(
+  "a response with %i shows that the server is %s",
+  (status, expected) => {
+    const end = ExchangeOutcome.Answered;
+    const body = Buffer.alloc(0);
+    expect(livenessOf({ end, status, headers: [], body, elapsedMs: 1 }))
+      .toBe(expected);
+  },
+);
+
+describe("a check", () => {
+  test("reports a silent server without waiting for its answer", async () => {
+    const { checks } = checksWith([[Liveness.Alive, 300]]);
+    expect(await checks.check(backend, 100)).toBe(Liveness.Silent);
+  });
+
+  test("that may wait longer gets the answer of the same call", async () => {
+    const { checks, asked } = checksWith([[Liveness.Alive, 300]]);
+    const short = checks.check(backend, 100);
+    expect(await checks.check(backend, 1_000)).toBe(Liveness.Alive);
+    expect([await short, asked()]).toEqual([Liveness.Silent, 1]);
+  });
+
+  test("asks again after a call that was lost", async () => {
+    const { checks } = checksWith([[Liveness.Silent, 0], [Liveness.Gone, 0]]);
+    expect(await checks.check(backend, 1_000)).toBe(Liveness.Gone);
+  });
+});
--- a/packages/gateway/src/runs/crash_detection.ts
+++ b/packages/gateway/src/runs/crash_detection.ts
@@ -1,12 +1,13 @@
 /**
  * Tells the quarantine which requests backend servers have run, and which ones
  * a server had received when it crashed. A connection that ends early is a crash
- * only if the server does not respond on a new connection either: servers also
- * break off single responses.
+ * only if the server is gone: servers also break off single responses, and may
+ * stand still after that.
  */
 import { type Backend, incarnationOf } from "../backends/backend.ts";
 import { ExchangeOutcome, type ExchangeResult } from "../http/exchange.ts";
 import { CallFailure } from "../http/upstream_call.ts";
+import { Liveness, MAX_STANDSTILL_MS } from "./liveness.ts";
 import { ReplyVerdict } from "./reply_verdict.ts";
 import type { CallerRequest, RunContext } from "./run_context.ts";
 import { StreamEnd, type StreamResult } from "./stream_call.ts";
@@ -74,6 +75,14 @@
   backend: Backend,
   signal: AbortSignal,
 ): Promise<void> {
-  if (signal.aborted || await ctx.liveness.isAlive(backend)) return;
-  ctx.quarantine.recordCrash(incarnationOf(backend), req.keys);
+  if (signal.aborted) return;
+  const record = (liveness: Liveness) => {
+    if (liveness !== Liveness.Gone) return;
+    ctx.quarantine.recordCrash(incarnationOf(backend), req.keys);
+  };
+  const liveness = await ctx.liveness.check(backend);
+  record(liveness);
+  if (liveness !== Liveness.Silent) return;
+  // The request doesn't wait for a server that stands still.
+  void ctx.liveness.check(backend, MAX_STANDSTILL_MS).then(record);
 }
--- /dev/null
+++ b/packages/gateway/src/runs/liveness.ts
@@ -0,0 +1,38 @@
+/**
+ * What a check of a backend server shows. Silence proves nothing: a sound server
+ * may stand still for a while, and then goes on with all that it had begun.
+ */
+import { ExchangeOutcome, type ExchangeResult } from "../http/exchange.ts";
+import { STATUS_MISDIRECTED } from "./run_context.ts";
+
+/** Whether a backend server lives. */
+export enum Liveness {
+  /** It responds on a new connection. */
+  Alive = "alive",
+  /** Nothing listens at its address, or another server does. */
+  Gone = "gone",
+  /** No response in time: it may be either. */
+  Silent = "silent",
+}
+
+/** Longest time for which sound servers stand still, in milliseconds. */
+export const MAX_STANDSTILL_MS = 3_000;
+
+/** Error codes of connections that the host of a server refused or reset. */
+const GONE_CODES = new Set([
+  "ECONNREFUSED",
+  "ECONNRESET",
+  "EPIPE",
+  "UND_ERR_SOCKET",
+]);
+
+/** Evaluates a call on a new connection that named the expected server. */
+export function livenessOf(result: ExchangeResult): Liveness {
+  if (result.end === ExchangeOutcome.Answered) {
+    return result.status === STATUS_MISDIRECTED
+      ? Liveness.Gone
+      : Liveness.Alive;
+  }
+  const refused = result.code !== undefined && GONE_CODES.has(result.code);
+  return refused ? Liveness.Gone : Liveness.Silent;
+}
--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -23,6 +23,7 @@
 } from "../http/exchange.ts";
 import type { KvSource, PromptInfo } from "../http/wire_codec.ts";
 import { recordPrefill } from "./crash_detection.ts";
+import { Liveness } from "./liveness.ts";
 import { checkRateLimits } from "./rate_limit_check.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
@@ -265,8 +266,8 @@
     const { signal } = controller;
     await sleep(silenceMs, signal);
     if (signal.aborted) return;
-    const alive = await this.#ctx.liveness.isAlive(engine);
-    if (!alive) controller.abort();
+    const liveness = await this.#ctx.liveness.check(engine);
+    if (liveness !== Liveness.Alive) controller.abort();
   }
 
   #recordDelay(key: string, elapsedMs: number, prefillMs: number): void {
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -25,6 +25,7 @@
 import type { GatewayPolicy } from "../policy.ts";
 import type { RequestKeys } from "../quarantine/request_keys.ts";
 import type { RequestQuarantine } from "../quarantine/request_quarantine.ts";
+import type { Liveness } from "./liveness.ts";
 import type { LivenessChecks } from "./liveness_checks.ts";
 
 /** One request of a caller, with its complete body. */
@@ -177,8 +178,8 @@
   ): Promise<MoveResult>;
   /** Makes a call without effect, for the headers of its response. */
   ping(engine: Backend): Promise<void>;
-  /** True when the engine responds on a new connection. */
-  isAlive(engine: Backend): Promise<boolean>;
+  /** Asks on a new connection whether the engine lives. */
+  checkLiveness(engine: Backend): Promise<Liveness>;
 }
 
 /** A running generation that is notified when its engine is drained. */
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -15,6 +15,7 @@
 } from "../http/upstream_call.ts";
 import type { Directives, RawHeaders } from "../http/wire_codec.ts";
 import type { StreamProgress } from "./generation.ts";
+import { Liveness } from "./liveness.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
 import type { CallerRequest, RunContext } from "./run_context.ts";
 
@@ -269,7 +270,8 @@
    */
   async #endedByCrash(): Promise<boolean> {
     if (declaresLength(this.#headers)) return false;
-    return !await this.#ctx.liveness.isAlive(this.#options.backend);
+    const liveness = await this.#ctx.liveness.check(this.#options.backend);
+    return liveness !== Liveness.Alive;
   }
 
   #endOfFailure(failure: CallFailure, sent: boolean): StreamEnd {
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -17,6 +17,7 @@
 } from "./stream_call.ts";
 import { recordStream } from "./crash_detection.ts";
 import { Generation } from "./generation.ts";
+import { Liveness } from "./liveness.ts";
 import { moveFromDrainingEngine, watchEngine } from "./run_move.ts";
 import { runPlainStream } from "./plain_stream.ts";
 import { reject } from "./reject.ts";
@@ -222,7 +223,7 @@
   async #isLost(engine: Backend, signal: AbortSignal): Promise<boolean> {
     const ctx = this.#ctx;
     if (!this.#mayResume()) return false;
-    if (await ctx.liveness.isAlive(engine)) return false;
+    if (await ctx.liveness.check(engine) === Liveness.Alive) return false;
     ctx.log("engine_unreachable", {
       req: this.#req.metadata.requestId,
       backend: engine.id,
