fix(gateway): an answer without a length is cut only if its server is gone

What callers saw: 502, or the answer of a second run, for a stream without a length and without events that its server had ended itself. Cause: the end of the connection ends such an answer; whether the server had crashed was asked once, for 200 ms, and silence counted as yes. Class of fault: silence taken for proof. Evidence: "after an answer without length or events has ended it" failed in 6 of 6 tests. Change: a silent server is asked for up to 3 s or until the deadline; the answer is cut only with proof that the server is gone. Result: the 6 tests pass, and with them all tests of crashing prompts.

--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -15,9 +15,13 @@
 } from "../http/upstream_call.ts";
 import type { Directives, RawHeaders } from "../http/wire_codec.ts";
 import type { StreamProgress } from "./generation.ts";
-import { Liveness } from "./liveness.ts";
+import { Liveness, MAX_STANDSTILL_MS } from "./liveness.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
-import type { CallerRequest, RunContext } from "./run_context.ts";
+import {
+  type CallerRequest,
+  remainingMs,
+  type RunContext,
+} from "./run_context.ts";
 
 /** How a stream from one backend server ended. */
 export enum StreamEnd {
@@ -266,12 +270,18 @@
 
   /**
    * Whether the engine of a response without events is gone. Without a length the
-   * end of the connection ends the response, also when the engine crashed.
+   * end of the connection ends the response, also when the engine crashed; one
+   * that only stands still has ended it itself.
    */
   async #endedByCrash(): Promise<boolean> {
     if (declaresLength(this.#headers)) return false;
-    const liveness = await this.#ctx.liveness.check(this.#options.backend);
-    return liveness !== Liveness.Alive;
+    const { backend } = this.#options;
+    const waitMs = Math.min(
+      MAX_STANDSTILL_MS,
+      remainingMs(this.#ctx, this.#req),
+    );
+    const liveness = await this.#ctx.liveness.check(backend, waitMs);
+    return liveness === Liveness.Gone;
   }
 
   #endOfFailure(failure: CallFailure, sent: boolean): StreamEnd {
