fix(gateway): the move of a run is not given up while its stream depends on it

What callers saw: a stream of a route without resumption ended incomplete when its server was drained and stood still for more than a second. Cause: the call that moves a run was given up after 1 s, but the server carried it out when it went on and stopped the run; where the run goes on was known to nobody. Class of fault: a timeout taken for a result. Evidence: "while it is left moves its runs" failed at 2900 ms (the stream was cut). Result: the test passes, as do those of stream runs and leaving servers.

--- a/packages/gateway/src/http/exchange.ts
+++ b/packages/gateway/src/http/exchange.ts
@@ -40,9 +40,9 @@
 const SMALL_RESPONSE_BYTES = 64 * 1024;
 
 /**
- * Sends `req` and buffers the response, for at most `timeoutMs`. If `accept`
- * rejects the response head, the connection is closed, because no later data on
- * it can be trusted.
+ * Sends `req` and buffers the response, for at most `timeoutMs`, which may be
+ * `Infinity`. If `accept` rejects the response head, the connection is closed,
+ * because no later data on it can be trusted.
  */
 export function exchange(
   upstream: Upstream,
@@ -64,10 +64,13 @@
       invalidReason = reason;
       controller.abort();
     };
-    const timer = setTimeout(() => {
+    const onTimeout = () => {
       timedOut = true;
       controller.abort();
-    }, Math.max(1, timeoutMs));
+    };
+    const timer = timeoutMs === Infinity
+      ? undefined
+      : setTimeout(onTimeout, Math.max(1, timeoutMs));
     const settle = (result: ExchangeResult) => {
       clearTimeout(timer);
       upstream.buffers.remove(size);
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -169,7 +169,10 @@
   parsePrefill(engine: Backend, body: Buffer): PrefillReply | undefined;
   /** Frees an unused prefill result. */
   deleteKvHandle(engine: Backend, handle: string): void;
-  /** Stops a running generation and transfers its memory to `target`. */
+  /**
+   * Stops a running generation and transfers its memory to `target`. Waits for
+   * the result until `signal` aborts.
+   */
   moveRun(
     engine: Backend,
     requestId: string,
--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -4,6 +4,7 @@
  * there after its last event. This continues the same run rather than starting
  * a second one, so requests that may run only once are moved too.
  */
+import { childAbortController, sleep } from "@sassafrascleat/runtime";
 import {
   type Backend,
   EngineStage,
@@ -29,6 +30,37 @@
   source: KvSource | undefined;
 }
 
+/** A move in progress, whose engine may stand still before it stops the run. */
+export class PendingMove {
+  readonly #controller: AbortController;
+  readonly #result: Promise<MovedRun | undefined>;
+
+  constructor(
+    start: (signal: AbortSignal) => Promise<MovedRun | undefined>,
+    signal: AbortSignal,
+  ) {
+    this.#controller = childAbortController(signal);
+    this.#result = start(this.#controller.signal);
+  }
+
+  /** Where the run continues, if that is known within `forMs`. */
+  async wait(forMs: number): Promise<MovedRun | undefined> {
+    const { signal } = this.#controller;
+    if (forMs < Infinity) {
+      void sleep(forMs, signal).then(() => this.#controller.abort());
+    }
+    const moved = await this.#result;
+    this.#controller.abort();
+    return moved;
+  }
+
+  /** Gives the move up because the stream has ended otherwise. */
+  cancel(): void {
+    this.#controller.abort();
+    void this.#result.then((moved) => moved?.reservation.release());
+  }
+}
+
 /**
  * Calls `onDraining` when `engine` is drained or removed. Returns a function that
  * stops watching.
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -17,8 +17,12 @@
 } from "./stream_call.ts";
 import { recordStream } from "./crash_detection.ts";
 import { Generation } from "./generation.ts";
-import { Liveness } from "./liveness.ts";
-import { moveFromDrainingEngine, watchEngine } from "./run_move.ts";
+import { Liveness, MAX_STANDSTILL_MS } from "./liveness.ts";
+import {
+  moveFromDrainingEngine,
+  PendingMove,
+  watchEngine,
+} from "./run_move.ts";
 import { runPlainStream } from "./plain_stream.ts";
 import { reject } from "./reject.ts";
 import {
@@ -78,7 +82,7 @@
   /** Engines that the request was sent to. */
   readonly #sentTo = new Set<string>();
   /** A move to another engine that is in progress. */
-  #pendingMove: Promise<Placement | undefined> | undefined;
+  #pendingMove: PendingMove | undefined;
   /** Where a moved run continues. */
   #continuation: Placement | undefined;
 
@@ -167,13 +171,10 @@
       config: req.configVersion,
     });
     const unwatch = watchEngine(ctx, reservation.engine, () => {
-      this.#pendingMove ??= moveFromDrainingEngine(
-        ctx,
-        req,
-        this.#generation,
-        reservation.engine,
-        signal,
-      );
+      const { engine } = reservation;
+      const move = (moveSignal: AbortSignal) =>
+        moveFromDrainingEngine(ctx, req, this.#generation, engine, moveSignal);
+      this.#pendingMove ??= new PendingMove(move, signal);
     });
     const onFirstEventOrEnd = source ? () => {} : ctx.engineLoads.startPrefill(
       incarnationOf(reservation.engine),
@@ -250,6 +251,9 @@
     const { ctx, req } = { ctx: this.#ctx, req: this.#req };
     const { reservation, prefill } = placement;
     if (prefill && result.events > 0) this.#placer.recordPrefillUsed(prefill);
+    const move = this.#pendingMove;
+    this.#pendingMove = undefined;
+    if (result.end !== StreamEnd.Cut) move?.cancel();
     if (result.end === StreamEnd.Complete) {
       this.#recordHealth(result, reservation);
       this.#recordCompletion();
@@ -261,13 +265,14 @@
       if (result.status === 0) prefill?.discard();
       return this.#finisher.aborted();
     }
-    const continuation = await this.#pendingMove;
-    this.#pendingMove = undefined;
-    if (continuation && result.end === StreamEnd.Cut) {
+    if (result.end === StreamEnd.Cut) {
+      this.#continuation = await move?.wait(this.#maxMoveWaitMs());
+    }
+    if (this.#continuation) {
       this.#finisher.attempts -= 1;
-      this.#continuation = continuation;
       return undefined;
     }
+    if (signal.aborted) return this.#finisher.aborted();
     this.#recordHealth(result, reservation);
     this.#logEnd(result, reservation);
     await recordStream(ctx, req, reservation.engine, result, signal);
@@ -282,6 +287,11 @@
     return undefined;
   }
 
+  /** Only a stream that may begin anew can do without the result of a move. */
+  #maxMoveWaitMs(): number {
+    return this.#mayResume() ? MAX_STANDSTILL_MS : Infinity;
+  }
+
   #handleRejection(
     result: StreamResult,
     placement: Placement,
