fix(gateway): a stream leaves a silent engine only with everything in hand

What callers saw: streams that ended incomplete, several at once, while their engine stood still and went on a second later. Cause: one unanswered check of 200 ms after 0.7 s without an event meant that the engine was lost. Each stream there reserved memory elsewhere, saw two calls left in the retry budget and aborted its own call; the budget was taken only after that, so of ten streams few got it and the others were ended. Class of fault: silence taken for proof, and a check apart from the use of what it checked. Change: a stream leaves at once only if its engine is proved gone, otherwise after 3 s without an event or an answer, which is longer than sound servers stand still and shorter than callers wait. Before its call is aborted, memory, prefill and retry budget have been acquired; if an event arrives meanwhile, they are returned and the stream stays.

--- a/packages/gateway/src/decide/retry_budget.ts
+++ b/packages/gateway/src/decide/retry_budget.ts
@@ -67,6 +67,11 @@
     return true;
   }
 
+  /** Returns one repeated call that was not made. */
+  refund(): void {
+    this.#retryTimesMs.pop();
+  }
+
   #usableShare(): number {
     const { clock, limits } = this.#options;
     const inFirstWindow = clock.now() - this.#startMs < limits().windowMs;
--- a/packages/gateway/src/runs/plain_stream.ts
+++ b/packages/gateway/src/runs/plain_stream.ts
@@ -102,7 +102,7 @@
     signal,
     silenceCheckMs: 0,
     onFirstEventOrEnd: () => {},
-    isLost: () => Promise.resolve(false),
+    mayLeave: () => Promise.resolve(false),
     directives: {
       remainingMs: remainingMs(ctx, req),
       backendId: backend.id,
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -57,14 +57,17 @@
   progress: StreamProgress;
   signal: AbortSignal;
   /**
-   * Time without an event after which `isLost` is called, in milliseconds; 0
+   * Time without an event after which `mayLeave` is called, in milliseconds; 0
    * waits until the deadline.
    */
   silenceCheckMs: number;
   /** Called on the first event, and again when the stream ends. */
   onFirstEventOrEnd: () => void;
-  /** Decides whether a silent stream is given up. */
-  isLost: () => Promise<boolean>;
+  /**
+   * Decides whether a stream without events since `sinceMs`, in milliseconds of
+   * the process clock, is given up. The signal aborts when an event arrives.
+   */
+  mayLeave: (sinceMs: number, signal: AbortSignal) => Promise<boolean>;
 }
 
 const EMPTY = Buffer.alloc(0);
@@ -92,7 +95,6 @@
   #status = 0;
   #headers: RawHeaders = [];
   #events = 0;
-  #settled = false;
   #silent = false;
   /** Why the response was given up as invalid. */
   #invalidReason: string | undefined;
@@ -100,6 +102,9 @@
   #leadingComments: Buffer[] = [];
   #leadingBytes = 0;
   #silenceTimer: ReturnType<typeof setTimeout> | undefined;
+  #silenceCheck: AbortController | undefined;
+  /** Start of the stream, or arrival of its last event. */
+  #silentSinceMs = 0;
   #flow: ResponseFlowControl | undefined;
 
   constructor(
@@ -118,12 +123,11 @@
     const req = this.#req;
     return new Promise((resolve) => {
       const settle = (end: StreamEnd, message = "") => {
-        this.#settled = true;
         this.#options.onFirstEventOrEnd();
-        clearTimeout(this.#silenceTimer);
+        this.#stopSilenceCheck();
         resolve(this.#result(end, message));
       };
-      this.#restartSilenceTimer();
+      this.#watchSilence();
       this.#ctx.upstream.open(
         {
           backend,
@@ -195,7 +199,7 @@
   #onEvents(events: CompleteEvents): void {
     if (events.count === 0) return this.#forwardComments(events.bytes);
     if (this.#events === 0) this.#options.onFirstEventOrEnd();
-    this.#restartSilenceTimer();
+    this.#watchSilence();
     this.#recordProgress(events);
     this.#write(events.bytes);
   }
@@ -234,10 +238,20 @@
     responder.onceDrained(() => this.#flow?.resume());
   }
 
-  #restartSilenceTimer(): void {
+  #watchSilence(): void {
+    this.#stopSilenceCheck();
+    this.#silentSinceMs = this.#ctx.clock.now();
+    this.#startSilenceTimer();
+  }
+
+  #stopSilenceCheck(): void {
+    clearTimeout(this.#silenceTimer);
+    this.#silenceCheck?.abort();
+  }
+
+  #startSilenceTimer(): void {
     const { silenceCheckMs } = this.#options;
     if (silenceCheckMs <= 0) return;
-    clearTimeout(this.#silenceTimer);
     this.#silenceTimer = setTimeout(
       () => void this.#checkSilence(),
       silenceCheckMs,
@@ -245,13 +259,12 @@
   }
 
   async #checkSilence(): Promise<void> {
-    const eventsBefore = this.#events;
-    const lost = await this.#options.isLost();
-    if (this.#settled) return;
-    if (!lost || this.#events > eventsBefore) {
-      this.#restartSilenceTimer();
-      return;
-    }
+    const check = childAbortController(this.#controller.signal);
+    this.#silenceCheck = check;
+    const { mayLeave } = this.#options;
+    const leaves = await mayLeave(this.#silentSinceMs, check.signal);
+    if (check.signal.aborted) return;
+    if (!leaves) return this.#startSilenceTimer();
     this.#silent = true;
     this.#controller.abort();
   }
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -58,8 +58,6 @@
   readonly #excluded = new Set<string>();
   /** A prefill result that the previous decode engine did not use. */
   #unusedPrefill: PrefillResult | undefined;
-  /** A reservation for a stream whose engine became unreachable. */
-  #spareReservation: Reservation | undefined;
 
   constructor(
     ctx: RunContext,
@@ -80,8 +78,7 @@
     signal: AbortSignal,
   ): Promise<Placement | PlacementFailure> {
     const startMs = this.#ctx.clock.now();
-    const reservation = this.#spareReservation ?? await this.#reserve(signal);
-    this.#spareReservation = undefined;
+    const reservation = await this.#reserve(signal);
     if (signal.aborted) {
       return this.#cancel(PlacementFailure.Aborted, reservation);
     }
@@ -115,10 +112,30 @@
     return { reservation, prefill, source: prefill?.source };
   }
 
-  /** Reserves memory to continue the stream elsewhere; true if that succeeded. */
-  async reserveSpare(signal: AbortSignal): Promise<boolean> {
-    this.#spareReservation ??= await this.#reserve(signal);
-    return this.#spareReservation !== undefined;
+  /**
+   * Prepares that the stream leaves an engine. Undefined if it can't go on
+   * elsewhere, or if the signal aborts.
+   */
+  async placeElsewhere(
+    engine: Backend,
+    signal: AbortSignal,
+  ): Promise<Placement | undefined> {
+    const key = incarnationOf(engine);
+    this.#excluded.add(key);
+    const placement = await this.place(true, signal);
+    if (typeof placement !== "string") {
+      if (!signal.aborted) return placement;
+      this.release(placement);
+    }
+    this.#excluded.delete(key);
+    return undefined;
+  }
+
+  /** Frees what a placement has reserved that no engine was sent to. */
+  release({ reservation, prefill }: Placement): void {
+    prefill?.discard();
+    this.#reservations.cancel(reservation);
+    this.#ctx.retryBudgetOf(this.#req.service.name).refund();
   }
 
   /** Records that the decode engine used the prefill result. */
@@ -165,12 +182,9 @@
     if (engines.length > 1) this.#excluded.add(incarnationOf(engine));
   }
 
-  /** Frees an unused prefill result and an unused reservation. */
+  /** Frees an unused prefill result. */
   close(): void {
     this.#unusedPrefill?.discard();
-    if (this.#spareReservation) {
-      this.#reservations.cancel(this.#spareReservation);
-    }
   }
 
   #cancel(
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -79,11 +79,13 @@
   readonly #generation: Generation;
   readonly #placer: StreamPlacer;
   readonly #finisher: StreamFinisher;
+  /** When a check last showed that the stream's engine lives. */
+  #aliveAtMs = -Infinity;
   /** Engines that the request was sent to. */
   readonly #sentTo = new Set<string>();
   /** A move to another engine that is in progress. */
   #pendingMove: PendingMove | undefined;
-  /** Where a moved run continues. */
+  /** Where a moved run or a stream that left its engine continues. */
   #continuation: Placement | undefined;
 
   constructor(
@@ -110,6 +112,7 @@
     try {
       return await withDeadline(ctx, this.#req, work);
     } finally {
+      if (this.#continuation) this.#placer.release(this.#continuation);
       this.#placer.close();
     }
   }
@@ -186,7 +189,8 @@
       signal,
       silenceCheckMs: this.#silenceCheckMs(),
       onFirstEventOrEnd,
-      isLost: () => this.#isLost(reservation.engine, signal),
+      mayLeave: (sinceMs, signal) =>
+        this.#mayLeave(reservation.engine, sinceMs, signal),
       directives: {
         remainingMs: remainingMs(ctx, req),
         backendId: reservation.engine.id,
@@ -217,22 +221,36 @@
   }
 
   /**
-   * True when the engine of a silent stream is unreachable and the stream can
-   * continue elsewhere. Silence alone is not enough, since the engine may have
-   * postponed the run.
+   * Whether a silent stream leaves its engine. It does so only once everything
+   * is in hand that it needs to go on elsewhere.
    */
-  async #isLost(engine: Backend, signal: AbortSignal): Promise<boolean> {
-    const ctx = this.#ctx;
+  async #mayLeave(
+    engine: Backend,
+    sinceMs: number,
+    signal: AbortSignal,
+  ): Promise<boolean> {
     if (!this.#mayResume()) return false;
-    if (await ctx.liveness.check(engine) === Liveness.Alive) return false;
-    ctx.log("engine_unreachable", {
-      req: this.#req.metadata.requestId,
-      backend: engine.id,
-    });
-    ctx.health.eject(incarnationOf(engine));
-    const { available } = ctx.retryBudgetOf(this.#req.service.name);
-    if (signal.aborted || available < 2) return false;
-    return await this.#placer.reserveSpare(signal);
+    const liveness = await this.#checkLiveness(engine, sinceMs);
+    if (liveness === Liveness.Alive || signal.aborted) return false;
+    const { log, health } = this.#ctx;
+    const req = this.#req.metadata.requestId;
+    log("engine_unreachable", { req, backend: engine.id, liveness });
+    if (liveness === Liveness.Gone) health.eject(incarnationOf(engine));
+    this.#continuation = await this.#placer.placeElsewhere(engine, signal);
+    return this.#continuation !== undefined;
+  }
+
+  /**
+   * Asks an engine that was last heard of at `sinceMs`. One that is silent is
+   * asked for as long as sound engines stand still.
+   */
+  async #checkLiveness(engine: Backend, sinceMs: number): Promise<Liveness> {
+    const { clock, liveness } = this.#ctx;
+    const heardAtMs = Math.max(sinceMs, this.#aliveAtMs);
+    const waitMs = heardAtMs + MAX_STANDSTILL_MS - clock.now();
+    const result = await liveness.check(engine, Math.max(0, waitMs));
+    if (result === Liveness.Alive) this.#aliveAtMs = clock.now();
+    return result;
   }
 
   #silenceCheckMs(): number {
@@ -267,10 +285,10 @@
     }
     if (result.end === StreamEnd.Cut) {
       this.#continuation = await move?.wait(this.#maxMoveWaitMs());
-    }
-    if (this.#continuation) {
-      this.#finisher.attempts -= 1;
-      return undefined;
+      if (this.#continuation) {
+        this.#finisher.attempts -= 1;
+        return undefined;
+      }
     }
     if (signal.aborted) return this.#finisher.aborted();
     this.#recordHealth(result, reservation);
