fix(gateway): a silent engine gets work again as soon as it responds

What callers saw: 503 for a second or more after the only decode engine had stood still for 0.8 s and gone on. Cause: a reservation without an answer in 2 x 200 ms ejected the engine for a second, and for twice as long each further time. Class of fault: silence taken for proof. Change: HoldEnd.Silent is apart from Unreachable. A silent engine is left out until any response of it arrives, for at most 3 s, and is asked for one meanwhile; only proof that it is gone ejects it.

--- a/packages/gateway/src/decide/__tests__/backend_health_test.ts
+++ b/packages/gateway/src/decide/__tests__/backend_health_test.ts
@@ -89,3 +89,15 @@
   health.forget("a");
   expect(health.isUsable("a")).toBe(true);
 });
+
+test("a silent backend server gets no work until it responds, and isn't ejected", () => {
+  const { clock, health } = create();
+  health.markSilent("a", 3_000);
+  expect([health.isUsable("a"), health.isSilent("a")]).toEqual([false, true]);
+  health.markResponsive("a");
+  expect(health.isUsable("a")).toBe(true);
+  health.markSilent("a", 3_000);
+  clock.advance(3_001);
+  expect(health.isUsable("a")).toBe(true);
+  expect(health.recordOf("a").consecutiveEjections).toBe(0);
+});
--- a/packages/gateway/src/decide/backend_health.ts
+++ b/packages/gateway/src/decide/backend_health.ts
@@ -4,7 +4,8 @@
  * although its health check passes and the store lists it as ready. One that
  * leaves several calls in a row without a response, or fails far more often
  * than its peers, is ejected for a while; the ejection time doubles while it
- * keeps failing.
+ * keeps failing. One that is merely silent may be standing still: it gets no
+ * work until it responds, and counts as sound then.
  */
 import type { Clock } from "@sassafrascleat/runtime";
 
@@ -52,6 +53,8 @@
   readonly #records = new Map<string, HealthRecord>();
   /** Ends of planned suspensions, by incarnation. */
   readonly #suspendedUntilMs = new Map<string, number>();
+  /** Until when silent backend servers are waited for, by incarnation. */
+  readonly #silentUntilMs = new Map<string, number>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -73,9 +76,10 @@
     return fresh;
   }
 
-  /** Whether the backend server is neither suspended nor ejected. */
+  /** Whether the backend server is neither suspended, ejected nor silent. */
   isUsable(key: string): boolean {
     const nowMs = this.#clock.now();
+    if (this.isSilent(key)) return false;
     if ((this.#suspendedUntilMs.get(key) ?? nowMs) > nowMs) return false;
     const record = this.#records.get(key);
     return !record || record.ejectedUntilMs <= nowMs;
@@ -125,6 +129,22 @@
     this.#suspendedUntilMs.set(key, this.#clock.now() + forMs);
   }
 
+  /** Excludes a silent backend server until it responds, for `forMs` at most. */
+  markSilent(key: string, forMs: number): void {
+    this.#silentUntilMs.set(key, this.#clock.now() + forMs);
+  }
+
+  /** Whether the backend server is excluded because it is silent. */
+  isSilent(key: string): boolean {
+    const untilMs = this.#silentUntilMs.get(key);
+    return untilMs !== undefined && untilMs > this.#clock.now();
+  }
+
+  /** Records that a backend server has responded. */
+  markResponsive(key: string): void {
+    this.#silentUntilMs.delete(key);
+  }
+
   /** Ends a suspension early. */
   resume(key: string): void {
     this.#suspendedUntilMs.delete(key);
@@ -134,6 +154,7 @@
   forget(key: string): void {
     this.#records.delete(key);
     this.#suspendedUntilMs.delete(key);
+    this.#silentUntilMs.delete(key);
   }
 
   #recordSuccess(record: HealthRecord, latencyMs: number): void {
--- a/packages/gateway/src/runs/decode_reservations.ts
+++ b/packages/gateway/src/runs/decode_reservations.ts
@@ -20,6 +20,7 @@
   nextPending,
   type PendingPlacement,
 } from "../decide/placement_queue.ts";
+import { recordSilent } from "./liveness.ts";
 import { checkRateLimits, shortestLimitWaitMs } from "./rate_limit_check.ts";
 import { HoldEnd, type RunContext } from "./run_context.ts";
 
@@ -215,7 +216,8 @@
     release();
     if (result.end === HoldEnd.NoCapacity) {
       ctx.engineLoads.refused(key, req.tokens);
-    } else this.#recordUnreachable(engine, result.message ?? "");
+    } else if (result.end === HoldEnd.Silent) recordSilent(ctx, engine);
+    else this.#recordUnreachable(engine, result.message ?? "");
     return undefined;
   }
 
--- a/packages/gateway/src/runs/liveness.ts
+++ b/packages/gateway/src/runs/liveness.ts
@@ -3,7 +3,8 @@
  * may stand still for a while, and then goes on with all that it had begun.
  */
 import { ExchangeOutcome, type ExchangeResult } from "../http/exchange.ts";
-import { STATUS_MISDIRECTED } from "./run_context.ts";
+import { type Backend, incarnationOf } from "../backends/backend.ts";
+import { type RunContext, STATUS_MISDIRECTED } from "./run_context.ts";
 
 /** Whether a backend server lives. */
 export enum Liveness {
@@ -36,3 +37,17 @@
   const refused = result.code !== undefined && GONE_CODES.has(result.code);
   return refused ? Liveness.Gone : Liveness.Silent;
 }
+
+/**
+ * Sends a silent server no work until it responds, which it is asked to do, or
+ * for as long as sound servers stand still.
+ */
+export function recordSilent(ctx: RunContext, backend: Backend): void {
+  const key = incarnationOf(backend);
+  if (ctx.health.isSilent(key)) return;
+  ctx.log("backend_silent", { backend: backend.id });
+  ctx.health.markSilent(key, MAX_STANDSTILL_MS);
+  void ctx.liveness.check(backend, MAX_STANDSTILL_MS).then((liveness) => {
+    if (liveness === Liveness.Gone) ctx.health.eject(key);
+  });
+}
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -119,7 +119,9 @@
   Granted = "granted",
   /** The engine has too little free memory or no free slot. */
   NoCapacity = "no_room",
-  /** No valid response from this incarnation of the engine. */
+  /** No response in time; the engine may stand still. */
+  Silent = "silent",
+  /** No connection, or no valid response from this incarnation of the engine. */
   Unreachable = "unreachable",
 }
 
--- a/packages/gateway/src/server_observer.ts
+++ b/packages/gateway/src/server_observer.ts
@@ -20,7 +20,8 @@
     backend: Backend,
     { status, headers, ageMs }: ResponseHead,
   ): void {
-    const { codec, directory } = this.#ctx;
+    const { codec, directory, health } = this.#ctx;
+    health.markResponsive(incarnationOf(backend));
     const state = codec.parseServerState(status, headers);
     if (state.leaving) directory.markDraining(backend);
     if (state.pauseMs !== undefined) this.#pause(backend, state.pauseMs);
