fix(gateway): an engine is not ejected because a caller leaves

What callers saw: 503 for a second after another caller had closed its connection while memory was being reserved for it. Cause: the reservation that its leaving aborted was taken for one that the engine could not be reached with. Class of fault: silence taken for proof; here it was our own. Evidence: "while callers leave is not ejected" failed before the change (503). Change: an aborted reservation shows nothing about its engine. Result: the test passes, and with it the tests of still servers that reserve memory and of stream runs.

--- a/packages/gateway/src/runs/decode_reservations.ts
+++ b/packages/gateway/src/runs/decode_reservations.ts
@@ -214,6 +214,8 @@
       );
     }
     release();
+    // Given up because the caller has left.
+    if (req.signal.aborted) return undefined;
     if (result.end === HoldEnd.NoCapacity) {
       ctx.engineLoads.refused(key, req.tokens);
     } else if (result.end === HoldEnd.Silent) recordSilent(ctx, engine);
