feat(gateway): the software version of servers is known, and what a resumed stream names

Nothing reads the entry's version or the request that a resumed stream names. No decision uses them yet.

--- a/packages/gateway/src/backends/__tests__/directory_test.ts
+++ b/packages/gateway/src/backends/__tests__/directory_test.ts
@@ -11,6 +11,7 @@
     zone: "z1",
     slots: 4,
     state: BackendState.Ready,
+    version: "v1",
     startedAtMs: 1,
     ...more,
   };
--- a/packages/gateway/src/backends/backend.ts
+++ b/packages/gateway/src/backends/backend.ts
@@ -22,6 +22,11 @@
   zone: string;
   slots: number;
   state: BackendState;
+  /**
+   * Version of its software. What two versions generate doesn't fit together:
+   * neither events of one stream nor KV-cache memory.
+   */
+  version: string;
   /** Absent for plain services. */
   stage?: EngineStage;
   /** Unix milliseconds of its start; a new value is a new incarnation. */
--- a/packages/gateway/src/backends/directory.ts
+++ b/packages/gateway/src/backends/directory.ts
@@ -336,6 +336,7 @@
   const same = incarnationOf(before) === incarnationOf(now) &&
     before.state === now.state && before.stage === now.stage &&
     before.zone === now.zone && before.slots === now.slots &&
+    before.version === now.version &&
     before.service === now.service;
   return same ? undefined : DirectoryChange.Changed;
 }
--- a/packages/gateway/src/balance/__tests__/stage_balancer_test.ts
+++ b/packages/gateway/src/balance/__tests__/stage_balancer_test.ts
@@ -35,6 +35,7 @@
     zone: "z1",
     slots: 12,
     state: BackendState.Ready,
+    version: "v1",
     stage,
   };
 }
--- a/packages/gateway/src/decide/__tests__/decision_cost_test.ts
+++ b/packages/gateway/src/decide/__tests__/decision_cost_test.ts
@@ -31,6 +31,7 @@
     zone: `z${index % ZONES}`,
     slots: 12,
     state: BackendState.Ready,
+    version: "v1",
     stage: index % 3 === 0 ? EngineStage.Prefill : EngineStage.Decode,
   };
 }
--- a/packages/gateway/src/decide/__tests__/placement_test.ts
+++ b/packages/gateway/src/decide/__tests__/placement_test.ts
@@ -27,6 +27,7 @@
     zone,
     slots: 12,
     state: BackendState.Ready,
+    version: "v1",
     stage,
   };
 }
--- a/packages/gateway/src/decide/__tests__/plans_test.ts
+++ b/packages/gateway/src/decide/__tests__/plans_test.ts
@@ -59,6 +59,7 @@
       zone: `z${index % 3}`,
       slots: 12,
       state: BackendState.Ready,
+      version: "v1",
       stage,
     }));
   }
--- a/packages/gateway/src/decide/__tests__/prefill_speed_test.ts
+++ b/packages/gateway/src/decide/__tests__/prefill_speed_test.ts
@@ -39,6 +39,7 @@
     zone: "z",
     slots: 12,
     state: "ready" as never,
+    version: "v1",
   }));
   const promptTokens = 5_200;
   const decodeMs = 333;
--- a/packages/gateway/src/http/__tests__/raw_server.ts
+++ b/packages/gateway/src/http/__tests__/raw_server.ts
@@ -48,6 +48,7 @@
       zone: "z1",
       slots: 4,
       state: BackendState.Ready,
+      version: "v1",
     },
     requests,
     connectionNumbers,
--- a/packages/gateway/src/http/wire_codec.ts
+++ b/packages/gateway/src/http/wire_codec.ts
@@ -30,6 +30,11 @@
   promptParts: readonly PromptPart[];
   /** Id of the last event received, if the caller resumes a stream. */
   lastEventId?: string;
+  /**
+   * If the caller resumes a stream: id of its request that received the first
+   * event.
+   */
+  resumedRequestId?: string;
 }
 
 /** Instructions to the backend server that accompany a request. */
