test(gateway): streams and KV memory keep to one software version

Change: the tests, their log, a local log, and an option of the gateway for the shared one. No decision uses them yet.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,8 @@
 import { RequestHandler } from "./request_handler.ts";
 import { ServerObserver } from "./server_observer.ts";
 import { getOrCreate, ServiceStates } from "./service_states.ts";
+import { StreamVersions } from "./versions/stream_versions.ts";
+import type { VersionLog } from "./versions/version_log.ts";
 
 /** Options of {@link Gateway}. */
 export interface GatewayOptions {
@@ -59,6 +61,11 @@
    * @default a log of this router alone
    */
   crashLog?: () => CrashLog;
+  /**
+   * Returns the log of the versions of streams that all routers share.
+   * @default a log of this router alone
+   */
+  versionLog?: () => VersionLog;
 }
 
 /** How long a rejection for lack of decode memory counts, in milliseconds. */
@@ -75,6 +82,8 @@
   readonly upstream: Upstream;
   /** Keeps requests away from the backend servers that they would crash. */
   readonly quarantine: RequestQuarantine;
+  /** Keeps streams at the software version that began them. */
+  readonly versions = new StreamVersions();
   readonly #ctx: RunContext;
   readonly #rateLimits: RequestRateLimits;
   readonly #services: ServiceStates;
