feat(gateway): the version that a stream began at can be found out

Change: `versions/` keeps the default version of each service and the versions of streams: what this router has seen, and what the shared log says. No request uses it yet.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,7 @@
 import { RequestHandler } from "./request_handler.ts";
 import { ServerObserver } from "./server_observer.ts";
 import { getOrCreate, ServiceStates } from "./service_states.ts";
+import { RETAIN_MS } from "./versions/retention.ts";
 import { StreamVersions } from "./versions/stream_versions.ts";
 import type { VersionLog } from "./versions/version_log.ts";
 
@@ -66,6 +67,8 @@
    * @default a log of this router alone
    */
   versionLog?: () => VersionLog;
+  /** Aborts when the gateway stops. */
+  signal?: AbortSignal;
 }
 
 /** How long a rejection for lack of decode memory counts, in milliseconds. */
@@ -83,7 +86,7 @@
   /** Keeps requests away from the backend servers that they would crash. */
   readonly quarantine: RequestQuarantine;
   /** Keeps streams at the software version that began them. */
-  readonly versions = new StreamVersions();
+  readonly versions: StreamVersions;
   readonly #ctx: RunContext;
   readonly #rateLimits: RequestRateLimits;
   readonly #services: ServiceStates;
@@ -103,6 +106,16 @@
       log,
       entryLifetimeMs: options.entryLifetimeMs,
     });
+    this.versions = new StreamVersions({
+      clock,
+      log,
+      random,
+      directory: this.directory,
+      config: this.config,
+      versionLog: options.versionLog,
+      retainMs: RETAIN_MS,
+      signal: options.signal,
+    });
     this.metrics = createGatewayMetrics();
     this.#rateLimits = new RequestRateLimits({
       clock,
@@ -148,6 +161,7 @@
       health: new HealthTracker(clock),
       engineLoads: new EngineLoadTracker(clock),
       quarantine: this.quarantine,
+      versions: this.versions,
       rateLimits: this.#rateLimits,
       metrics: this.metrics,
       policy,
@@ -205,6 +219,7 @@
   handleStoreRestored(): void {
     this.directory.markStoreRestored();
     this.quarantine.handleLogRestored();
+    this.versions.handleStoreRestored();
   }
 
   /** Sets the names of the router instances that share limits. */
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -25,6 +25,7 @@
 import type { GatewayPolicy } from "../policy.ts";
 import type { RequestKeys } from "../quarantine/request_keys.ts";
 import type { RequestQuarantine } from "../quarantine/request_quarantine.ts";
+import type { StreamVersions } from "../versions/stream_versions.ts";
 import type { LivenessChecks } from "./liveness_checks.ts";
 
 /** One request of a caller, with its complete body. */
@@ -95,6 +96,10 @@
   Draining = "entry_leaving",
   /** The request, or a part of its prompt, crashes backend servers. */
   Quarantined = "quarantined",
+  /** It is not known at which software version the stream began. */
+  VersionUnknown = "version_unknown",
+  /** No backend server of a software version that could run it is ready. */
+  VersionAbsent = "version_absent",
 }
 
 /** How one request ended, for its log line and metrics. */
@@ -200,6 +205,7 @@
   health: HealthTracker;
   engineLoads: EngineLoadTracker;
   quarantine: RequestQuarantine;
+  versions: StreamVersions;
   liveness: LivenessChecks;
   rateLimits: RequestRateLimits;
   metrics: GatewayMetrics;
--- a/packages/gateway/src/versions/local_version_log.ts
+++ b/packages/gateway/src/versions/local_version_log.ts
@@ -16,10 +16,9 @@
   readonly #defaults = new Map<string, string>();
   readonly #listener: (defaults: DefaultVersions) => void;
 
-  /** Calls `listener` with the default versions, now and when they change. */
+  /** Calls `listener` with the default versions when they change. */
   constructor(listener: (defaults: DefaultVersions) => void) {
     this.#listener = listener;
-    this.#notify();
   }
 
   record(streamId: string, version: string): Promise<boolean> {
@@ -53,10 +52,16 @@
   }
 
   markComplete(): Promise<void> {
+    this.#notify();
     return Promise.resolve();
   }
 
+  /** The default versions as they are now. */
+  get defaults(): DefaultVersions {
+    return { versions: new Map(this.#defaults), complete: true };
+  }
+
   #notify(): void {
-    this.#listener({ versions: new Map(this.#defaults), complete: true });
+    this.#listener(this.defaults);
   }
 }
