fix(gateway): a stream keeps to the software version that began it

Cause: engines of a service counted as interchangeable. Take-ups, continuations in one answer, moves of runs, spare reservations and prefills crossed versions. Change: each stream has a handle that knows where it may go. A stream that is taken up again goes on at its version or is rejected at once; one that is new is recorded, beside its prefill, before it is sent. Prefill and decode engines, and the two ends of a move, have the same version.

--- a/packages/gateway/src/runs/decode_reservations.ts
+++ b/packages/gateway/src/runs/decode_reservations.ts
@@ -46,6 +46,8 @@
   signal: AbortSignal;
   /** Engine incarnations that are skipped. */
   excluded: ReadonlySet<string>;
+  /** Returns the engines that may run the request. */
+  select(engines: readonly Backend[]): readonly Backend[];
 }
 
 interface WaitingRequest extends ReservationRequest {
@@ -90,13 +92,16 @@
   /** Whether no engine can be used in time, however the memory changes. */
   #isHopeless(req: ReservationRequest): boolean {
     const leftMs = req.expiresAtMs - this.#ctx.clock.now();
-    return leftMs <= 0 ||
-      shortestLimitWaitMs(this.#ctx, this.#engines()) > leftMs;
+    const engines = this.#enginesFor(req);
+    return leftMs <= 0 || engines.length === 0 ||
+      shortestLimitWaitMs(this.#ctx, engines) > leftMs;
   }
 
-  #engines(): readonly Backend[] {
+  #enginesFor(req: ReservationRequest): readonly Backend[] {
     const { directory } = this.#ctx;
-    return directory.readyAt(this.#service.name, EngineStage.Decode);
+    return req.select(
+      directory.readyAt(this.#service.name, EngineStage.Decode),
+    );
   }
 
   #wait(req: ReservationRequest): Promise<Reservation | undefined> {
@@ -145,7 +150,7 @@
     const ctx = this.#ctx;
     const capacity = this.#service.engine;
     if (!capacity) return undefined;
-    const engines = this.#engines();
+    const engines = this.#enginesFor(req);
     checkRateLimits(ctx, engines);
     const inputs = { ...ctx, nowMs: ctx.clock.now() };
     const ordered = orderDecodeEngines(
--- a/packages/gateway/src/runs/plain_stream.ts
+++ b/packages/gateway/src/runs/plain_stream.ts
@@ -6,6 +6,7 @@
  */
 import { type Backend, incarnationOf } from "../backends/backend.ts";
 import { pickPlainBackend } from "../decide/plain_placement.ts";
+import type { StreamVersion } from "../versions/stream_version.ts";
 import { withDeadline } from "./deadline.ts";
 import {
   callOutcomeOf,
@@ -30,6 +31,7 @@
   tryAcquireRetry,
 } from "./run_context.ts";
 import { MEAN_RETRY_DELAY_MS, StreamFinisher } from "./stream_outcome.ts";
+import { openVersion, withVersion } from "./with_version.ts";
 
 /** Maximum number of backend servers that one request is sent to, in turn. */
 const MAX_SENDS = 4;
@@ -40,30 +42,50 @@
   req: CallerRequest,
 ): Promise<RunOutcome> {
   ctx.retryBudgetOf(req.service.name).countRequest();
-  return withDeadline(ctx, req, (signal) => tryBackends(ctx, req, signal));
+  const progress = createProgress(req.metadata.lastEventId);
+  const finisher = new StreamFinisher(ctx, req, progress);
+  const version = openVersion(ctx, req);
+  const run = { ctx, req, progress, finisher, version };
+  return withDeadline(
+    ctx,
+    req,
+    (signal) =>
+      withVersion(version, finisher, signal, () => tryBackends(run, signal)),
+  );
+}
+
+/** One request for a stream, and how far it has come. */
+interface PlainStreamRun {
+  ctx: RunContext;
+  req: CallerRequest;
+  progress: StreamProgress;
+  finisher: StreamFinisher;
+  version: StreamVersion;
 }
 
 async function tryBackends(
-  ctx: RunContext,
-  req: CallerRequest,
+  run: PlainStreamRun,
   signal: AbortSignal,
 ): Promise<RunOutcome> {
-  const progress = createProgress(req.metadata.lastEventId);
-  const finisher = new StreamFinisher(ctx, req, progress);
+  const { ctx, req, finisher, version } = run;
   const tried = new Set<string>();
   while (finisher.sends < MAX_SENDS) {
-    const backends = ctx.directory.ready(req.service.name);
+    const ready = ctx.directory.ready(req.service.name);
+    const backends = version.select(ready);
+    if (backends.length === 0) return finisher.noBackend();
     checkRateLimits(ctx, backends);
     const backend = pickPlainBackend(backends, ctx, tried);
     if (!backend) break;
     if (quarantineMs(ctx, req) > 0) return finisher.quarantined();
+    if (!await version.prepare(backend, signal)) continue;
+    if (signal.aborted) return finisher.aborted();
     if (finisher.sends > 0 && !tryAcquireRetry(ctx, req, "stream")) break;
     tried.add(incarnationOf(backend));
     ctx.rateLimits.charge(incarnationOf(backend));
     finisher.sends += 1;
     finisher.attempts += 1;
     finisher.lastBackendId = backend.id;
-    const result = await streamFrom(ctx, req, backend, progress, signal);
+    const result = await streamFrom(run, backend, signal);
     if (result.end === StreamEnd.Complete) return finisher.answered();
     if (signal.aborted) return finisher.aborted();
     if (result.end === StreamEnd.BackendError) {
@@ -79,10 +101,8 @@
 }
 
 async function streamFrom(
-  ctx: RunContext,
-  req: CallerRequest,
+  { ctx, req, progress, version }: PlainStreamRun,
   backend: Backend,
-  progress: StreamProgress,
   signal: AbortSignal,
 ): Promise<StreamResult> {
   const key = incarnationOf(backend);
@@ -101,6 +121,7 @@
     progress,
     signal,
     silenceCheckMs: 0,
+    onFirstEvent: () => version.begun(backend),
     onFirstEventOrEnd: () => {},
     isLost: () => Promise.resolve(false),
     directives: {
--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -22,6 +22,7 @@
   type ExchangeResult,
 } from "../http/exchange.ts";
 import type { KvSource, PromptInfo } from "../http/wire_codec.ts";
+import { ofVersion } from "../versions/same_version.ts";
 import { recordPrefill } from "./crash_detection.ts";
 import { checkRateLimits } from "./rate_limit_check.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
@@ -76,17 +77,17 @@
   }
 
   /**
-   * Prefills the prompt for a decode engine in `zone`; undefined if no prefill
-   * engine did so in time.
+   * Prefills the prompt for a decode engine; undefined if no prefill engine did
+   * so in time.
    */
   async prefill(
-    zone: string,
+    decodeEngine: Backend,
     lastEventId: string | undefined,
     extraTokens: number,
     signal: AbortSignal,
   ): Promise<PrefillResult | undefined> {
     while (!signal.aborted && remainingMs(this.#ctx, this.#req) > 0) {
-      const engine = this.#pick(zone);
+      const engine = this.#pick(decodeEngine);
       if (!engine || quarantineMs(this.#ctx, this.#req) > 0) return undefined;
       const isRetry = this.#sentCalls > 0;
       if (isRetry && !tryAcquireRetry(this.#ctx, this.#req, "prefill")) {
@@ -117,9 +118,13 @@
     this.#ctx.health.record(key, CallOutcome.NoResponse, 0, () => []);
   }
 
-  /** Decides which stage prefills the prompt, and estimates how long that takes. */
-  plan(zone = this.#ctx.zone): PrefillPlan {
-    const engine = this.#pick(zone);
+  /**
+   * Decides which stage prefills the prompt, and estimates how long that takes:
+   * for a decode engine, or for any one near this router.
+   */
+  plan(decodeEngine?: Backend): PrefillPlan {
+    const engine = this.#pick(decodeEngine);
+    const zone = decodeEngine?.zone ?? this.#ctx.zone;
     const { tokensPerMs } = this.#speed;
     return planPrefill({
       prefillMs: this.#prefillMs(this.#prompt.promptTokens),
@@ -143,17 +148,18 @@
     return { ...this.#ctx, zone, nowMs: this.#ctx.clock.now() };
   }
 
-  #pick(zone: string): Backend | undefined {
-    const engines = this.#ctx.directory.readyAt(
-      this.#req.service.name,
-      EngineStage.Prefill,
+  #pick(decodeEngine: Backend | undefined): Backend | undefined {
+    const { directory, zone } = this.#ctx;
+    const engines = ofVersion(
+      directory.readyAt(this.#req.service.name, EngineStage.Prefill),
+      decodeEngine?.version,
     );
     checkRateLimits(this.#ctx, engines);
     const { tokensPerMs } = this.#speed;
     return pickPrefillEngine(
       engines,
       tokensPerMs,
-      this.#inputs(zone),
+      this.#inputs(decodeEngine?.zone ?? zone),
       this.#failed,
     );
   }
--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -11,6 +11,7 @@
 } from "../backends/backend.ts";
 import { orderDecodeEngines } from "../decide/engine_placement.ts";
 import type { KvSource } from "../http/wire_codec.ts";
+import { ofVersion } from "../versions/same_version.ts";
 import type { Reservation } from "./decode_reservations.ts";
 import type { Generation } from "./generation.ts";
 import {
@@ -61,7 +62,7 @@
   signal: AbortSignal,
 ): Promise<MovedRun | undefined> {
   if (generation.remainingMs() < MIN_REMAINING_MS_TO_MOVE) return undefined;
-  const target = pickTarget(ctx, req, generation);
+  const target = pickTarget(ctx, req, generation, engine.version);
   if (!target || !tryAcquireRetry(ctx, req, "move")) return undefined;
   const tokens = generation.expectedTotalTokens;
   const release = ctx.engineLoads.place(incarnationOf(target), tokens);
@@ -99,8 +100,12 @@
   ctx: RunContext,
   req: CallerRequest,
   generation: Generation,
+  version: string,
 ): Backend | undefined {
-  const engines = ctx.directory.readyAt(req.service.name, EngineStage.Decode);
+  const engines = ofVersion(
+    ctx.directory.readyAt(req.service.name, EngineStage.Decode),
+    version,
+  );
   const inputs = { ...ctx, nowMs: ctx.clock.now() };
   const { expectedTotalTokens, capacity } = generation;
   const ordered = orderDecodeEngines(
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -56,6 +56,8 @@
    * waits until the deadline.
    */
   silenceCheckMs: number;
+  /** Called before the first event is forwarded. */
+  onFirstEvent: () => void;
   /** Called on the first event, and again when the stream ends. */
   onFirstEventOrEnd: () => void;
   /** Decides whether a silent stream is given up. */
@@ -189,7 +191,10 @@
 
   #onEvents(events: CompleteEvents): void {
     if (events.count === 0) return this.#forwardComments(events.bytes);
-    if (this.#events === 0) this.#options.onFirstEventOrEnd();
+    if (this.#events === 0) {
+      this.#options.onFirstEvent();
+      this.#options.onFirstEventOrEnd();
+    }
     this.#restartSilenceTimer();
     this.#recordProgress(events);
     this.#write(events.bytes);
--- a/packages/gateway/src/runs/stream_outcome.ts
+++ b/packages/gateway/src/runs/stream_outcome.ts
@@ -2,7 +2,7 @@
  * Ends a stream towards its caller. A request that did not run is rejected with
  * a suggested retry delay; one that may have run fails.
  */
-import { EngineStage } from "../backends/backend.ts";
+import type { Backend } from "../backends/backend.ts";
 import { shortestLimitWaitMs } from "./rate_limit_check.ts";
 import { StreamEnd, type StreamResult } from "./stream_call.ts";
 import type { StreamProgress } from "./generation.ts";
@@ -19,8 +19,8 @@
 /** Mean retry delay, before jitter, suggested to a rejected caller, in ms. */
 export const MEAN_RETRY_DELAY_MS = 3_200;
 /**
- * Mean retry delay, before jitter, suggested when the service has no ready decode
- * engine, in milliseconds.
+ * Mean retry delay, before jitter, suggested when no backend server can run the
+ * request, in milliseconds.
  */
 const NO_ENGINE_RETRY_DELAY_MS = 1_000;
 
@@ -96,16 +96,31 @@
     return rejectQuarantined(this.#ctx, this.#req, this.sends);
   }
 
-  /** Ends a request for which no decode engine has capacity, or none exists. */
-  noCapacity(): RunOutcome {
-    const engines = this.#ctx.directory.readyAt(
-      this.#req.service.name,
-      EngineStage.Decode,
+  /** Ends a request whose stream began at a version that is not known. */
+  versionUnknown(): RunOutcome {
+    const reason = RunReason.VersionUnknown;
+    return reject(this.#ctx, this.#req, reason, NO_ENGINE_RETRY_DELAY_MS);
+  }
+
+  /** Ends a request that none of the ready backend servers can run. */
+  noBackend(): RunOutcome {
+    if (this.attempts > 0) return this.#fail(RunReason.StreamCut);
+    const ready = this.#ctx.directory.ready(this.#req.service.name);
+    const reason = ready.length > 0
+      ? RunReason.VersionAbsent
+      : RunReason.NoBackend;
+    return reject(
+      this.#ctx,
+      this.#req,
+      reason,
+      NO_ENGINE_RETRY_DELAY_MS,
+      this.sends,
     );
-    if (engines.length === 0 && this.attempts === 0) {
-      const reason = RunReason.NoBackend;
-      return reject(this.#ctx, this.#req, reason, NO_ENGINE_RETRY_DELAY_MS);
-    }
+  }
+
+  /** Ends a request for which none of the engines has capacity. */
+  noCapacity(engines: readonly Backend[]): RunOutcome {
+    if (engines.length === 0) return this.noBackend();
     const limited = shortestLimitWaitMs(this.#ctx, engines) > 0;
     return this.rejectOrFail(
       limited ? RunReason.RateLimited : RunReason.NoCapacity,
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -12,6 +12,7 @@
 import { type MemoryDemand, memoryDemand } from "../decide/memory_demand.ts";
 import { PrefillPlace } from "../decide/prefill_plan.ts";
 import type { KvSource } from "../http/wire_codec.ts";
+import type { StreamVersion } from "../versions/stream_version.ts";
 import type { DecodeReservations, Reservation } from "./decode_reservations.ts";
 import type { StreamResult } from "./stream_call.ts";
 import type { Generation } from "./generation.ts";
@@ -54,6 +55,7 @@
   readonly #req: CallerRequest;
   readonly #reservations: DecodeReservations;
   readonly #generation: Generation;
+  readonly #version: StreamVersion;
   readonly #prefiller: Prefiller;
   readonly #excluded = new Set<string>();
   /** A prefill result that the previous decode engine did not use. */
@@ -66,11 +68,13 @@
     req: CallerRequest,
     reservations: DecodeReservations,
     generation: Generation,
+    version: StreamVersion,
   ) {
     this.#ctx = ctx;
     this.#req = req;
     this.#reservations = reservations;
     this.#generation = generation;
+    this.#version = version;
     this.#prefiller = new Prefiller(ctx, req, generation.prompt);
   }
 
@@ -80,8 +84,7 @@
     signal: AbortSignal,
   ): Promise<Placement | PlacementFailure> {
     const startMs = this.#ctx.clock.now();
-    const reservation = this.#spareReservation ?? await this.#reserve(signal);
-    this.#spareReservation = undefined;
+    const reservation = this.#takeSpare() ?? await this.#reserve(signal);
     if (signal.aborted) {
       return this.#cancel(PlacementFailure.Aborted, reservation);
     }
@@ -95,16 +98,21 @@
     if (this.#isQuarantined()) {
       return this.#cancel(PlacementFailure.Quarantined, reservation);
     }
-    const prefill = this.#unusedPrefill ??
-      await this.#prefill(reservation.engine.zone, signal);
-    this.#unusedPrefill = undefined;
+    const [prefill, prepared] = await Promise.all([
+      this.#takePrefill(reservation.engine) ??
+        this.#prefill(reservation.engine, signal),
+      this.#version.prepare(reservation.engine, signal),
+    ]);
     if (signal.aborted) {
       return this.#cancel(PlacementFailure.Aborted, reservation, prefill);
     }
     if (this.#isQuarantined()) {
       return this.#cancel(PlacementFailure.Quarantined, reservation, prefill);
     }
-    if (this.#ctx.rateLimits.isPaused(incarnationOf(reservation.engine))) {
+    const paused = this.#ctx.rateLimits.isPaused(
+      incarnationOf(reservation.engine),
+    );
+    if (!prepared || paused) {
       this.#reservations.cancel(reservation);
       if (prefill) this.#keepOrDiscard(prefill, true);
       return await this.place(isRetry, signal);
@@ -115,6 +123,24 @@
     return { reservation, prefill, source: prefill?.source };
   }
 
+  /** Takes the spare reservation, unless its engine can't continue the stream. */
+  #takeSpare(): Reservation | undefined {
+    const spare = this.#spareReservation;
+    this.#spareReservation = undefined;
+    if (!spare || this.#version.allows(spare.engine)) return spare;
+    this.#reservations.cancel(spare);
+    return undefined;
+  }
+
+  /** Takes the unused prefill result, if the engine can use it. */
+  #takePrefill(engine: Backend): PrefillResult | undefined {
+    const prefill = this.#unusedPrefill;
+    this.#unusedPrefill = undefined;
+    if (!prefill || prefill.engine.version === engine.version) return prefill;
+    prefill.discard();
+    return undefined;
+  }
+
   /** Reserves memory to continue the stream elsewhere; true if that succeeded. */
   async reserveSpare(signal: AbortSignal): Promise<boolean> {
     this.#spareReservation ??= await this.#reserve(signal);
@@ -157,12 +183,17 @@
 
   /** Skips an engine that cut the stream off, unless it is the only one. */
   avoid(engine: Backend): void {
+    if (this.decodeEngines().length > 1) {
+      this.#excluded.add(incarnationOf(engine));
+    }
+  }
+
+  /** Decode engines that may run the generation. */
+  decodeEngines(): readonly Backend[] {
     const { directory } = this.#ctx;
-    const engines = directory.readyAt(
-      this.#req.service.name,
-      EngineStage.Decode,
+    return this.#version.select(
+      directory.readyAt(this.#req.service.name, EngineStage.Decode),
     );
-    if (engines.length > 1) this.#excluded.add(incarnationOf(engine));
   }
 
   /** Frees an unused prefill result and an unused reservation. */
@@ -208,6 +239,7 @@
       expiresAtMs,
       signal,
       excluded: this.#excluded,
+      select: (engines) => this.#version.select(engines),
     });
   }
 
@@ -226,10 +258,10 @@
 
   /** Prefills the prompt; undefined if the decode engine has to do it. */
   async #prefill(
-    zone: string,
+    decodeEngine: Backend,
     signal: AbortSignal,
   ): Promise<PrefillResult | undefined> {
-    const plan = this.#prefiller.plan(zone);
+    const plan = this.#prefiller.plan(decodeEngine);
     if (plan.place === PrefillPlace.Decode) {
       this.#ctx.log("decode_reads", {
         req: this.#req.metadata.requestId,
@@ -239,7 +271,7 @@
     }
     const { progress, generatedTokens } = this.#generation;
     return await this.#prefiller.prefill(
-      zone,
+      decodeEngine,
       progress.lastEventId,
       generatedTokens,
       signal,
@@ -272,11 +304,10 @@
 
   #recordNoCapacity(): void {
     const { clock, decodeShortages } = this.#ctx;
-    decodeShortages.set(this.#req.service.name, clock.now());
-    const engines = this.#ctx.directory.readyAt(
-      this.#req.service.name,
-      EngineStage.Decode,
-    );
+    const engines = this.decodeEngines();
+    if (engines.length > 0) {
+      decodeShortages.set(this.#req.service.name, clock.now());
+    }
     this.#ctx.log("no_room", {
       req: this.#req.metadata.requestId,
       tokens: this.#memoryDemand().reserveTokens,
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -7,6 +7,7 @@
  * stream was cut off.
  */
 import { type Backend, incarnationOf } from "../backends/backend.ts";
+import type { StreamVersion } from "../versions/stream_version.ts";
 import type { DecodeReservations, Reservation } from "./decode_reservations.ts";
 import { withDeadline } from "./deadline.ts";
 import {
@@ -35,6 +36,7 @@
   PlacementFailure,
   StreamPlacer,
 } from "./stream_placement.ts";
+import { openVersion, withVersion } from "./with_version.ts";
 
 /** Silence before an engine's liveness is checked, in longest allowed event gaps. */
 const SILENT_GAPS_BEFORE_CHECK = 2;
@@ -72,6 +74,7 @@
   readonly #ctx: RunContext;
   readonly #req: CallerRequest;
   readonly #generation: Generation;
+  readonly #version: StreamVersion;
   readonly #placer: StreamPlacer;
   readonly #finisher: StreamFinisher;
   /** Engines that the request was sent to. */
@@ -90,7 +93,14 @@
     this.#ctx = ctx;
     this.#req = req;
     this.#generation = generation;
-    this.#placer = new StreamPlacer(ctx, req, reservations, generation);
+    this.#version = openVersion(ctx, req);
+    this.#placer = new StreamPlacer(
+      ctx,
+      req,
+      reservations,
+      generation,
+      this.#version,
+    );
     this.#finisher = new StreamFinisher(ctx, req, generation.progress);
   }
 
@@ -101,7 +111,13 @@
     if (prompt.promptTokens > capacity.kvTokens) {
       return reject(ctx, this.#req, RunReason.TooLarge, MEAN_RETRY_DELAY_MS);
     }
-    const work = (signal: AbortSignal) => this.#tryPlacements(signal);
+    const work = (signal: AbortSignal) =>
+      withVersion(
+        this.#version,
+        this.#finisher,
+        signal,
+        () => this.#tryPlacements(signal),
+      );
     try {
       return await withDeadline(ctx, this.#req, work);
     } finally {
@@ -138,7 +154,7 @@
       case PlacementFailure.Quarantined:
         return this.#finisher.quarantined();
       case PlacementFailure.NoCapacity:
-        return this.#finisher.noCapacity();
+        return this.#finisher.noCapacity(this.#placer.decodeEngines());
       case PlacementFailure.NoRetryBudget:
         return this.#finisher.rejectOrFail(RunReason.NotExecuted);
     }
@@ -182,6 +198,7 @@
       backend: reservation.engine,
       progress: this.#generation.progress,
       signal,
+      onFirstEvent: () => this.#version.begun(reservation.engine),
       silenceCheckMs: this.#silenceCheckMs(),
       onFirstEventOrEnd,
       isLost: () => this.#isLost(reservation.engine, signal),
