fix(gateway): a default version that comes back is recorded for a while

Cause: found while writing the unit tests. A version that returns just before others replace it as the default would begin streams without a record, which are then taken for streams of the new default. And one failed write alone kept new streams away from all versions but the default for a second.

--- a/packages/gateway/src/versions/stream_version.ts
+++ b/packages/gateway/src/versions/stream_version.ts
@@ -135,9 +135,10 @@
 
   /** Whether a stream without a record is taken for one of this version. */
   #isDefault(version: string): boolean {
-    const { defaults } = this.#sources;
-    return defaults.complete &&
-      defaults.defaultOf(this.#req.service) === version;
+    const { defaults, listed } = this.#sources;
+    const { service } = this.#req;
+    return defaults.complete && defaults.defaultOf(service) === version &&
+      !listed.hasJustReturned(service, version);
   }
 
   async #record(version: string, signal: AbortSignal): Promise<boolean> {
--- a/packages/gateway/src/versions/version_records.ts
+++ b/packages/gateway/src/versions/version_records.ts
@@ -30,6 +30,8 @@
 const MAX_STREAMS = 65_536;
 /** Longest call to the log, in milliseconds. */
 const MAX_CALL_MS = 700;
+/** Failed writes in a row after which the log counts as failing. */
+const MIN_FAILURES = 2;
 /** How long the log counts as failing after a failed write, in milliseconds. */
 const FAILURE_TTL_MS = 1_000;
 
@@ -40,15 +42,18 @@
   readonly #seen = new LRUCache<string, string>({ max: MAX_STREAMS });
   /** Deletions of records of interrupted streams. */
   readonly #deletions = new Map<string, ReturnType<typeof setTimeout>>();
+  /** Failed writes since the last successful one. */
+  #failures = 0;
   #lastFailureMs = -Infinity;
 
   constructor(options: VersionRecordsOptions) {
     this.#options = options;
   }
 
-  /** Whether a write has just failed. */
+  /** Whether writes have just failed. */
   get failing(): boolean {
-    return this.#options.clock.now() - this.#lastFailureMs < FAILURE_TTL_MS;
+    return this.#failures >= MIN_FAILURES &&
+      this.#options.clock.now() - this.#lastFailureMs < FAILURE_TTL_MS;
   }
 
   /** Remembers the version of a stream that this router forwards events of. */
@@ -80,8 +85,13 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     const stored = await this.#write(streamId, version, signal);
-    if (stored) return true;
-    if (!signal.aborted) this.#lastFailureMs = this.#options.clock.now();
+    if (stored) {
+      this.#failures = 0;
+      return true;
+    }
+    if (signal.aborted) return false;
+    this.#failures += 1;
+    this.#lastFailureMs = this.#options.clock.now();
     this.#options.log("stream_version_not_recorded", {
       stream: streamId,
       version,
