fix(gateway): streams of a router that was cut off are recorded when it is back

Cause: a router that can't reach the store begins streams at the default that it knows. If the others replace that default meanwhile, which takes 30 s without a listed server of it, such a stream is taken for one of the new default. Change: a router remembers the streams that it began without a record, and records those that a new default contradicts, when it learns of that or reaches the store again.

--- a/packages/gateway/src/versions/__tests__/stream_versions_test.ts
+++ b/packages/gateway/src/versions/__tests__/stream_versions_test.ts
@@ -327,9 +327,29 @@
     router.unlist("v1");
     versionLog.unreachable = true;
     router.directory.markStoreUnreachable();
+    router.versions.check();
     expect(await router.begin("a", "v2")).toBe(true);
     versionLog.unreachable = false;
     expect(await new Router().takeUp("a")).toEqual(["v1"]);
+    router.directory.markStoreReachable();
+    router.versions.check();
+    expect(await new Router().takeUp("a")).toEqual(["v2"]);
+  });
+
+  test("is recorded late if others have changed the default meanwhile", async () => {
+    router.list("v2");
+    router.directory.markStoreUnreachable();
+    await router.begin("long ago", "v1");
+    router.pass(RETAIN_MS);
+    await router.begin("a", "v1");
+    const stream = router.open("b");
+    await stream.prepare(server("v1"), SIGNAL);
+    stream.begun(server("v1"));
+    stream.close(true);
+    expect(versionLog.records.size).toBe(0);
+    versionLog.defaults.set("llm", "v2");
+    router.see();
+    expect([...versionLog.records]).toEqual([["a", "v1"]]);
   });
 
   test("that is broken off keeps its record, a complete one doesn't", async () => {
--- a/packages/gateway/src/versions/stream_version.ts
+++ b/packages/gateway/src/versions/stream_version.ts
@@ -7,6 +7,7 @@
 import type { Backend } from "../backends/backend.ts";
 import type { DefaultVersionKeeper } from "./default_versions.ts";
 import type { ListedVersions } from "./listed_versions.ts";
+import type { UnrecordedStreams } from "./unrecorded_streams.ts";
 import { RecordLookup } from "./version_log.ts";
 import type { VersionRecords } from "./version_records.ts";
 
@@ -25,6 +26,7 @@
 /** What the version of a stream is derived from. */
 export interface VersionSources {
   records: VersionRecords;
+  unrecorded: UnrecordedStreams;
   defaults: DefaultVersionKeeper;
   listed: ListedVersions;
 }
@@ -178,13 +180,17 @@
   begun({ version }: Backend): void {
     this.#required ??= version;
     if (!this.#req.resumable || this.#streamId === undefined) return;
-    this.#sources.records.remember(this.#streamId, version);
+    const { records, unrecorded } = this.#sources;
+    records.remember(this.#streamId, version);
+    if (this.#resumed || this.#recorded !== undefined) return;
+    unrecorded.add(this.#streamId, this.#req.service, version);
   }
 
   /** Notes the end of the response; `complete` if that was the stream's end. */
   close(complete: boolean): void {
     if (this.#streamId === undefined) return;
-    const { records } = this.#sources;
+    const { records, unrecorded } = this.#sources;
+    if (complete) unrecorded.delete(this.#streamId);
     const mayHaveRecord = this.#written.size > 0 ||
       records.isRemovalPending(this.#streamId);
     if (!mayHaveRecord) return;
--- a/packages/gateway/src/versions/stream_versions.ts
+++ b/packages/gateway/src/versions/stream_versions.ts
@@ -15,6 +15,7 @@
   StreamVersion,
   type VersionSources,
 } from "./stream_version.ts";
+import { UnrecordedStreams } from "./unrecorded_streams.ts";
 import type { DefaultVersions, VersionLog } from "./version_log.ts";
 import { VersionRecords } from "./version_records.ts";
 
@@ -39,14 +40,17 @@
 /** Knows the versions of streams, and keeps the default versions up to date. */
 export class StreamVersions {
   readonly #sources: VersionSources;
-  readonly #signal: AbortSignal | undefined;
+  readonly #signal: AbortSignal;
+  /** Whether the store was reachable at the last check. */
+  #wasReachable = false;
   #timer: ReturnType<typeof setTimeout> | undefined;
   /** When the timer fires, in clock milliseconds. */
   #timerAtMs = Infinity;
   readonly #clock: Clock;
 
   constructor(options: StreamVersionsOptions) {
-    const { config, directory, signal } = options;
+    const { config, directory, signal = new AbortController().signal } =
+      options;
     const localLog = new LocalVersionLog((defaults) => this.observe(defaults));
     const versionLog = options.versionLog ?? (() => localLog);
     const listed = new ListedVersions(options);
@@ -55,6 +59,7 @@
     this.#sources = {
       listed,
       records: new VersionRecords({ ...options, versionLog }),
+      unrecorded: new UnrecordedStreams(options.clock, options.retainMs),
       defaults: new DefaultVersionKeeper({
         ...options,
         listed,
@@ -62,7 +67,7 @@
         services: () => servicesWithStreams(config.current?.table),
       }),
     };
-    signal?.addEventListener("abort", () => clearTimeout(this.#timer));
+    signal.addEventListener("abort", () => clearTimeout(this.#timer));
     directory.onChange(() => this.#checkIn(CHANGE_PAUSE_MS));
     config.onChange(() => this.#checkIn(CHANGE_PAUSE_MS));
     if (!options.versionLog) this.observe(localLog.defaults);
@@ -71,9 +76,25 @@
   /** Applies the default versions of the shared log. */
   observe(defaults: DefaultVersions): void {
     this.#sources.defaults.observe(defaults);
+    this.#recordContradicting();
     this.#checkIn(0);
   }
 
+  /** Records the streams that would be taken for ones of a new default. */
+  #recordContradicting(): void {
+    const { defaults, records, unrecorded } = this.#sources;
+    const streams = unrecorded.contradicting((service) =>
+      defaults.defaultOf(service)
+    );
+    for (const { id, version } of streams) {
+      void records.record(id, version, this.#signal).then((stored) => {
+        if (!stored) return;
+        unrecorded.delete(id);
+        records.removeLater(id);
+      });
+    }
+  }
+
   /**
    * Notes that the store was restored from a copy, so that records and defaults
    * may be missing. What it says of them from then on is observed again.
@@ -92,13 +113,15 @@
   check(): void {
     const { listed, defaults } = this.#sources;
     listed.refresh();
+    if (listed.reachable && !this.#wasReachable) this.#recordContradicting();
+    this.#wasReachable = listed.reachable;
     this.#checkIn(defaults.check());
   }
 
   /** Checks after this time, unless an earlier check is due; in ms. */
   #checkIn(delayMs: number): void {
     const atMs = this.#clock.now() + delayMs;
-    if (this.#signal?.aborted || this.#timerAtMs <= atMs) return;
+    if (this.#signal.aborted || this.#timerAtMs <= atMs) return;
     clearTimeout(this.#timer);
     this.#timerAtMs = atMs;
     this.#timer = setTimeout(() => {
