--- a/packages/gateway/src/versions/default_versions.ts
+++ b/packages/gateway/src/versions/default_versions.ts
@@ -116,7 +116,7 @@
     before: string | undefined,
   ): void {
     const { log, versionLog } = this.#options;
-    log("default_version_changed", { service, version, before });
+    log("default_version_proposed", { service, version, before });
     versionLog().setDefault(service, version, before).catch((err) =>
       log("default_version_not_set", { service, message: errorMessage(err) })
     );
@@ -130,7 +130,7 @@
     }
     if (clock.now() < this.#completeDueMs) return;
     this.#completeDueMs = clock.now() + RETRY_MS;
-    log("version_log_complete", {
+    log("version_log_completion_proposed", {
       after_ms: Math.round(clock.now() - this.#incompleteSinceMs),
     });
     versionLog().markComplete().catch((err) =>
