fix(gateway): a change of stages leaves each software version a decode engine

Cause: streams stay at their version, but the plan of stages took engines of one service as equal. It could turn the last decode engine of a version into a prefill engine, and its streams could not be taken up again. Change: such an engine is picked last, and a prefill engine of a version without decode engines first. With one version nothing changes. Result: the new test of the plan failed before and passes now, with all others of decide/ and balance/.

--- a/packages/gateway/src/decide/__tests__/plans_test.ts
+++ b/packages/gateway/src/decide/__tests__/plans_test.ts
@@ -90,6 +90,24 @@
     expect(change?.engine.id).toBe("e4");
   });
 
+  test("a version keeps its last decode engine, or gets one first", () => {
+    const noPrefill = engines(0, 6);
+    const last = noPrefill[0] as Backend;
+    last.version = "v2";
+    const loadOf = (engine: Backend) => engine.id === "e0" ? 0 : 3;
+    const toPrefill = planStageChange({
+      engines: noPrefill,
+      work: none,
+      loadOf,
+    });
+    expect(toPrefill?.engine.id).not.toBe("e0");
+    const manyPrefill = engines(4, 3);
+    const only = manyPrefill[2] as Backend;
+    only.version = "v2";
+    const toDecode = planStageChange({ engines: manyPrefill, work: none });
+    expect(toDecode?.engine.id).toBe("e2");
+  });
+
   test("several changes go in one direction and reach a stable split", () => {
     const all = engines(13, 23);
     const changes = planStageChanges({ engines: all, work: none }, 36);
--- a/packages/gateway/src/decide/stage_plan.ts
+++ b/packages/gateway/src/decide/stage_plan.ts
@@ -129,7 +129,10 @@
 
 /**
  * Picks the engine with the least work to finish; among equals, one from the
- * availability zone with the largest surplus of the stage that shrinks.
+ * availability zone with the largest surplus of the stage that shrinks. Streams
+ * and prefill results stay at their software version, so each version should
+ * have a decode engine: its last one is picked last, and a prefill engine of a
+ * version without one is picked first.
  */
 function pickChange(
   from: readonly Backend[],
@@ -137,12 +140,16 @@
   stage: EngineStage,
   loadOf: (engine: Backend) => number = () => 0,
 ): StageChange | undefined {
+  const decodeEngines = stage === EngineStage.Decode ? to : from;
+  const decodeCounts = countByVersion(decodeEngines);
   const ranked = from.map((engine) => ({
     engine,
+    versionRank: versionRank(stage, decodeCounts.get(engine.version) ?? 0),
     load: loadOf(engine),
     zoneSurplus: countInZone(from, engine.zone) - countInZone(to, engine.zone),
   }));
   ranked.sort((a, b) =>
+    a.versionRank - b.versionRank ||
     a.load - b.load || b.zoneSurplus - a.zoneSurplus ||
     (a.engine.id < b.engine.id ? -1 : 1)
   );
@@ -153,3 +160,19 @@
 function countInZone(engines: readonly Backend[], zone: string): number {
   return engines.filter((engine) => engine.zone === zone).length;
 }
+
+/** 0 for engines that their version needs at `stage`, or can spare; else 1. */
+function versionRank(stage: EngineStage, decodeCount: number): number {
+  const suits = stage === EngineStage.Decode
+    ? decodeCount === 0
+    : decodeCount > 1;
+  return suits ? 0 : 1;
+}
+
+function countByVersion(engines: readonly Backend[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { version } of engines) {
+    counts.set(version, (counts.get(version) ?? 0) + 1);
+  }
+  return counts;
+}
