fix(gateway): a stream isn't prepared for another version while it may begin

Cause: a stream that waits for its first event may reserve an engine elsewhere in case its own is dead. At another version that would replace its record, and the event that then arrives after all would belong to the version before. Change: while a server may still send the first event, only servers of its version are allowed.

--- a/packages/gateway/src/runs/plain_stream.ts
+++ b/packages/gateway/src/runs/plain_stream.ts
@@ -116,6 +116,7 @@
     config: req.configVersion,
   });
   ctx.inProgress.set(key, inProgress + 1);
+  version.sent(backend);
   const result = await runStreamCall(ctx, req, {
     backend,
     progress,
@@ -131,6 +132,7 @@
       lastEventId: progress.lastEventId,
     },
   });
+  version.ended();
   ctx.inProgress.set(key, (ctx.inProgress.get(key) ?? 1) - 1);
   if (result.status === STATUS_MISDIRECTED) {
     const metadata = ctx.codec.parseResponse(result.status, result.headers);
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -194,6 +194,7 @@
       incarnationOf(reservation.engine),
       this.#prefillTokens(),
     );
+    this.#version.sent(reservation.engine);
     const result = await runStreamCall(ctx, req, {
       backend: reservation.engine,
       progress: this.#generation.progress,
@@ -211,6 +212,7 @@
         lastEventId: this.#generation.progress.lastEventId,
       },
     });
+    this.#version.ended();
     unwatch();
     return result;
   }
--- a/packages/gateway/src/versions/__tests__/stream_versions_test.ts
+++ b/packages/gateway/src/versions/__tests__/stream_versions_test.ts
@@ -301,6 +301,17 @@
     expect(versionLog.records.size).toBe(0);
   });
 
+  test("stays at the version of a server that may still begin it", async () => {
+    router.list("v2");
+    const both = [server("v1"), server("v2")];
+    const stream = router.open("a");
+    await stream.prepare(server("v2"), SIGNAL);
+    stream.sent(server("v2"));
+    expect(stream.select(both)).toEqual([server("v2")]);
+    stream.ended();
+    expect(stream.select(both)).toEqual(both);
+  });
+
   test("doesn't begin at a version that its record may contradict", async () => {
     router.list("v2");
     const stream = router.open("a");
--- a/packages/gateway/src/versions/stream_version.ts
+++ b/packages/gateway/src/versions/stream_version.ts
@@ -41,6 +41,8 @@
   readonly #streamId: string | undefined;
   /** The version that the stream has to continue at. */
   #required: string | undefined;
+  /** The version of the backend server that may still send the first event. */
+  #running: string | undefined;
   /** Versions that a record of the stream may name. */
   #written = new Set<string>();
   /** The version that its record names for certain. */
@@ -100,13 +102,18 @@
   }
 
   #isUnrestricted(): boolean {
-    return this.#required === undefined && this.#barred.size === 0 &&
+    return this.#bound === undefined && this.#barred.size === 0 &&
       (!this.#req.resumable || this.#canRecord());
   }
 
+  /** The only version that the stream may be sent to as things stand. */
+  get #bound(): string | undefined {
+    return this.#required ?? this.#running;
+  }
+
   /** Whether the stream may be sent to this backend server. */
   allows({ version }: Backend): boolean {
-    if (this.#required !== undefined) return version === this.#required;
+    if (this.#bound !== undefined) return version === this.#bound;
     if (!this.#req.resumable || this.#recorded === version) return true;
     return !this.#barred.has(version) &&
       (this.#canRecord() || this.#mayGoUnrecorded(version));
@@ -176,6 +183,16 @@
       : !versions.has(defaultVersion);
   }
 
+  /** Notes that the stream is sent to a backend server. */
+  sent({ version }: Backend): void {
+    this.#running = version;
+  }
+
+  /** Notes that the backend server that it was sent to sends no more events. */
+  ended(): void {
+    this.#running = undefined;
+  }
+
   /** Notes that the first event of a backend server goes to the caller. */
   begun({ version }: Backend): void {
     this.#required ??= version;
