--- a/packages/gateway/src/runs/__tests__/liveness_test.ts
+++ b/packages/gateway/src/runs/__tests__/liveness_test.ts
@@ -13,6 +13,7 @@
   zone: "z",
   slots: 1,
   state: BackendState.Ready,
+  version: "v1",
 };
 
 /** Checks whose calls respond with `answers`, one after another. */
--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -12,6 +12,7 @@
 } from "../backends/backend.ts";
 import { orderDecodeEngines } from "../decide/engine_placement.ts";
 import type { KvSource } from "../http/wire_codec.ts";
+import { ofVersion } from "../versions/same_version.ts";
 import type { Reservation } from "./decode_reservations.ts";
 import type { Generation } from "./generation.ts";
 import {
@@ -93,7 +94,7 @@
   signal: AbortSignal,
 ): Promise<MovedRun | undefined> {
   if (generation.remainingMs() < MIN_REMAINING_MS_TO_MOVE) return undefined;
-  const target = pickTarget(ctx, req, generation);
+  const target = pickTarget(ctx, req, generation, engine.version);
   if (!target || !tryAcquireRetry(ctx, req, "move")) return undefined;
   const tokens = generation.expectedTotalTokens;
   const release = ctx.engineLoads.place(incarnationOf(target), tokens);
@@ -131,8 +132,12 @@
   ctx: RunContext,
   req: CallerRequest,
   generation: Generation,
+  version: string,
 ): Backend | undefined {
-  const engines = ctx.directory.readyAt(req.service.name, EngineStage.Decode);
+  const engines = ofVersion(
+    ctx.directory.readyAt(req.service.name, EngineStage.Decode),
+    version,
+  );
   const inputs = { ...ctx, nowMs: ctx.clock.now() };
   const { expectedTotalTokens, capacity } = generation;
   const ordered = orderDecodeEngines(
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -61,6 +61,8 @@
    * waits until the deadline.
    */
   silenceCheckMs: number;
+  /** Called before the first event is forwarded. */
+  onFirstEvent: () => void;
   /** Called on the first event, and again when the stream ends. */
   onFirstEventOrEnd: () => void;
   /**
@@ -198,7 +200,10 @@
 
   #onEvents(events: CompleteEvents): void {
     if (events.count === 0) return this.#forwardComments(events.bytes);
-    if (this.#events === 0) this.#options.onFirstEventOrEnd();
+    if (this.#events === 0) {
+      this.#options.onFirstEvent();
+      this.#options.onFirstEventOrEnd();
+    }
     this.#watchSilence();
     this.#recordProgress(events);
     this.#write(events.bytes);
