--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,7 @@
 import { RequestHandler } from "./request_handler.ts";
 import { ServerObserver } from "./server_observer.ts";
 import { getOrCreate, ServiceStates } from "./service_states.ts";
+import type { DefaultVersions, VersionLog } from "./versions/index.ts";
 
 /** Options of {@link Gateway}. */
 export interface GatewayOptions {
@@ -59,6 +60,7 @@
    * @default a log of this router alone
    */
   crashLog?: () => CrashLog;
+  versionLog?: () => VersionLog;
 }
 
 /** How long a rejection for lack of decode memory counts, in milliseconds. */
@@ -75,6 +77,7 @@
   readonly upstream: Upstream;
   /** Keeps requests away from the backend servers that they would crash. */
   readonly quarantine: RequestQuarantine;
+  readonly versions = { observe: (_defaults: DefaultVersions): void => {} };
   readonly #ctx: RunContext;
   readonly #rateLimits: RequestRateLimits;
   readonly #services: ServiceStates;
