fix(gateway): streams outlive a restoration of the store while two versions serve

Cause: a restored log has lost its latest records, so that a missing one proved nothing, and streams at the default had none. Change: while several versions are or were lately listed, streams at the default are recorded too, and each router records again, after a restoration, the streams that it has served and that can be resumed. What dead routers had recorded since the copy stays unknown and is rejected. The rule for a default that has just come back follows from this and is removed; the test of it is as strict as before. Two tests of a restoration now have the recording router die, as otherwise its streams go on, which is tested beside them. The router uses the gateway's retention time. Result: tests of versions and of the store pass; "gets the records of living routers again" and "gets the records of routers that outlived a restoration" failed before.

--- a/packages/gateway/src/versions/listed_versions.ts
+++ b/packages/gateway/src/versions/listed_versions.ts
@@ -16,10 +16,6 @@
   retainMs: number;
 }
 
-/** Part of the retention time after which an absence is long. */
-const LONG_ABSENCE_SHARE = 0.5;
-/** Longer than it takes all routers to learn of a listed server, in ms. */
-const RETURN_TTL_MS = 5_000;
 /** Retention times after which a version that is gone is forgotten. */
 const FORGET_FACTOR = 4;
 
@@ -32,8 +28,6 @@
   readonly #readyCounts = new Map<string, ReadonlyMap<string, number>>();
   /** When versions were last seen, by service and version, in clock ms. */
   readonly #lastListedMs = new Map<string, Map<string, number>>();
-  /** When versions were listed again after a long absence, in clock ms. */
-  readonly #returnedMs = new Map<string, number>();
   /** Since when the store has been reachable without interruption, in clock ms. */
   #reachableSinceMs: number;
 
@@ -96,16 +90,6 @@
     return this.#clock.now() - Math.max(lastMs, this.#reachableSinceMs);
   }
 
-  /**
-   * Whether the version has just been listed again after an absence that may
-   * make another router choose another default.
-   */
-  hasJustReturned(service: string, version: string): boolean {
-    const returnedMs = this.#returnedMs.get(keyOf(service, version));
-    return returnedMs !== undefined &&
-      this.#clock.now() - returnedMs < RETURN_TTL_MS;
-  }
-
   #lately(service: string): ReadonlySet<string> {
     const lately = new Set(this.of(service).keys());
     const sinceMs = this.#clock.now() - this.#retainMs;
@@ -128,19 +112,12 @@
   }
 
   #note(service: string, version: string): void {
-    const nowMs = this.#clock.now();
     const versions = getOrCreate(this.#lastListedMs, service, () => new Map());
-    const absentMs = nowMs - (versions.get(version) ?? nowMs);
-    versions.set(version, nowMs);
-    if (absentMs < LONG_ABSENCE_SHARE * this.#retainMs) return;
-    this.#returnedMs.set(keyOf(service, version), nowMs);
+    versions.set(version, this.#clock.now());
   }
 
   #forgetOld(): void {
     const sinceMs = this.#clock.now() - FORGET_FACTOR * this.#retainMs;
-    for (const [key, returnedMs] of this.#returnedMs) {
-      if (returnedMs < sinceMs) this.#returnedMs.delete(key);
-    }
     for (const [service, versions] of this.#lastListedMs) {
       for (const [version, lastMs] of versions) {
         if (lastMs < sinceMs) versions.delete(version);
@@ -150,10 +127,6 @@
   }
 }
 
-function keyOf(service: string, version: string): string {
-  return JSON.stringify([service, version]);
-}
-
 function countReady(backends: readonly Backend[]): Map<string, number> {
   const counts = new Map<string, number>();
   for (const { version, state } of backends) {
--- a/packages/gateway/src/versions/stream_version.ts
+++ b/packages/gateway/src/versions/stream_version.ts
@@ -7,7 +7,7 @@
 import type { Backend } from "../backends/backend.ts";
 import type { DefaultVersionKeeper } from "./default_versions.ts";
 import type { ListedVersions } from "./listed_versions.ts";
-import type { UnrecordedStreams } from "./unrecorded_streams.ts";
+import type { RecentStreams } from "./recent_streams.ts";
 import { RecordLookup } from "./version_log.ts";
 import type { VersionRecords } from "./version_records.ts";
 
@@ -26,7 +26,7 @@
 /** What the version of a stream is derived from. */
 export interface VersionSources {
   records: VersionRecords;
-  unrecorded: UnrecordedStreams;
+  recent: RecentStreams;
   defaults: DefaultVersionKeeper;
   listed: ListedVersions;
 }
@@ -142,12 +142,15 @@
     return !this.#isDefault(version);
   }
 
-  /** Whether a stream without a record is taken for one of this version. */
+  /**
+   * Whether a stream without a record is taken for one of this version, also
+   * after the log has lost its latest records.
+   */
   #isDefault(version: string): boolean {
     const { defaults, listed } = this.#sources;
     const { service } = this.#req;
     return defaults.complete && defaults.defaultOf(service) === version &&
-      !listed.hasJustReturned(service, version);
+      listed.isOnly(service, version);
   }
 
   async #record(version: string, signal: AbortSignal): Promise<boolean> {
@@ -197,17 +200,21 @@
   begun({ version }: Backend): void {
     this.#required ??= version;
     if (!this.#req.resumable || this.#streamId === undefined) return;
-    const { records, unrecorded } = this.#sources;
+    const { records, recent } = this.#sources;
     records.remember(this.#streamId, version);
-    if (this.#resumed || this.#recorded !== undefined) return;
-    unrecorded.add(this.#streamId, this.#req.service, version);
+    recent.add({
+      id: this.#streamId,
+      service: this.#req.service,
+      version,
+      recorded: this.#recorded !== undefined,
+    });
   }
 
   /** Notes the end of the response; `complete` if that was the stream's end. */
   close(complete: boolean): void {
     if (this.#streamId === undefined) return;
-    const { records, unrecorded } = this.#sources;
-    if (complete) unrecorded.delete(this.#streamId);
+    const { records, recent } = this.#sources;
+    if (complete) recent.delete(this.#streamId);
     const mayHaveRecord = this.#written.size > 0 ||
       records.isRemovalPending(this.#streamId);
     if (!mayHaveRecord) return;
--- a/packages/gateway/src/versions/stream_versions.ts
+++ b/packages/gateway/src/versions/stream_versions.ts
@@ -15,7 +15,7 @@
   StreamVersion,
   type VersionSources,
 } from "./stream_version.ts";
-import { UnrecordedStreams } from "./unrecorded_streams.ts";
+import { type RecentStream, RecentStreams } from "./recent_streams.ts";
 import type { DefaultVersions, VersionLog } from "./version_log.ts";
 import { VersionRecords } from "./version_records.ts";
 
@@ -59,7 +59,7 @@
     this.#sources = {
       listed,
       records: new VersionRecords({ ...options, versionLog }),
-      unrecorded: new UnrecordedStreams(options.clock, options.retainMs),
+      recent: new RecentStreams(options.clock, options.retainMs),
       defaults: new DefaultVersionKeeper({
         ...options,
         listed,
@@ -82,19 +82,30 @@
 
   /** Records the streams that would be taken for ones of a new default. */
   #recordContradicting(): void {
-    const { defaults, records, unrecorded } = this.#sources;
-    const streams = unrecorded.contradicting((service) =>
+    const { defaults, recent } = this.#sources;
+    const streams = recent.contradicting((service) =>
       defaults.defaultOf(service)
     );
-    for (const { id, version } of streams) {
-      void records.record(id, version, this.#signal).then((stored) => {
-        if (!stored) return;
-        unrecorded.delete(id);
-        records.removeLater(id);
-      });
+    for (const stream of streams) void this.#record(stream);
+  }
+
+  /** Records the streams whose records may be lost, one after another. */
+  async #recordAgain(): Promise<void> {
+    const { listed, recent } = this.#sources;
+    for (const stream of recent.resumable()) {
+      if (this.#signal.aborted) return;
+      if (listed.isOnly(stream.service, stream.version)) continue;
+      await this.#record(stream);
     }
   }
 
+  async #record({ id, version }: RecentStream): Promise<void> {
+    const { records, recent } = this.#sources;
+    if (!await records.record(id, version, this.#signal)) return;
+    if (recent.markRecorded(id)) records.removeLater(id);
+    else records.remove(id);
+  }
+
   /**
    * Notes that the store was restored from a copy, so that records and defaults
    * may be missing. What it says of them from then on is observed again.
@@ -102,6 +113,7 @@
   handleStoreRestored(): void {
     this.#sources.listed.restartAbsence();
     this.#sources.defaults.handleLogRestored();
+    void this.#recordAgain();
   }
 
   /** Creates the handle of a request for a stream. */
--- a/packages/gateway/src/versions/version_log.ts
+++ b/packages/gateway/src/versions/version_log.ts
@@ -2,6 +2,8 @@
  * Where the routers keep at which software version streams began. Each service
  * has a default version. A stream that begins at any other one is recorded
  * before it begins, so that a stream without a record began at the default.
+ * While several versions are in service, all streams are recorded: a log that
+ * has lost its latest records proves nothing by a missing one.
  * The default changes only when no stream that began at it can be resumed any
  * more. In the usual case, one version in service, streams cost no record.
  */
