fix(gateway): a silent prefill engine is helped out, not given up

What callers saw: nothing lost by itself; but a prefill engine that stood still was ejected for a second and more, and the memory of the prefill that it completed when it went on was never freed. Cause: an overdue prefill was aborted after one check without an answer in 200 ms. Class of fault: silence taken for proof. Evidence: "while it prefills is not waited for, and its late result is freed" failed at 800 ms (no handle was freed). Change: the call is idempotent, so another engine gets the prompt too, within the retry budget, and the first result is used. Late results are freed. A call is aborted only if its engine is gone; one that stood still teaches nothing about its engine's speed.

--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -1,7 +1,7 @@
 /**
- * Prefills a prompt at a prefill engine. The call is safe to repeat, so a slow
- * or unresponsive engine costs only time: another engine is tried, within the
- * retry budget.
+ * Prefills a prompt at a prefill engine. The call is idempotent: while an engine
+ * is silent, another one gets the prompt too, within the retry budget, and the
+ * first result is used.
  */
 import { childAbortController, sleep } from "@sassafrascleat/runtime";
 import {
@@ -23,7 +23,7 @@
 } from "../http/exchange.ts";
 import type { KvSource, PromptInfo } from "../http/wire_codec.ts";
 import { recordPrefill } from "./crash_detection.ts";
-import { Liveness } from "./liveness.ts";
+import { Liveness, recordSilent } from "./liveness.ts";
 import { checkRateLimits } from "./rate_limit_check.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
@@ -61,12 +61,21 @@
 /** Longest prefill, in milliseconds: the reservation expires after it. */
 const MAX_CALL_MS = 1_500;
 
-/** Prefills the prompt of one request, and skips engines that failed before. */
+/** A prefill in progress. */
+interface PrefillCall {
+  /** Undefined if it failed. */
+  result: Promise<PrefillResult | undefined>;
+  /** True once the engine is silent, so that another one should be tried. */
+  stalled: Promise<boolean>;
+}
+
+/** Prefills the prompt of one request, at each engine once. */
 export class Prefiller {
   readonly #ctx: RunContext;
   readonly #req: CallerRequest;
   readonly #prompt: PromptInfo;
-  readonly #failed = new Set<string>();
+  /** Engines that gave no result, or one that could not be fetched. */
+  readonly #tried = new Set<string>();
   /** Number of calls that may have reached an engine. */
   #sentCalls = 0;
 
@@ -86,19 +95,35 @@
     extraTokens: number,
     signal: AbortSignal,
   ): Promise<PrefillResult | undefined> {
-    while (!signal.aborted && remainingMs(this.#ctx, this.#req) > 0) {
-      const engine = this.#pick(zone);
-      if (!engine || quarantineMs(this.#ctx, this.#req) > 0) return undefined;
-      const isRetry = this.#sentCalls > 0;
-      if (isRetry && !tryAcquireRetry(this.#ctx, this.#req, "prefill")) {
-        return undefined;
-      }
-      const tokens = this.#prompt.promptTokens + extraTokens;
-      const result = await this.#call(engine, tokens, lastEventId, signal);
-      if (result) return result;
-      this.#failed.add(incarnationOf(engine));
+    const tokens = this.#prompt.promptTokens + extraTokens;
+    const calls: PrefillCall[] = [];
+    let result: PrefillResult | undefined;
+    while (
+      !result && !signal.aborted && remainingMs(this.#ctx, this.#req) > 0
+    ) {
+      const engine = this.#pickNext(zone);
+      if (!engine) break;
+      calls.push(this.#start(engine, tokens, lastEventId, signal));
+      result = await firstResult(calls);
     }
-    return undefined;
+    for (const call of calls) {
+      void call.result.then((late) => {
+        if (late !== result) late?.discard();
+      });
+    }
+    return result;
+  }
+
+  /** Returns an engine that wasn't tried, if another call is allowed. */
+  #pickNext(zone: string): Backend | undefined {
+    const engine = this.#pick(zone);
+    if (!engine || quarantineMs(this.#ctx, this.#req) > 0) return undefined;
+    const isRetry = this.#sentCalls > 0;
+    if (isRetry && !tryAcquireRetry(this.#ctx, this.#req, "prefill")) {
+      return undefined;
+    }
+    this.#tried.add(incarnationOf(engine));
+    return engine;
   }
 
   /** Records a success for a prefill engine once a decode engine used its result. */
@@ -114,7 +139,7 @@
   /** Skips an engine from now on because its result could not be fetched. */
   exclude(engine: Backend): void {
     const key = incarnationOf(engine);
-    this.#failed.add(key);
+    this.#tried.add(key);
     this.#ctx.health.record(key, CallOutcome.NoResponse, 0, () => []);
   }
 
@@ -155,27 +180,50 @@
       engines,
       tokensPerMs,
       this.#inputs(zone),
-      this.#failed,
+      this.#tried,
     );
   }
 
-  async #call(
+  #start(
     engine: Backend,
     tokens: number,
     lastEventId: string | undefined,
     signal: AbortSignal,
+  ): PrefillCall {
+    const call = childAbortController(signal);
+    const { silenceMs, timeoutMs } = this.#timeouts(engine, tokens);
+    let stoodStill = false;
+    const stalled = this.#watch(engine, silenceMs, call);
+    void stalled.then((isSilent) => stoodStill = isSilent);
+    this.#sentCalls += 1;
+    const sent = this.#send(
+      engine,
+      tokens,
+      lastEventId,
+      timeoutMs,
+      call.signal,
+    );
+    const result = sent.then((end) => {
+      call.abort();
+      if (!stoodStill) this.#recordDuration(engine, tokens, end);
+      return this.#evaluate(engine, end, signal);
+    });
+    return { result, stalled };
+  }
+
+  async #evaluate(
+    engine: Backend,
+    result: ExchangeResult,
+    signal: AbortSignal,
   ): Promise<PrefillResult | undefined> {
     const ctx = this.#ctx;
-    const prefillMs = this.#prefillMs(tokens);
-    const result = await this.#send(engine, tokens, lastEventId, signal);
-    if (result.end === ExchangeOutcome.Answered || result.sent) {
-      this.#sentCalls += 1;
+    if (result.end === ExchangeOutcome.Failed && !result.sent) {
+      this.#sentCalls -= 1;
     }
     ctx.metrics.prefill.observe(result.elapsedMs / 1000);
     const reply = this.#parse(engine, result);
     if (reply) {
-      this.#recordDelay(incarnationOf(engine), result.elapsedMs, prefillMs);
-      this.#speed.record(tokens, result.elapsedMs);
+      this.#tried.delete(incarnationOf(engine));
       return this.#createResult(engine, reply.source);
     }
     if (signal.aborted) return undefined;
@@ -184,21 +232,18 @@
     return undefined;
   }
 
-  /** Sends the prompt, and gives up when the engine turns out to be dead. */
   async #send(
     engine: Backend,
     tokens: number,
     lastEventId: string | undefined,
+    timeoutMs: number,
     signal: AbortSignal,
   ): Promise<ExchangeResult> {
     const ctx = this.#ctx;
     const req = this.#req;
     const key = incarnationOf(engine);
-    const { silenceMs, timeoutMs } = this.#timeouts(engine, tokens);
     ctx.rateLimits.charge(key);
     const finish = ctx.engineLoads.startPrefill(key, tokens);
-    const controller = childAbortController(signal);
-    void this.#abortIfDead(engine, silenceMs, controller);
     const result = await exchange(
       ctx.upstream,
       {
@@ -215,9 +260,8 @@
         body: req.body,
       },
       timeoutMs,
-      controller.signal,
+      signal,
     );
-    controller.abort();
     finish();
     return result;
   }
@@ -257,27 +301,42 @@
       : undefined;
   }
 
-  /** Aborts a silent call whose engine doesn't respond to another call either. */
-  async #abortIfDead(
+  /**
+   * True once the call is overdue and its engine silent, which may stand still.
+   * A call to an engine that is gone is aborted.
+   */
+  async #watch(
     engine: Backend,
     silenceMs: number,
-    controller: AbortController,
-  ): Promise<void> {
-    const { signal } = controller;
-    await sleep(silenceMs, signal);
-    if (signal.aborted) return;
+    call: AbortController,
+  ): Promise<boolean> {
+    await sleep(silenceMs, call.signal);
+    if (call.signal.aborted) return false;
     const liveness = await this.#ctx.liveness.check(engine);
-    if (liveness !== Liveness.Alive) controller.abort();
+    if (call.signal.aborted) return false;
+    if (liveness === Liveness.Gone) call.abort();
+    if (liveness !== Liveness.Silent) return false;
+    recordSilent(this.#ctx, engine);
+    return true;
   }
 
-  #recordDelay(key: string, elapsedMs: number, prefillMs: number): void {
+  /** Learns the engine's speed and queue from a successful prefill. */
+  #recordDuration(
+    engine: Backend,
+    tokens: number,
+    result: ExchangeResult,
+  ): void {
+    if (!this.#parse(engine, result)) return;
     const ctx = this.#ctx;
+    const key = incarnationOf(engine);
+    const { elapsedMs } = result;
     const localQueueMs = ctx.engineLoads.loadOf(key).prefillTokens /
       this.#speed.tokensPerMs;
     ctx.engineLoads.recordPrefillDelay(
       key,
-      elapsedMs - prefillMs - localQueueMs,
+      elapsedMs - this.#prefillMs(tokens) - localQueueMs,
     );
+    this.#speed.record(tokens, elapsedMs);
   }
 
   #recordFailure(
@@ -304,6 +363,7 @@
       ctx.engineLoads.recordPrefillDelay(key, result.elapsedMs);
       return;
     }
+    if (result.timedOut) return recordSilent(ctx, engine);
     ctx.health.eject(key);
     ctx.upstream.retire(engine);
   }
@@ -321,3 +381,17 @@
     };
   }
 }
+
+/** Returns the first result; undefined once the newest call gives none soon. */
+function firstResult(
+  calls: readonly PrefillCall[],
+): Promise<PrefillResult | undefined> {
+  return new Promise((resolve, reject) => {
+    for (const { result } of calls) {
+      result.then((done) => done && resolve(done), reject);
+    }
+    const newest = calls.at(-1);
+    newest?.result.then(resolve, reject);
+    void newest?.stalled.then((stalled) => stalled && resolve(undefined));
+  });
+}
