fix(gateway): a call whose connection pool can't be created fails instead of throwing

Callers: 502 for requests that had not been sent anywhere, though a sound server was free. Operators: `request_crashed` with "Invalid URL"; calls without a caller, such as pings, ended as unhandled rejections, of which 50 within 10 s end the process.

Cause: `Upstream.open` reports every failure to its handler, but the constructor of the pool throws for an address or a connection limit that it doesn't accept, through `exchange` and the run of the request. The number of calls in progress at that server stayed too high by one each time.

Change: what is thrown while a call starts is logged (`call_not_started`) and ends the call as `CallFailure.Unreachable`, not sent. The request goes to another server within the usual limits.

--- a/packages/gateway/src/http/__tests__/upstream_test.ts
+++ b/packages/gateway/src/http/__tests__/upstream_test.ts
@@ -175,6 +175,29 @@
   });
 });
 
+test.each([
+  ["a port out of range", "127.0.0.1:99999", 8],
+  ["a host out of range", "999.1.1.1:80", 8],
+  ["no usable connection limit", "127.0.0.1:80", NaN],
+])(
+  "a server with %s counts as unreachable",
+  async (_name, address, connections) => {
+    const lines: string[] = [];
+    await upstream.close();
+    upstream = new Upstream({
+      log: (event) => lines.push(event),
+      maxConnectionsTo: () => connections,
+    });
+    server = await startRawServer(() => {});
+    server.backend.address = address;
+    expect(await call()).toMatchObject({
+      failure: CallFailure.Unreachable,
+      sent: false,
+    });
+    expect(lines).toEqual(["call_not_started"]);
+  },
+);
+
 test("calls beyond the connection limit wait for a free connection", async () => {
   await upstream.close();
   upstream = new Upstream({ log: () => {}, maxConnectionsTo: () => 2 });
--- a/packages/gateway/src/http/upstream.ts
+++ b/packages/gateway/src/http/upstream.ts
@@ -2,10 +2,11 @@
  * HTTP client for backend servers: a pool of keep-alive connections for each
  * incarnation of a backend server, without pipelining. A failed call reports
  * whether any of it may have been sent, because only an unsent request is
- * certain not to have been executed. The pool of an incarnation is closed when
- * that incarnation is removed.
+ * certain not to have been executed. So does a call to a server whose address is
+ * not usable: no call throws. The pool of an incarnation is closed when that
+ * incarnation is removed.
  */
-import type { Logger } from "@sassafrascleat/runtime";
+import { errorMessage, type Logger } from "@sassafrascleat/runtime";
 import type { Socket } from "node:net";
 import { buildConnector, type Client, type Dispatcher, Pool } from "undici";
 import { type Backend, incarnationOf } from "../backends/backend.ts";
@@ -120,7 +121,16 @@
       body: req.body && req.body.length > 0 ? req.body : null,
       onConnection: (connection) => callHandler.useConnection(connection),
     };
-    this.#pool(req.backend).dispatch(options, callHandler);
+    try {
+      this.#pool(req.backend).dispatch(options, callHandler);
+    } catch (err) {
+      const message = errorMessage(err);
+      this.#options.log("call_not_started", {
+        backend: req.backend.id,
+        message,
+      });
+      callHandler.fail(message);
+    }
   }
 
   /**
--- a/packages/gateway/src/http/upstream_call.ts
+++ b/packages/gateway/src/http/upstream_call.ts
@@ -147,9 +147,14 @@
     _controller: Dispatcher.DispatchController,
     err: Error,
   ): void {
+    this.fail(err.message);
+  }
+
+  /** Ends the call because its connection failed or could not be made. */
+  fail(message: string): void {
     if (!this.#finish()) return;
     const failure = this.#sent ? CallFailure.Broken : CallFailure.Unreachable;
-    this.#handler.onFailure(failure, this.#sent, err.message);
+    this.#handler.onFailure(failure, this.#sent, message);
   }
 
   /** Gives up a response that has grown without becoming one. */
