fix(gateway): a router that stops takes only what it can finish, and answers the rest

Callers: requests that came late in the grace of a planned stop ended with a closed connection after a backend server had received them, among them requests that may not be repeated.

Cause: only streams were turned away late in the grace. Plain requests were accepted until the process exited, which it did 0.3 s before the end of the grace with whatever was in progress.

Change: the gateway learns the exit time when the drain starts. A stream that has begun ends incomplete.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import type { StageWork } from "./decide/stage_plan.ts";
 import { RequestRateLimits } from "./decide/request_rate_limits.ts";
 import type { RetryLimits } from "./decide/retry_budget.ts";
+import { Drain } from "./drain.ts";
 import { Ingress } from "./http/ingress.ts";
 import { Upstream } from "./http/upstream.ts";
 import type { HeaderCodec } from "./http/wire_codec.ts";
@@ -63,8 +64,6 @@
 
 /** How long a rejection for lack of decode memory counts, in milliseconds. */
 const DECODE_SHORTAGE_TTL_MS = 10_000;
-/** After draining for this long, new streams are rejected; in milliseconds. */
-const DRAIN_STREAM_CUTOFF_MS = 2_500;
 
 /** Serves the callers of one router process. */
 export class Gateway {
@@ -80,7 +79,7 @@
   readonly #services: ServiceStates;
   readonly #servers: ServerObserver;
   readonly #decodeReservations = new Map<string, DecodeReservations>();
-  #drainStartMs: number | undefined;
+  readonly #drain: Drain;
   /** Number of router instances that share retry and connection limits. */
   #routerCount: number;
 
@@ -88,6 +87,7 @@
     const { clock, log, random } = options;
     const policy = resolveGatewayPolicy(options.policy);
     this.#routerCount = policy.entries;
+    this.#drain = new Drain(clock, log);
     this.config = new ConfigHolder(clock, log);
     this.directory = new BackendDirectory({
       clock,
@@ -142,6 +142,7 @@
       rateLimits: this.#rateLimits,
       metrics: this.metrics,
       policy,
+      exitSignal: this.#drain.exitSignal,
       inProgress: new Map(),
       activeStreams: new Map(),
       decodeShortages: new Map(),
@@ -155,13 +156,14 @@
       ctx: this.#ctx,
       config: this.config,
       reservationsOf: (service) => this.#decodeReservationsOf(service),
-      rejectsNewStreams: () => this.#rejectsNewStreams(),
+      drain: this.#drain,
     });
     this.ingress = new Ingress({
       log,
       now: () => clock.now(),
       handler: (req) => handler.handle(req),
-      closing: () => this.#drainStartMs !== undefined,
+      closing: () => this.#drain.started,
+      exitSignal: this.#drain.exitSignal,
     });
     this.config.onChange((table) => {
       this.ingress.setLimits(table.limits);
@@ -176,12 +178,16 @@
   /** True if requests can be served and the process is not draining. */
   get ready(): boolean {
     return this.config.current !== undefined && this.directory.loaded &&
-      this.#drainStartMs === undefined;
+      !this.#drain.started;
   }
 
-  /** Starts draining: each connection closes after its next response. */
-  startDrain(): void {
-    this.#drainStartMs ??= this.#ctx.clock.now();
+  /**
+   * Starts draining: each connection closes after its next response. Shortly
+   * before the process exits at `exitAtMs` of its clock, the requests that are
+   * still in progress are ended. @default never
+   */
+  startDrain(exitAtMs = Infinity): void {
+    this.#drain.start(exitAtMs);
   }
 
   /** Updates the given limits. Requests in progress may use the old ones. */
@@ -248,12 +254,6 @@
     const create = () => new DecodeReservations(this.#ctx, service);
     return getOrCreate(this.#decodeReservations, service.name, create);
   }
-
-  #rejectsNewStreams(): boolean {
-    const sinceMs = this.#drainStartMs;
-    return sinceMs !== undefined &&
-      this.#ctx.clock.now() - sinceMs > DRAIN_STREAM_CUTOFF_MS;
-  }
 }
 
 function localCrashLog(): () => CrashLog {
--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -39,6 +39,8 @@
   handler: IngressHandler;
   /** Returns true when each connection must close after its next response. */
   closing: () => boolean;
+  /** Aborts when requests must end because the process is about to exit. */
+  exitSignal: AbortSignal;
 }
 
 /** Upper bound on header bytes, independent of the configured limit. */
@@ -56,6 +58,7 @@
 const IDLE_MARGIN_MS = 1_000;
 const BODY_TIMEOUT_MS = 20_000;
 const STATUS_BAD_GATEWAY = 502;
+const STATUS_UNAVAILABLE = 503;
 const STATUS_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
 
@@ -64,6 +67,8 @@
   readonly #options: IngressOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  /** For requests that have not been read completely. */
+  readonly #unread = new Set<HttpResponder>();
   #limits = DEFAULT_LIMITS;
   #inProgress = 0;
 
@@ -79,6 +84,8 @@
       },
       (req, res) => void this.#serve(req, res),
     );
+    const rejectUnread = () => this.#rejectUnread();
+    options.exitSignal.addEventListener("abort", rejectUnread, { once: true });
     this.#server.on("connection", (socket: Socket) => {
       this.#sockets.add(socket);
       socket.once("close", () => this.#sockets.delete(socket));
@@ -147,7 +154,9 @@
       responder.reply(STATUS_HEADERS_TOO_LARGE, ["Connection", "close"]);
       return;
     }
+    this.#unread.add(responder);
     const body = await this.#readBody(req);
+    this.#unread.delete(responder);
     if (controller.signal.aborted) return;
     if (!body) {
       responder.reply(STATUS_TOO_LARGE, ["Connection", "close"]);
@@ -168,6 +177,15 @@
     );
   }
 
+  /** Tells the callers of unread requests that these did not run. */
+  #rejectUnread(): void {
+    if (this.#unread.size === 0) return;
+    this.#options.log("unread_rejected", { requests: this.#unread.size });
+    for (const responder of this.#unread) {
+      responder.reply(STATUS_UNAVAILABLE, []);
+    }
+  }
+
   /** Fails only the affected request when its handler throws. */
   #handleCrash(req: IngressRequest, err: unknown): void {
     this.#options.log("request_crashed", {
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -5,13 +5,14 @@
 import type { ActiveConfig, ConfigHolder } from "./config/config_holder.ts";
 import { pickService } from "./config/route_index.ts";
 import { type Route, RouteKind } from "./config/routing_table.ts";
+import type { Drain } from "./drain.ts";
 import type { IngressRequest } from "./http/ingress.ts";
 import type { RequestMetadata } from "./http/wire_codec.ts";
 import { RequestKeys } from "./quarantine/request_keys.ts";
 import type { DecodeReservations } from "./runs/decode_reservations.ts";
 import { runPlain } from "./runs/plain_run.ts";
 import {
-  reject,
+  rejectDraining,
   rejectQuarantined,
   STATUS_UNAVAILABLE,
 } from "./runs/reject.ts";
@@ -20,7 +21,6 @@
   quarantineMs,
   type RunContext,
   type RunOutcome,
-  RunReason,
 } from "./runs/run_context.ts";
 import { runStream } from "./runs/stream_run.ts";
 
@@ -30,8 +30,7 @@
   config: ConfigHolder;
   /** Returns the reservations at the decode engines of a service. */
   reservationsOf: (service: CallerRequest["service"]) => DecodeReservations;
-  /** Whether the router shuts down and has no time for new streams. */
-  rejectsNewStreams: () => boolean;
+  drain: Drain;
 }
 
 const STATUS_NOT_FOUND = 404;
@@ -115,14 +114,15 @@
   }
 
   #dispatch(req: CallerRequest): Promise<RunOutcome> {
-    const { ctx, reservationsOf, rejectsNewStreams } = this.#options;
+    const { ctx, reservationsOf, drain } = this.#options;
     if (quarantineMs(ctx, req) > 0) {
       return Promise.resolve(rejectQuarantined(ctx, req));
     }
-    if (req.route.kind !== RouteKind.Stream) return runPlain(ctx, req);
-    if (rejectsNewStreams()) {
-      return Promise.resolve(reject(ctx, req, RunReason.Draining, 0));
+    const { deadlineAtMs, route } = req;
+    if (!drain.accepts({ kind: route.kind, deadlineAtMs })) {
+      return Promise.resolve(rejectDraining(ctx, req));
     }
+    if (route.kind !== RouteKind.Stream) return runPlain(ctx, req);
     return runStream(ctx, req, reservationsOf(req.service));
   }
 
--- a/packages/gateway/src/runs/plain_run.ts
+++ b/packages/gateway/src/runs/plain_run.ts
@@ -19,7 +19,7 @@
 import { CallFailure } from "../http/upstream_call.ts";
 import { recordCall } from "./crash_detection.ts";
 import { checkRateLimits, shortestLimitWaitMs } from "./rate_limit_check.ts";
-import { fail, reject } from "./reject.ts";
+import { fail, reject, rejectDraining } from "./reject.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
   ageMs,
@@ -69,7 +69,7 @@
 class PlainRun {
   readonly #ctx: RunContext;
   readonly #req: CallerRequest;
-  readonly #controller = childAbortController();
+  readonly #controller: AbortController;
   readonly #tried = new Set<string>();
   readonly #pending = new Set<Promise<CallResult>>();
   /** Sends that may have run the request: all but those proved not to have. */
@@ -85,6 +85,7 @@
   constructor(ctx: RunContext, req: CallerRequest) {
     this.#ctx = ctx;
     this.#req = req;
+    this.#controller = childAbortController(ctx.exitSignal);
   }
 
   async run(): Promise<RunOutcome> {
@@ -289,6 +290,7 @@
   }
 
   #mayRetry(): boolean {
+    if (this.#controller.signal.aborted) return false;
     if (this.#unexecutedSends > MAX_UNEXECUTED_SENDS) return false;
     if (this.#possibleExecutions >= this.#req.route.maxAttempts) return false;
     return this.#req.route.kind === RouteKind.Safe ||
@@ -324,6 +326,9 @@
       req.responder.reply(status, ctx.codec.buildCallerHeaders(headers), body);
       return this.#outcome(RunEnd.BackendError, RunReason.None, status);
     }
+    if (this.#possibleExecutions === 0 && ctx.exitSignal.aborted) {
+      return rejectDraining(ctx, req, this.#sends);
+    }
     if (this.#possibleExecutions === 0) {
       return reject(
         ctx,
@@ -344,6 +349,7 @@
   }
 
   #failureReason(): RunReason {
+    if (this.#ctx.exitSignal.aborted) return RunReason.Draining;
     if (remainingMs(this.#ctx, this.#req) < MIN_REMAINING_MS) {
       return RunReason.TimedOut;
     }
--- a/packages/gateway/src/runs/reject.ts
+++ b/packages/gateway/src/runs/reject.ts
@@ -49,6 +49,18 @@
   return rejectFor(ctx, req, RunReason.Quarantined, retryAfterMs, attempts);
 }
 
+/**
+ * Tells the caller that the router is about to exit, and to go to another one at
+ * once; the request did not run. `attempts` is as in {@link reject}.
+ */
+export function rejectDraining(
+  ctx: RunContext,
+  req: CallerRequest,
+  attempts = 0,
+): RunOutcome {
+  return reject(ctx, req, RunReason.Draining, 0, attempts);
+}
+
 function rejectFor(
   ctx: RunContext,
   req: CallerRequest,
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -204,6 +204,8 @@
   rateLimits: RequestRateLimits;
   metrics: GatewayMetrics;
   policy: GatewayPolicy;
+  /** Aborts when requests must end because the process is about to exit. */
+  exitSignal: AbortSignal;
   /** Number of calls in progress to plain backend servers, by incarnation. */
   inProgress: Map<string, number>;
   /** Running generations, by engine incarnation. */
--- a/packages/gateway/src/runs/stream_outcome.ts
+++ b/packages/gateway/src/runs/stream_outcome.ts
@@ -6,7 +6,7 @@
 import { shortestLimitWaitMs } from "./rate_limit_check.ts";
 import { StreamEnd, type StreamResult } from "./stream_call.ts";
 import type { StreamProgress } from "./generation.ts";
-import { fail, reject, rejectQuarantined } from "./reject.ts";
+import { fail, reject, rejectDraining, rejectQuarantined } from "./reject.ts";
 import { impliesNotExecuted } from "./reply_verdict.ts";
 import {
   type CallerRequest,
@@ -112,15 +112,24 @@
     );
   }
 
-  /** Ends a request whose caller has disconnected or whose deadline has passed. */
+  /**
+   * Ends a request whose caller has disconnected, whose deadline has passed or
+   * that must end because the process is about to exit.
+   */
   aborted(): RunOutcome {
     if (this.#req.signal.aborted) {
       return this.#outcome(RunEnd.CallerLeft, RunReason.None, 0);
     }
+    if (this.#ctx.exitSignal.aborted) return this.#endAtExit();
     if (this.attempts > 0) return this.#fail(RunReason.TimedOut);
     return reject(this.#ctx, this.#req, RunReason.TooLate, MEAN_RETRY_DELAY_MS);
   }
 
+  #endAtExit(): RunOutcome {
+    if (this.attempts > 0) return this.#fail(RunReason.Draining);
+    return rejectDraining(this.#ctx, this.#req, this.sends);
+  }
+
   #fail(reason: RunReason): RunOutcome {
     return fail(
       this.#ctx,
