fix(runtime): a long value in a log line is shortened instead of losing the line

Operators: an entry with a name of hundreds of thousands of characters left no trace: the line that would have named it was dropped, and with the buffer full the lines around it can be too.

Cause: names and messages from outside went into the log whole, and a line that doesn't fit the log's buffer (256 KiB) is dropped.

Change: values are cut after 1,000 characters, marked by an ellipsis.

Evidence: on the code before, the new test of event_log_test.ts fails: one of three lines is dropped.

--- a/packages/runtime/src/__tests__/event_log_test.ts
+++ b/packages/runtime/src/__tests__/event_log_test.ts
@@ -53,3 +53,17 @@
     "event=log_suppressed node=n1 of=noisy lines=40",
   );
 });
+
+test("a long value is shortened, and no line is lost for it", async () => {
+  const lines = await collectLines((events) => {
+    events.log("before");
+    events.log("odd", {
+      name: "x".repeat(500_000),
+      message: "a ".repeat(9_000),
+    });
+    events.log("after");
+    expect(events.suppressed).toBe(0);
+  });
+  expect(lines).toHaveLength(3);
+  expect(lines[1]).toMatch(/ name=x{1000}… message="(a ){500}…"$/);
+});
--- a/packages/runtime/src/log.ts
+++ b/packages/runtime/src/log.ts
@@ -1,7 +1,7 @@
 /**
  * Loggers based on `debug`: one line of key=value pairs per event, with one
  * namespace per component (`sassafrascleat:entry`). Values with spaces are
- * quoted. Prompt text, answers and secrets must never be logged.
+ * quoted and long ones shortened. Prompt text, answers and secrets must never be logged.
  */
 import createDebug from "debug";
 
@@ -14,8 +14,16 @@
 /** Writes one event. */
 export type Logger = (event: string, fields?: LogFields) => void;
 
+/** Maximum length of a value, in characters; names from outside may be long. */
+const MAX_VALUE_LENGTH = 1_000;
+
+function shorten(text: string): string {
+  if (text.length <= MAX_VALUE_LENGTH) return text;
+  return `${text.slice(0, MAX_VALUE_LENGTH)}…`;
+}
+
 function formatValue(value: Exclude<LogValue, undefined>): string {
-  const text = String(value);
+  const text = shorten(String(value));
   return /[\s"=]/.test(text) || text === "" ? JSON.stringify(text) : text;
 }
 
