--- a/packages/gateway/src/http/upstream.ts
+++ b/packages/gateway/src/http/upstream.ts
@@ -67,6 +67,8 @@
   readonly buffers: BufferBudget;
   readonly #options: Required<UpstreamOptions>;
   readonly #pools = new Map<string, Pool>();
+  /** Pools of calls that have a connection of their own. */
+  readonly #singles = new Set<Pool>();
   #opened = 0;
   /** True while the listeners of a connection that was reset are running. */
   #resetting = false;
@@ -122,7 +124,7 @@
       onConnection: (connection) => callHandler.useConnection(connection),
     };
     try {
-      this.#pool(req.backend).dispatch(options, callHandler);
+      this.#dispatch(req, options, callHandler);
     } catch (err) {
       const message = errorMessage(err);
       this.#options.log("call_not_started", {
@@ -142,7 +144,33 @@
     const pool = this.#pools.get(key);
     if (!pool) return;
     this.#pools.delete(key);
-    pool.close().catch((err: Error) => {
+    void this.#closePool(pool, backend);
+  }
+
+  #dispatch(
+    req: UpstreamRequest,
+    options: TrackedDispatchOptions,
+    handler: CallHandler,
+  ): void {
+    if (req.newConnection) this.#dispatchSingle(req, options, handler);
+    else this.#pool(req.backend).dispatch(options, handler);
+  }
+
+  #dispatchSingle(
+    { backend }: UpstreamRequest,
+    options: TrackedDispatchOptions,
+    handler: CallHandler,
+  ): void {
+    const pool = this.#createPool(backend, 1);
+    this.#singles.add(pool);
+    pool.dispatch(options, handler);
+    void this.#closePool(pool, backend)
+      .finally(() => this.#singles.delete(pool));
+  }
+
+  /** Closes a pool once its calls in progress are done. */
+  #closePool(pool: Pool, backend: Backend): Promise<void> {
+    return pool.close().catch((err: Error) => {
       this.#options.log("pool_close_failed", {
         backend: backend.id,
         message: err.message,
@@ -152,7 +180,7 @@
 
   /** Closes every connection immediately, also those with calls in progress. */
   async close(): Promise<void> {
-    const pools = [...this.#pools.values()];
+    const pools = [...this.#pools.values(), ...this.#singles];
     this.#pools.clear();
     await Promise.all(pools.map((pool) => pool.destroy()));
   }
@@ -207,9 +235,16 @@
     const key = incarnationOf(backend);
     const known = this.#pools.get(key);
     if (known) return known;
+    const connections = this.#options.maxConnectionsTo(backend);
+    const pool = this.#createPool(backend, connections);
+    this.#pools.set(key, pool);
+    return pool;
+  }
+
+  #createPool(backend: Backend, connections: number): Pool {
     const options = this.#options;
     const pool = new Pool(`http://${backend.address}`, {
-      connections: options.maxConnectionsTo(backend),
+      connections,
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -222,7 +257,6 @@
     pool.on("connect", () => {
       this.#opened += 1;
     });
-    this.#pools.set(key, pool);
     return pool;
   }
 }
