--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -14,6 +14,7 @@
 import { errorMessage, type Logger } from "@sassafrascleat/runtime";
 import type { CallerLimits } from "../config/routing_table.ts";
 import { HttpResponder } from "./responder.ts";
+import { STATUS_BAD_GATEWAY, STATUS_UNAVAILABLE } from "./status.ts";
 import type { RawHeaders } from "./wire_codec.ts";
 
 /** A request that has been read completely. */
@@ -57,8 +58,6 @@
  */
 const IDLE_MARGIN_MS = 1_000;
 const BODY_TIMEOUT_MS = 20_000;
-const STATUS_BAD_GATEWAY = 502;
-const STATUS_UNAVAILABLE = 503;
 const STATUS_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
 
--- /dev/null
+++ b/packages/gateway/src/http/status.ts
@@ -0,0 +1,6 @@
+/** Statuses of the responses that the gateway generates itself. */
+
+/** The request failed and may have run. */
+export const STATUS_BAD_GATEWAY = 502;
+/** The request did not run and never will. */
+export const STATUS_UNAVAILABLE = 503;
--- a/packages/gateway/src/request_handler.ts
+++ b/packages/gateway/src/request_handler.ts
@@ -7,15 +7,12 @@
 import { type Route, RouteKind } from "./config/routing_table.ts";
 import type { Drain } from "./drain.ts";
 import type { IngressRequest } from "./http/ingress.ts";
+import { STATUS_UNAVAILABLE } from "./http/status.ts";
 import type { RequestMetadata } from "./http/wire_codec.ts";
 import { RequestKeys } from "./quarantine/request_keys.ts";
 import type { DecodeReservations } from "./runs/decode_reservations.ts";
 import { runPlain } from "./runs/plain_run.ts";
-import {
-  rejectDraining,
-  rejectQuarantined,
-  STATUS_UNAVAILABLE,
-} from "./runs/reject.ts";
+import { rejectDraining, rejectQuarantined } from "./runs/reject.ts";
 import {
   type CallerRequest,
   quarantineMs,
--- a/packages/gateway/src/runs/reject.ts
+++ b/packages/gateway/src/runs/reject.ts
@@ -1,5 +1,6 @@
 /** Error responses that the gateway generates itself. */
 import { retryDelayMs } from "../decide/retry_delay.ts";
+import { STATUS_BAD_GATEWAY, STATUS_UNAVAILABLE } from "../http/status.ts";
 import {
   type CallerRequest,
   quarantineMs,
@@ -10,9 +11,6 @@
   RunReason,
 } from "./run_context.ts";
 
-/** The request did not run and never will. */
-export const STATUS_UNAVAILABLE = 503;
-const STATUS_BAD_GATEWAY = 502;
 const STATUS_GATEWAY_TIMEOUT = 504;
 
 /**
