--- a/packages/gateway/src/http/__tests__/upstream_test.ts
+++ b/packages/gateway/src/http/__tests__/upstream_test.ts
@@ -17,6 +17,7 @@
 function call(
   timeoutMs = 2_000,
   accept?: (status: number, headers: readonly string[]) => boolean,
+  newConnection = false,
 ) {
   if (!server) throw new Error("no server has been started");
   return exchange(
@@ -27,6 +28,7 @@
       path: "/a/b",
       headers: ["X-Request-Id", "r1"],
       body: Buffer.from("hello"),
+      newConnection,
     },
     timeoutMs,
     new AbortController().signal,
@@ -175,6 +177,31 @@
   });
 });
 
+test.each([
+  ["a port out of range", "127.0.0.1:99999", 8],
+  ["a host out of range", "999.1.1.1:80", 8],
+  ["no usable connection limit", "127.0.0.1:80", NaN],
+])(
+  "a server with %s counts as unreachable",
+  async (_name, address, connections) => {
+    const lines: string[] = [];
+    await upstream.close();
+    upstream = new Upstream({
+      log: (event) => lines.push(event),
+      maxConnectionsTo: () => connections,
+    });
+    server = await startRawServer(() => {});
+    server.backend.address = address;
+    for (const newConnection of connections ? [false, true] : [false]) {
+      expect(await call(100, undefined, newConnection)).toMatchObject({
+        failure: CallFailure.Unreachable,
+        sent: false,
+      });
+      expect(lines.splice(0)).toEqual(["call_not_started"]);
+    }
+  },
+);
+
 test("calls beyond the connection limit wait for a free connection", async () => {
   await upstream.close();
   upstream = new Upstream({ log: () => {}, maxConnectionsTo: () => 2 });
--- a/packages/gateway/src/http/upstream_call.ts
+++ b/packages/gateway/src/http/upstream_call.ts
@@ -154,9 +154,17 @@
     _controller: Dispatcher.DispatchController,
     err: NodeJS.ErrnoException,
   ): void {
+    this.fail(err.message, err.code);
+  }
+
+  /**
+   * Ends the call because its connection failed or could not be made; `code` is
+   * the error code of the connection.
+   */
+  fail(message: string, code?: string): void {
     if (!this.#finish()) return;
     const failure = this.#sent ? CallFailure.Broken : CallFailure.Unreachable;
-    this.#handler.onFailure(failure, this.#sent, err.message, err.code);
+    this.#handler.onFailure(failure, this.#sent, message, code);
   }
 
   /** Gives up a response that has grown without becoming one. */
--- a/packages/gateway/src/runs/reject.ts
+++ b/packages/gateway/src/runs/reject.ts
@@ -1,5 +1,6 @@
 /** Error responses that the gateway generates itself. */
 import { retryDelayMs } from "../decide/retry_delay.ts";
+import { STATUS_BAD_GATEWAY, STATUS_UNAVAILABLE } from "../http/status.ts";
 import {
   type CallerRequest,
   quarantineMs,
@@ -10,9 +11,6 @@
   RunReason,
 } from "./run_context.ts";
 
-/** The request did not run and never will. */
-export const STATUS_UNAVAILABLE = 503;
-const STATUS_BAD_GATEWAY = 502;
 const STATUS_GATEWAY_TIMEOUT = 504;
 
 /**
@@ -49,6 +47,18 @@
   return rejectFor(ctx, req, RunReason.Quarantined, retryAfterMs, attempts);
 }
 
+/**
+ * Tells the caller that the router is about to exit, and to go to another one at
+ * once; the request did not run. `attempts` is as in {@link reject}.
+ */
+export function rejectDraining(
+  ctx: RunContext,
+  req: CallerRequest,
+  attempts = 0,
+): RunOutcome {
+  return reject(ctx, req, RunReason.Draining, 0, attempts);
+}
+
 function rejectFor(
   ctx: RunContext,
   req: CallerRequest,
