fix(gateway): a stream that has begun goes before new ones where memory is short

Cause: a stream that goes on can use the engines of its version alone, a new one all of them, and both waited alike: for 250 ms, and for a margin beside their own memory. Change: a resumed stream needs no margin, waits up to 2 s and goes first; the first of the others is tried beside it, since its engines may be others.

--- a/packages/gateway/src/runs/decode_reservations.ts
+++ b/packages/gateway/src/runs/decode_reservations.ts
@@ -17,7 +17,7 @@
 import type { Service } from "../config/routing_table.ts";
 import { orderDecodeEngines } from "../decide/engine_placement.ts";
 import {
-  nextPending,
+  nextPendings,
   type PendingPlacement,
 } from "../decide/placement_queue.ts";
 import { recordSilent } from "./liveness.ts";
@@ -126,19 +126,23 @@
     this.#processing = true;
     while (this.#waiting.size > 0) {
       this.#expire();
-      const next = nextPending(this.#waiting, this.#ctx.clock.now());
-      if (!next) break;
-      const reservation = await this.#reserve(next);
-      if (reservation) {
-        if (this.#waiting.has(next)) next.settle(reservation);
-        else this.cancel(reservation);
-      } else {
-        await sleep(RETRY_PAUSE_MS);
-      }
+      if (!await this.#placeNext()) await sleep(RETRY_PAUSE_MS);
     }
     this.#processing = false;
   }
 
+  /** Places the first waiting request that an engine has memory for. */
+  async #placeNext(): Promise<boolean> {
+    for (const next of nextPendings(this.#waiting, this.#ctx.clock.now())) {
+      const reservation = await this.#reserve(next);
+      if (!reservation) continue;
+      if (this.#waiting.has(next)) next.settle(reservation);
+      else this.cancel(reservation);
+      return true;
+    }
+    return false;
+  }
+
   #expire(): void {
     const nowMs = this.#ctx.clock.now();
     for (const waiting of [...this.#waiting]) {
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -46,6 +46,11 @@
   Quarantined = "quarantined",
 }
 
+/**
+ * Longest wait of a resumed stream for memory, in milliseconds. It can use fewer
+ * engines than a new one, and its caller bears a gap of some seconds.
+ */
+const MAX_RESUMED_WAIT_MS = 2_000;
 /** Share of a prefill result's lifetime in which another engine may use it. */
 const REUSABLE_LIFETIME_SHARE = 0.7;
 
@@ -231,16 +236,21 @@
       FIRST_EVENT_MS;
     const onTimeDeadlineMs = req.arrivedMs + req.route.targetLatencyMs -
       timeToFirstEventMs;
-    const expiresAtMs = Math.min(
-      onTimeDeadlineMs,
-      req.arrivedMs + ctx.policy.maxReservationWaitMs,
-    );
+    const resumed = this.#generation.progress.lastEventId !== undefined;
+    const expiresAtMs = resumed
+      ? ctx.clock.now() + MAX_RESUMED_WAIT_MS
+      : Math.min(
+        onTimeDeadlineMs,
+        req.arrivedMs + ctx.policy.maxReservationWaitMs,
+      );
     const demand = this.#memoryDemand();
     return this.#reservations.acquire({
       requestId: req.metadata.requestId,
+      resumed,
       priority: req.route.priority,
       tokens: demand.reserveTokens,
-      marginTokens: demand.marginTokens,
+      // The margin is for the streams that have begun, of which this is one.
+      marginTokens: resumed ? 0 : demand.marginTokens,
       onTimeDeadlineMs,
       expiresAtMs,
       signal,
