fix(gateway): a run that stopped late doesn't go back to its draining engine

What callers saw: nothing yet; since the move of a run is waited for, an engine that stands still may report seconds later that it stopped the run but found no room for it elsewhere. Cause: the run then continued at the draining engine, which takes no requests any more (DRAIN). Evidence: "DRAIN: while it is left isn't sent a run that finds no room" failed at 2900 ms before the change (a request 2.9 s after the engine drained). Change: the run goes back only within the first second of the move, as before; otherwise a resumable stream begins anew elsewhere. The log line of a move names its duration. Result: the test passes; 23 of 23 tests of moves and of draining and leaving servers pass.

--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -23,6 +23,11 @@
 
 /** A run expected to end within this time stays at a draining engine, in ms. */
 const MIN_REMAINING_MS_TO_MOVE = 1_200;
+/**
+ * A run may go back to a draining engine for this time, in milliseconds. After
+ * it, the engine takes no more requests.
+ */
+const MAX_STAY_MS = 1_000;
 
 /** Where a stopped run continues. */
 export interface MovedRun {
@@ -98,16 +103,20 @@
   const tokens = generation.expectedTotalTokens;
   const release = ctx.engineLoads.place(incarnationOf(target), tokens);
   const id = req.metadata.requestId;
+  const startMs = ctx.clock.now();
   const result = await ctx.engines.moveRun(engine, id, target, signal);
+  const elapsedMs = ctx.clock.now() - startMs;
   ctx.log("run_moved", {
     req: id,
     from: engine.id,
     to: target.id,
     end: result.end,
     message: result.message,
+    elapsed_ms: Math.round(elapsedMs),
     events: generation.progress.events,
   });
-  const next = nextEngine(result.end, engine, target);
+  const mayStay = elapsedMs < MAX_STAY_MS;
+  const next = nextEngine(result.end, mayStay ? engine : undefined, target);
   if (!next) {
     release();
     return undefined;
@@ -120,7 +129,7 @@
 
 function nextEngine(
   end: MoveEnd,
-  engine: Backend,
+  engine: Backend | undefined,
   target: Backend,
 ): Backend | undefined {
   if (end === MoveEnd.Moved) return target;
