--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -25,6 +25,7 @@
 import type { GatewayPolicy } from "../policy.ts";
 import type { RequestKeys } from "../quarantine/request_keys.ts";
 import type { RequestQuarantine } from "../quarantine/request_quarantine.ts";
+import type { StreamVersions } from "../versions/stream_versions.ts";
 import type { Liveness } from "./liveness.ts";
 import type { LivenessChecks } from "./liveness_checks.ts";
 
@@ -96,6 +97,10 @@
   Draining = "entry_leaving",
   /** The request, or a part of its prompt, crashes backend servers. */
   Quarantined = "quarantined",
+  /** It is not known at which software version the stream began. */
+  VersionUnknown = "version_unknown",
+  /** No backend server of a software version that could run it is ready. */
+  VersionAbsent = "version_absent",
 }
 
 /** How one request ended, for its log line and metrics. */
@@ -119,7 +124,9 @@
   Granted = "granted",
   /** The engine has too little free memory or no free slot. */
   NoCapacity = "no_room",
-  /** No valid response from this incarnation of the engine. */
+  /** No response in time; the engine may stand still. */
+  Silent = "silent",
+  /** No connection, or no valid response from this incarnation of the engine. */
   Unreachable = "unreachable",
 }
 
@@ -204,6 +211,7 @@
   health: HealthTracker;
   engineLoads: EngineLoadTracker;
   quarantine: RequestQuarantine;
+  versions: StreamVersions;
   liveness: LivenessChecks;
   rateLimits: RequestRateLimits;
   metrics: GatewayMetrics;
