--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import type { StageWork } from "./decide/stage_plan.ts";
 import { RequestRateLimits } from "./decide/request_rate_limits.ts";
 import type { RetryLimits } from "./decide/retry_budget.ts";
+import { Drain } from "./drain.ts";
 import { Ingress } from "./http/ingress.ts";
 import { Upstream } from "./http/upstream.ts";
 import type { HeaderCodec } from "./http/wire_codec.ts";
@@ -35,6 +36,9 @@
 import { RequestHandler } from "./request_handler.ts";
 import { ServerObserver } from "./server_observer.ts";
 import { getOrCreate, ServiceStates } from "./service_states.ts";
+import { RETAIN_MS } from "./versions/retention.ts";
+import { StreamVersions } from "./versions/stream_versions.ts";
+import type { VersionLog } from "./versions/version_log.ts";
 
 /** Options of {@link Gateway}. */
 export interface GatewayOptions {
@@ -59,12 +63,17 @@
    * @default a log of this router alone
    */
   crashLog?: () => CrashLog;
+  /**
+   * Returns the log of the versions of streams that all routers share.
+   * @default a log of this router alone
+   */
+  versionLog?: () => VersionLog;
+  /** Aborts when the gateway stops. */
+  signal?: AbortSignal;
 }
 
 /** How long a rejection for lack of decode memory counts, in milliseconds. */
 const DECODE_SHORTAGE_TTL_MS = 10_000;
-/** After draining for this long, new streams are rejected; in milliseconds. */
-const DRAIN_STREAM_CUTOFF_MS = 2_500;
 
 /** Serves the callers of one router process. */
 export class Gateway {
@@ -75,12 +84,14 @@
   readonly upstream: Upstream;
   /** Keeps requests away from the backend servers that they would crash. */
   readonly quarantine: RequestQuarantine;
+  /** Keeps streams at the software version that began them. */
+  readonly versions: StreamVersions;
   readonly #ctx: RunContext;
   readonly #rateLimits: RequestRateLimits;
   readonly #services: ServiceStates;
   readonly #servers: ServerObserver;
   readonly #decodeReservations = new Map<string, DecodeReservations>();
-  #drainStartMs: number | undefined;
+  readonly #drain: Drain;
   /** Number of router instances that share retry and connection limits. */
   #routerCount: number;
 
@@ -88,12 +99,23 @@
     const { clock, log, random } = options;
     const policy = resolveGatewayPolicy(options.policy);
     this.#routerCount = policy.entries;
+    this.#drain = new Drain(clock, log);
     this.config = new ConfigHolder(clock, log);
     this.directory = new BackendDirectory({
       clock,
       log,
       entryLifetimeMs: options.entryLifetimeMs,
     });
+    this.versions = new StreamVersions({
+      clock,
+      log,
+      random,
+      directory: this.directory,
+      config: this.config,
+      versionLog: options.versionLog,
+      retainMs: RETAIN_MS,
+      signal: options.signal,
+    });
     this.metrics = createGatewayMetrics();
     this.#rateLimits = new RequestRateLimits({
       clock,
@@ -132,16 +154,18 @@
       engines,
       liveness: new LivenessChecks({
         clock,
-        isAlive: (backend) => engines.isAlive(backend),
+        ask: (backend) => engines.checkLiveness(backend),
       }),
       upstream: this.upstream,
       directory: this.directory,
       health: new HealthTracker(clock),
       engineLoads: new EngineLoadTracker(clock),
       quarantine: this.quarantine,
+      versions: this.versions,
       rateLimits: this.#rateLimits,
       metrics: this.metrics,
       policy,
+      exitSignal: this.#drain.exitSignal,
       inProgress: new Map(),
       activeStreams: new Map(),
       decodeShortages: new Map(),
@@ -155,13 +179,14 @@
       ctx: this.#ctx,
       config: this.config,
       reservationsOf: (service) => this.#decodeReservationsOf(service),
-      rejectsNewStreams: () => this.#rejectsNewStreams(),
+      drain: this.#drain,
     });
     this.ingress = new Ingress({
       log,
       now: () => clock.now(),
       handler: (req) => handler.handle(req),
-      closing: () => this.#drainStartMs !== undefined,
+      closing: () => this.#drain.started,
+      exitSignal: this.#drain.exitSignal,
     });
     this.config.onChange((table) => {
       this.ingress.setLimits(table.limits);
@@ -176,12 +201,16 @@
   /** True if requests can be served and the process is not draining. */
   get ready(): boolean {
     return this.config.current !== undefined && this.directory.loaded &&
-      this.#drainStartMs === undefined;
+      !this.#drain.started;
   }
 
-  /** Starts draining: each connection closes after its next response. */
-  startDrain(): void {
-    this.#drainStartMs ??= this.#ctx.clock.now();
+  /**
+   * Starts draining: each connection closes after its next response. Shortly
+   * before the process exits at `exitAtMs` of its clock, the requests that are
+   * still in progress are ended. @default never
+   */
+  startDrain(exitAtMs = Infinity): void {
+    this.#drain.start(exitAtMs);
   }
 
   /** Updates the given limits. Requests in progress may use the old ones. */
@@ -196,6 +225,7 @@
   handleStoreRestored(): void {
     this.directory.markStoreRestored();
     this.quarantine.handleLogRestored();
+    this.versions.handleStoreRestored();
   }
 
   /** Sets the names of the router instances that share limits. */
@@ -248,12 +278,6 @@
     const create = () => new DecodeReservations(this.#ctx, service);
     return getOrCreate(this.#decodeReservations, service.name, create);
   }
-
-  #rejectsNewStreams(): boolean {
-    const sinceMs = this.#drainStartMs;
-    return sinceMs !== undefined &&
-      this.#ctx.clock.now() - sinceMs > DRAIN_STREAM_CUTOFF_MS;
-  }
 }
 
 function localCrashLog(): () => CrashLog {
--- a/packages/gateway/src/http/__tests__/upstream_test.ts
+++ b/packages/gateway/src/http/__tests__/upstream_test.ts
@@ -17,6 +17,7 @@
 function call(
   timeoutMs = 2_000,
   accept?: (status: number, headers: readonly string[]) => boolean,
+  newConnection = false,
 ) {
   if (!server) throw new Error("no server has been started");
   return exchange(
@@ -27,6 +28,7 @@
       path: "/a/b",
       headers: ["X-Request-Id", "r1"],
       body: Buffer.from("hello"),
+      newConnection,
     },
     timeoutMs,
     new AbortController().signal,
@@ -190,11 +192,13 @@
     });
     server = await startRawServer(() => {});
     server.backend.address = address;
-    expect(await call()).toMatchObject({
-      failure: CallFailure.Unreachable,
-      sent: false,
-    });
-    expect(lines).toEqual(["call_not_started"]);
+    for (const newConnection of connections ? [false, true] : [false]) {
+      expect(await call(100, undefined, newConnection)).toMatchObject({
+        failure: CallFailure.Unreachable,
+        sent: false,
+      });
+      expect(lines.splice(0)).toEqual(["call_not_started"]);
+    }
   },
 );
 
--- a/packages/gateway/src/http/exchange.ts
+++ b/packages/gateway/src/http/exchange.ts
@@ -29,6 +29,8 @@
   /** The timeout of this exchange expired; false if `signal` aborted it. */
   timedOut: boolean;
   message: string;
+  /** Error code of the connection. */
+  code?: string;
   elapsedMs: number;
 }
 
@@ -38,9 +40,9 @@
 const SMALL_RESPONSE_BYTES = 64 * 1024;
 
 /**
- * Sends `req` and buffers the response, for at most `timeoutMs`. If `accept`
- * rejects the response head, the connection is closed, because no later data on
- * it can be trusted.
+ * Sends `req` and buffers the response, for at most `timeoutMs`, which may be
+ * `Infinity`. If `accept` rejects the response head, the connection is closed,
+ * because no later data on it can be trusted.
  */
 export function exchange(
   upstream: Upstream,
@@ -62,10 +64,13 @@
       invalidReason = reason;
       controller.abort();
     };
-    const timer = setTimeout(() => {
+    const onTimeout = () => {
       timedOut = true;
       controller.abort();
-    }, Math.max(1, timeoutMs));
+    };
+    const timer = timeoutMs === Infinity
+      ? undefined
+      : setTimeout(onTimeout, Math.max(1, timeoutMs));
     const settle = (result: ExchangeResult) => {
       clearTimeout(timer);
       upstream.buffers.remove(size);
@@ -97,13 +102,14 @@
           elapsedMs: performance.now() - startMs,
         });
       },
-      onFailure(failure, sent, message) {
+      onFailure(failure, sent, message, code) {
         settle({
           end: ExchangeOutcome.Failed,
           failure: invalidReason ? CallFailure.InvalidResponse : failure,
           sent,
           timedOut,
           message: invalidReason ?? message,
+          code,
           elapsedMs: performance.now() - startMs,
         });
       },
--- a/packages/gateway/src/runs/decode_reservations.ts
+++ b/packages/gateway/src/runs/decode_reservations.ts
@@ -20,6 +20,7 @@
   nextPending,
   type PendingPlacement,
 } from "../decide/placement_queue.ts";
+import { recordSilent } from "./liveness.ts";
 import { checkRateLimits, shortestLimitWaitMs } from "./rate_limit_check.ts";
 import { HoldEnd, type RunContext } from "./run_context.ts";
 
@@ -46,6 +47,8 @@
   signal: AbortSignal;
   /** Engine incarnations that are skipped. */
   excluded: ReadonlySet<string>;
+  /** Returns the engines that may run the request. */
+  select(engines: readonly Backend[]): readonly Backend[];
 }
 
 interface WaitingRequest extends ReservationRequest {
@@ -90,13 +93,16 @@
   /** Whether no engine can be used in time, however the memory changes. */
   #isHopeless(req: ReservationRequest): boolean {
     const leftMs = req.expiresAtMs - this.#ctx.clock.now();
-    return leftMs <= 0 ||
-      shortestLimitWaitMs(this.#ctx, this.#engines()) > leftMs;
+    const engines = this.#enginesFor(req);
+    return leftMs <= 0 || engines.length === 0 ||
+      shortestLimitWaitMs(this.#ctx, engines) > leftMs;
   }
 
-  #engines(): readonly Backend[] {
+  #enginesFor(req: ReservationRequest): readonly Backend[] {
     const { directory } = this.#ctx;
-    return directory.readyAt(this.#service.name, EngineStage.Decode);
+    return req.select(
+      directory.readyAt(this.#service.name, EngineStage.Decode),
+    );
   }
 
   #wait(req: ReservationRequest): Promise<Reservation | undefined> {
@@ -145,7 +151,7 @@
     const ctx = this.#ctx;
     const capacity = this.#service.engine;
     if (!capacity) return undefined;
-    const engines = this.#engines();
+    const engines = this.#enginesFor(req);
     checkRateLimits(ctx, engines);
     const inputs = { ...ctx, nowMs: ctx.clock.now() };
     const ordered = orderDecodeEngines(
@@ -213,9 +219,12 @@
       );
     }
     release();
+    // Given up because the caller has left.
+    if (req.signal.aborted) return undefined;
     if (result.end === HoldEnd.NoCapacity) {
       ctx.engineLoads.refused(key, req.tokens);
-    } else this.#recordUnreachable(engine, result.message ?? "");
+    } else if (result.end === HoldEnd.Silent) recordSilent(ctx, engine);
+    else this.#recordUnreachable(engine, result.message ?? "");
     return undefined;
   }
 
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -25,6 +25,8 @@
 import type { GatewayPolicy } from "../policy.ts";
 import type { RequestKeys } from "../quarantine/request_keys.ts";
 import type { RequestQuarantine } from "../quarantine/request_quarantine.ts";
+import type { StreamVersions } from "../versions/stream_versions.ts";
+import type { Liveness } from "./liveness.ts";
 import type { LivenessChecks } from "./liveness_checks.ts";
 
 /** One request of a caller, with its complete body. */
@@ -95,6 +97,10 @@
   Draining = "entry_leaving",
   /** The request, or a part of its prompt, crashes backend servers. */
   Quarantined = "quarantined",
+  /** It is not known at which software version the stream began. */
+  VersionUnknown = "version_unknown",
+  /** No backend server of a software version that could run it is ready. */
+  VersionAbsent = "version_absent",
 }
 
 /** How one request ended, for its log line and metrics. */
@@ -118,7 +124,9 @@
   Granted = "granted",
   /** The engine has too little free memory or no free slot. */
   NoCapacity = "no_room",
-  /** No valid response from this incarnation of the engine. */
+  /** No response in time; the engine may stand still. */
+  Silent = "silent",
+  /** No connection, or no valid response from this incarnation of the engine. */
   Unreachable = "unreachable",
 }
 
@@ -168,7 +176,10 @@
   parsePrefill(engine: Backend, body: Buffer): PrefillReply | undefined;
   /** Frees an unused prefill result. */
   deleteKvHandle(engine: Backend, handle: string): void;
-  /** Stops a running generation and transfers its memory to `target`. */
+  /**
+   * Stops a running generation and transfers its memory to `target`. Waits for
+   * the result until `signal` aborts.
+   */
   moveRun(
     engine: Backend,
     requestId: string,
@@ -177,8 +188,8 @@
   ): Promise<MoveResult>;
   /** Makes a call without effect, for the headers of its response. */
   ping(engine: Backend): Promise<void>;
-  /** True when the engine responds on a new connection. */
-  isAlive(engine: Backend): Promise<boolean>;
+  /** Asks on a new connection whether the engine lives. */
+  checkLiveness(engine: Backend): Promise<Liveness>;
 }
 
 /** A running generation that is notified when its engine is drained. */
@@ -200,10 +211,13 @@
   health: HealthTracker;
   engineLoads: EngineLoadTracker;
   quarantine: RequestQuarantine;
+  versions: StreamVersions;
   liveness: LivenessChecks;
   rateLimits: RequestRateLimits;
   metrics: GatewayMetrics;
   policy: GatewayPolicy;
+  /** Aborts when requests must end because the process is about to exit. */
+  exitSignal: AbortSignal;
   /** Number of calls in progress to plain backend servers, by incarnation. */
   inProgress: Map<string, number>;
   /** Running generations, by engine incarnation. */
--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -4,6 +4,7 @@
  * there after its last event. This continues the same run rather than starting
  * a second one, so requests that may run only once are moved too.
  */
+import { childAbortController, sleep } from "@sassafrascleat/runtime";
 import {
   type Backend,
   EngineStage,
@@ -11,6 +12,7 @@
 } from "../backends/backend.ts";
 import { orderDecodeEngines } from "../decide/engine_placement.ts";
 import type { KvSource } from "../http/wire_codec.ts";
+import { ofVersion } from "../versions/same_version.ts";
 import type { Reservation } from "./decode_reservations.ts";
 import type { Generation } from "./generation.ts";
 import {
@@ -29,6 +31,37 @@
   source: KvSource | undefined;
 }
 
+/** A move in progress, whose engine may stand still before it stops the run. */
+export class PendingMove {
+  readonly #controller: AbortController;
+  readonly #result: Promise<MovedRun | undefined>;
+
+  constructor(
+    start: (signal: AbortSignal) => Promise<MovedRun | undefined>,
+    signal: AbortSignal,
+  ) {
+    this.#controller = childAbortController(signal);
+    this.#result = start(this.#controller.signal);
+  }
+
+  /** Where the run continues, if that is known within `forMs`. */
+  async wait(forMs: number): Promise<MovedRun | undefined> {
+    const { signal } = this.#controller;
+    if (forMs < Infinity) {
+      void sleep(forMs, signal).then(() => this.#controller.abort());
+    }
+    const moved = await this.#result;
+    this.#controller.abort();
+    return moved;
+  }
+
+  /** Gives the move up because the stream has ended otherwise. */
+  cancel(): void {
+    this.#controller.abort();
+    void this.#result.then((moved) => moved?.reservation.release());
+  }
+}
+
 /**
  * Calls `onDraining` when `engine` is drained or removed. Returns a function that
  * stops watching.
@@ -61,7 +94,7 @@
   signal: AbortSignal,
 ): Promise<MovedRun | undefined> {
   if (generation.remainingMs() < MIN_REMAINING_MS_TO_MOVE) return undefined;
-  const target = pickTarget(ctx, req, generation);
+  const target = pickTarget(ctx, req, generation, engine.version);
   if (!target || !tryAcquireRetry(ctx, req, "move")) return undefined;
   const tokens = generation.expectedTotalTokens;
   const release = ctx.engineLoads.place(incarnationOf(target), tokens);
@@ -99,8 +132,12 @@
   ctx: RunContext,
   req: CallerRequest,
   generation: Generation,
+  version: string,
 ): Backend | undefined {
-  const engines = ctx.directory.readyAt(req.service.name, EngineStage.Decode);
+  const engines = ofVersion(
+    ctx.directory.readyAt(req.service.name, EngineStage.Decode),
+    version,
+  );
   const inputs = { ...ctx, nowMs: ctx.clock.now() };
   const { expectedTotalTokens, capacity } = generation;
   const ordered = orderDecodeEngines(
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -15,8 +15,13 @@
 } from "../http/upstream_call.ts";
 import type { Directives, RawHeaders } from "../http/wire_codec.ts";
 import type { StreamProgress } from "./generation.ts";
+import { Liveness, MAX_STANDSTILL_MS } from "./liveness.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
-import type { CallerRequest, RunContext } from "./run_context.ts";
+import {
+  type CallerRequest,
+  remainingMs,
+  type RunContext,
+} from "./run_context.ts";
 
 /** How a stream from one backend server ended. */
 export enum StreamEnd {
@@ -52,14 +57,19 @@
   progress: StreamProgress;
   signal: AbortSignal;
   /**
-   * Time without an event after which `isLost` is called, in milliseconds; 0
+   * Time without an event after which `mayLeave` is called, in milliseconds; 0
    * waits until the deadline.
    */
   silenceCheckMs: number;
+  /** Called before the first event is forwarded. */
+  onFirstEvent: () => void;
   /** Called on the first event, and again when the stream ends. */
   onFirstEventOrEnd: () => void;
-  /** Decides whether a silent stream is given up. */
-  isLost: () => Promise<boolean>;
+  /**
+   * Decides whether a stream without events since `sinceMs`, in milliseconds of
+   * the process clock, is given up. The signal aborts when an event arrives.
+   */
+  mayLeave: (sinceMs: number, signal: AbortSignal) => Promise<boolean>;
 }
 
 const EMPTY = Buffer.alloc(0);
@@ -87,7 +97,6 @@
   #status = 0;
   #headers: RawHeaders = [];
   #events = 0;
-  #settled = false;
   #silent = false;
   /** Why the response was given up as invalid. */
   #invalidReason: string | undefined;
@@ -95,6 +104,9 @@
   #leadingComments: Buffer[] = [];
   #leadingBytes = 0;
   #silenceTimer: ReturnType<typeof setTimeout> | undefined;
+  #silenceCheck: AbortController | undefined;
+  /** Start of the stream, or arrival of its last event. */
+  #silentSinceMs = 0;
   #flow: ResponseFlowControl | undefined;
 
   constructor(
@@ -113,12 +125,11 @@
     const req = this.#req;
     return new Promise((resolve) => {
       const settle = (end: StreamEnd, message = "") => {
-        this.#settled = true;
         this.#options.onFirstEventOrEnd();
-        clearTimeout(this.#silenceTimer);
+        this.#stopSilenceCheck();
         resolve(this.#result(end, message));
       };
-      this.#restartSilenceTimer();
+      this.#watchSilence();
       this.#ctx.upstream.open(
         {
           backend,
@@ -189,8 +200,11 @@
 
   #onEvents(events: CompleteEvents): void {
     if (events.count === 0) return this.#forwardComments(events.bytes);
-    if (this.#events === 0) this.#options.onFirstEventOrEnd();
-    this.#restartSilenceTimer();
+    if (this.#events === 0) {
+      this.#options.onFirstEvent();
+      this.#options.onFirstEventOrEnd();
+    }
+    this.#watchSilence();
     this.#recordProgress(events);
     this.#write(events.bytes);
   }
@@ -229,10 +243,20 @@
     responder.onceDrained(() => this.#flow?.resume());
   }
 
-  #restartSilenceTimer(): void {
+  #watchSilence(): void {
+    this.#stopSilenceCheck();
+    this.#silentSinceMs = this.#ctx.clock.now();
+    this.#startSilenceTimer();
+  }
+
+  #stopSilenceCheck(): void {
+    clearTimeout(this.#silenceTimer);
+    this.#silenceCheck?.abort();
+  }
+
+  #startSilenceTimer(): void {
     const { silenceCheckMs } = this.#options;
     if (silenceCheckMs <= 0) return;
-    clearTimeout(this.#silenceTimer);
     this.#silenceTimer = setTimeout(
       () => void this.#checkSilence(),
       silenceCheckMs,
@@ -240,13 +264,12 @@
   }
 
   async #checkSilence(): Promise<void> {
-    const eventsBefore = this.#events;
-    const lost = await this.#options.isLost();
-    if (this.#settled) return;
-    if (!lost || this.#events > eventsBefore) {
-      this.#restartSilenceTimer();
-      return;
-    }
+    const check = childAbortController(this.#controller.signal);
+    this.#silenceCheck = check;
+    const { mayLeave } = this.#options;
+    const leaves = await mayLeave(this.#silentSinceMs, check.signal);
+    if (check.signal.aborted) return;
+    if (!leaves) return this.#startSilenceTimer();
     this.#silent = true;
     this.#controller.abort();
   }
@@ -265,11 +288,18 @@
 
   /**
    * Whether the engine of a response without events is gone. Without a length the
-   * end of the connection ends the response, also when the engine crashed.
+   * end of the connection ends the response, also when the engine crashed; one
+   * that only stands still has ended it itself.
    */
   async #endedByCrash(): Promise<boolean> {
     if (declaresLength(this.#headers)) return false;
-    return !await this.#ctx.liveness.isAlive(this.#options.backend);
+    const { backend } = this.#options;
+    const waitMs = Math.min(
+      MAX_STANDSTILL_MS,
+      remainingMs(this.#ctx, this.#req),
+    );
+    const liveness = await this.#ctx.liveness.check(backend, waitMs);
+    return liveness === Liveness.Gone;
   }
 
   #endOfFailure(failure: CallFailure, sent: boolean): StreamEnd {
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -7,6 +7,7 @@
  * stream was cut off.
  */
 import { type Backend, incarnationOf } from "../backends/backend.ts";
+import type { StreamVersion } from "../versions/stream_version.ts";
 import type { DecodeReservations, Reservation } from "./decode_reservations.ts";
 import { withDeadline } from "./deadline.ts";
 import {
@@ -17,7 +18,12 @@
 } from "./stream_call.ts";
 import { recordStream } from "./crash_detection.ts";
 import { Generation } from "./generation.ts";
-import { moveFromDrainingEngine, watchEngine } from "./run_move.ts";
+import { Liveness, MAX_STANDSTILL_MS } from "./liveness.ts";
+import {
+  moveFromDrainingEngine,
+  PendingMove,
+  watchEngine,
+} from "./run_move.ts";
 import { runPlainStream } from "./plain_stream.ts";
 import { reject } from "./reject.ts";
 import {
@@ -35,6 +41,7 @@
   PlacementFailure,
   StreamPlacer,
 } from "./stream_placement.ts";
+import { openVersion, withVersion } from "./with_version.ts";
 
 /** Silence before an engine's liveness is checked, in longest allowed event gaps. */
 const SILENT_GAPS_BEFORE_CHECK = 2;
@@ -72,13 +79,16 @@
   readonly #ctx: RunContext;
   readonly #req: CallerRequest;
   readonly #generation: Generation;
+  readonly #version: StreamVersion;
   readonly #placer: StreamPlacer;
   readonly #finisher: StreamFinisher;
+  /** When a check last showed that the stream's engine lives. */
+  #aliveAtMs = -Infinity;
   /** Engines that the request was sent to. */
   readonly #sentTo = new Set<string>();
   /** A move to another engine that is in progress. */
-  #pendingMove: Promise<Placement | undefined> | undefined;
-  /** Where a moved run continues. */
+  #pendingMove: PendingMove | undefined;
+  /** Where a moved run or a stream that left its engine continues. */
   #continuation: Placement | undefined;
 
   constructor(
@@ -90,7 +100,14 @@
     this.#ctx = ctx;
     this.#req = req;
     this.#generation = generation;
-    this.#placer = new StreamPlacer(ctx, req, reservations, generation);
+    this.#version = openVersion(ctx, req);
+    this.#placer = new StreamPlacer(
+      ctx,
+      req,
+      reservations,
+      generation,
+      this.#version,
+    );
     this.#finisher = new StreamFinisher(ctx, req, generation.progress);
   }
 
@@ -101,10 +118,17 @@
     if (prompt.promptTokens > capacity.kvTokens) {
       return reject(ctx, this.#req, RunReason.TooLarge, MEAN_RETRY_DELAY_MS);
     }
-    const work = (signal: AbortSignal) => this.#tryPlacements(signal);
+    const work = (signal: AbortSignal) =>
+      withVersion(
+        this.#version,
+        this.#finisher,
+        signal,
+        () => this.#tryPlacements(signal),
+      );
     try {
       return await withDeadline(ctx, this.#req, work);
     } finally {
+      if (this.#continuation) this.#placer.release(this.#continuation);
       this.#placer.close();
     }
   }
@@ -138,7 +162,7 @@
       case PlacementFailure.Quarantined:
         return this.#finisher.quarantined();
       case PlacementFailure.NoCapacity:
-        return this.#finisher.noCapacity();
+        return this.#finisher.noCapacity(this.#placer.decodeEngines());
       case PlacementFailure.NoRetryBudget:
         return this.#finisher.rejectOrFail(RunReason.NotExecuted);
     }
@@ -166,25 +190,25 @@
       config: req.configVersion,
     });
     const unwatch = watchEngine(ctx, reservation.engine, () => {
-      this.#pendingMove ??= moveFromDrainingEngine(
-        ctx,
-        req,
-        this.#generation,
-        reservation.engine,
-        signal,
-      );
+      const { engine } = reservation;
+      const move = (moveSignal: AbortSignal) =>
+        moveFromDrainingEngine(ctx, req, this.#generation, engine, moveSignal);
+      this.#pendingMove ??= new PendingMove(move, signal);
     });
     const onFirstEventOrEnd = source ? () => {} : ctx.engineLoads.startPrefill(
       incarnationOf(reservation.engine),
       this.#prefillTokens(),
     );
+    this.#version.sent(reservation.engine);
     const result = await runStreamCall(ctx, req, {
       backend: reservation.engine,
       progress: this.#generation.progress,
       signal,
+      onFirstEvent: () => this.#version.begun(reservation.engine),
       silenceCheckMs: this.#silenceCheckMs(),
       onFirstEventOrEnd,
-      isLost: () => this.#isLost(reservation.engine, signal),
+      mayLeave: (sinceMs, signal) =>
+        this.#mayLeave(reservation.engine, sinceMs, signal),
       directives: {
         remainingMs: remainingMs(ctx, req),
         backendId: reservation.engine.id,
@@ -194,6 +218,7 @@
         lastEventId: this.#generation.progress.lastEventId,
       },
     });
+    this.#version.ended();
     unwatch();
     return result;
   }
@@ -215,22 +240,36 @@
   }
 
   /**
-   * True when the engine of a silent stream is unreachable and the stream can
-   * continue elsewhere. Silence alone is not enough, since the engine may have
-   * postponed the run.
+   * Whether a silent stream leaves its engine. It does so only once everything
+   * is in hand that it needs to go on elsewhere.
    */
-  async #isLost(engine: Backend, signal: AbortSignal): Promise<boolean> {
-    const ctx = this.#ctx;
+  async #mayLeave(
+    engine: Backend,
+    sinceMs: number,
+    signal: AbortSignal,
+  ): Promise<boolean> {
     if (!this.#mayResume()) return false;
-    if (await ctx.liveness.isAlive(engine)) return false;
-    ctx.log("engine_unreachable", {
-      req: this.#req.metadata.requestId,
-      backend: engine.id,
-    });
-    ctx.health.eject(incarnationOf(engine));
-    const { available } = ctx.retryBudgetOf(this.#req.service.name);
-    if (signal.aborted || available < 2) return false;
-    return await this.#placer.reserveSpare(signal);
+    const liveness = await this.#checkLiveness(engine, sinceMs);
+    if (liveness === Liveness.Alive || signal.aborted) return false;
+    const { log, health } = this.#ctx;
+    const req = this.#req.metadata.requestId;
+    log("engine_unreachable", { req, backend: engine.id, liveness });
+    if (liveness === Liveness.Gone) health.eject(incarnationOf(engine));
+    this.#continuation = await this.#placer.placeElsewhere(engine, signal);
+    return this.#continuation !== undefined;
+  }
+
+  /**
+   * Asks an engine that was last heard of at `sinceMs`. One that is silent is
+   * asked for as long as sound engines stand still.
+   */
+  async #checkLiveness(engine: Backend, sinceMs: number): Promise<Liveness> {
+    const { clock, liveness } = this.#ctx;
+    const heardAtMs = Math.max(sinceMs, this.#aliveAtMs);
+    const waitMs = heardAtMs + MAX_STANDSTILL_MS - clock.now();
+    const result = await liveness.check(engine, Math.max(0, waitMs));
+    if (result === Liveness.Alive) this.#aliveAtMs = clock.now();
+    return result;
   }
 
   #silenceCheckMs(): number {
@@ -249,6 +288,9 @@
     const { ctx, req } = { ctx: this.#ctx, req: this.#req };
     const { reservation, prefill } = placement;
     if (prefill && result.events > 0) this.#placer.recordPrefillUsed(prefill);
+    const move = this.#pendingMove;
+    this.#pendingMove = undefined;
+    if (result.end !== StreamEnd.Cut) move?.cancel();
     if (result.end === StreamEnd.Complete) {
       this.#recordHealth(result, reservation);
       this.#recordCompletion();
@@ -260,13 +302,14 @@
       if (result.status === 0) prefill?.discard();
       return this.#finisher.aborted();
     }
-    const continuation = await this.#pendingMove;
-    this.#pendingMove = undefined;
-    if (continuation && result.end === StreamEnd.Cut) {
-      this.#finisher.attempts -= 1;
-      this.#continuation = continuation;
-      return undefined;
+    if (result.end === StreamEnd.Cut) {
+      this.#continuation = await move?.wait(this.#maxMoveWaitMs());
+      if (this.#continuation) {
+        this.#finisher.attempts -= 1;
+        return undefined;
+      }
     }
+    if (signal.aborted) return this.#finisher.aborted();
     this.#recordHealth(result, reservation);
     this.#logEnd(result, reservation);
     await recordStream(ctx, req, reservation.engine, result, signal);
@@ -281,6 +324,11 @@
     return undefined;
   }
 
+  /** Only a stream that may begin anew can do without the result of a move. */
+  #maxMoveWaitMs(): number {
+    return this.#mayResume() ? MAX_STANDSTILL_MS : Infinity;
+  }
+
   #handleRejection(
     result: StreamResult,
     placement: Placement,
