fix(gateway): a request isn't sent to an engine that began to drain meanwhile

What callers saw: streams cut at engines that left. Cause: the engines to be asked for memory are listed once and asked one after the other; one that stands still takes 400 ms. The prefill takes time as well, more since a silent prefill engine is waited for. Change: an engine is asked, and the request sent, only if it is still ready.

--- a/packages/gateway/src/backends/directory.ts
+++ b/packages/gateway/src/backends/directory.ts
@@ -111,6 +111,13 @@
     return this.#readyOf(service)?.byStage.get(stage) ?? [];
   }
 
+  /** Whether this incarnation of a backend server still accepts new requests. */
+  isReady(backend: Backend): boolean {
+    const listed = this.get(backend.id);
+    return listed?.state === BackendState.Ready &&
+      incarnationOf(listed) === incarnationOf(backend);
+  }
+
   /** All backend servers of a service, including those that are draining. */
   all(service: string): Backend[] {
     this.#dropExpired();
--- a/packages/gateway/src/runs/decode_reservations.ts
+++ b/packages/gateway/src/runs/decode_reservations.ts
@@ -169,6 +169,8 @@
       .slice(0, ctx.policy.maxReservationAttempts);
     for (const engine of candidates) {
       if (req.signal.aborted) return undefined;
+      // The engines before it may have taken their time to respond.
+      if (!ctx.directory.isReady(engine)) continue;
       const reservation = await this.#reserveWithinLimit(
         engine,
         req,
@@ -188,11 +190,14 @@
     req: ReservationRequest,
     maxHoldMs: number,
   ): Promise<Reservation | undefined> {
-    const { rateLimits } = this.#ctx;
+    const { directory, rateLimits } = this.#ctx;
     const key = incarnationOf(engine);
     if (!rateLimits.allows(key)) return undefined;
     const reservation = await this.#reserveAt(engine, req, maxHoldMs);
-    if (!reservation || rateLimits.tryAcquire(key)) return reservation;
+    if (!reservation) return undefined;
+    if (directory.isReady(engine) && rateLimits.tryAcquire(key)) {
+      return reservation;
+    }
     this.#drop(reservation);
     return undefined;
   }
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -112,10 +112,7 @@
     if (this.#isQuarantined()) {
       return this.#cancel(PlacementFailure.Quarantined, reservation, prefill);
     }
-    const paused = this.#ctx.rateLimits.isPaused(
-      incarnationOf(reservation.engine),
-    );
-    if (!prepared || paused) {
+    if (!prepared || !this.#stillAccepts(reservation.engine)) {
       this.#reservations.cancel(reservation);
       if (prefill) this.#keepOrDiscard(prefill, true);
       return await this.place(isRetry, signal);
@@ -126,6 +123,13 @@
     return { reservation, prefill, source: prefill?.source };
   }
 
+  /** Whether the engine, which the prompt was prefilled for, may be sent it. */
+  #stillAccepts(engine: Backend): boolean {
+    const { directory, rateLimits } = this.#ctx;
+    return directory.isReady(engine) &&
+      !rateLimits.isPaused(incarnationOf(engine));
+  }
+
   /** Takes the unused prefill result, if the engine can use it. */
   #takePrefill(engine: Backend): PrefillResult | undefined {
     const prefill = this.#unusedPrefill;
