--- a/packages/gateway/src/backends/directory.ts
+++ b/packages/gateway/src/backends/directory.ts
@@ -320,6 +320,7 @@
       service: backend.service,
       address: backend.address,
       zone: backend.zone,
+      version: backend.version,
       stage: backend.stage,
       state: backend.state,
     });
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -181,12 +181,14 @@
     ctx.log("decode_send", {
       req: req.metadata.requestId,
       backend: reservation.engine.id,
+      version: reservation.engine.version,
       prefill: prefill?.engine.id,
       prompt_tokens: this.#generation.prompt.promptTokens,
       reserved_tokens: reservation.tokens,
       age_ms: Math.round(ageMs(ctx, req)),
       hold_age_ms: Math.round(ctx.clock.now() - reservation.grantedAtMs),
       after: this.#generation.progress.lastEventId,
+      resumes: req.metadata.resumedRequestId,
       config: req.configVersion,
     });
     const unwatch = watchEngine(ctx, reservation.engine, () => {
