--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -24,6 +24,11 @@
 import type { KvSource, PromptInfo } from "../http/wire_codec.ts";
 import { ofVersion } from "../versions/same_version.ts";
 import { recordPrefill } from "./crash_detection.ts";
+import {
+  firstResult,
+  type PrefillCall,
+  type PrefillResult,
+} from "./prefill_calls.ts";
 import { Liveness, recordSilent } from "./liveness.ts";
 import { checkRateLimits } from "./rate_limit_check.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
@@ -39,16 +44,6 @@
   tryAcquireRetry,
 } from "./run_context.ts";
 
-/** The result of a prefill that a decode engine can fetch. */
-export interface PrefillResult {
-  engine: Backend;
-  source: KvSource;
-  /** When the prefill completed, in milliseconds of the process clock. */
-  completedAtMs: number;
-  /** Frees an unused result. */
-  discard(): void;
-}
-
 /** Overhead of a prefill call beyond the prefill itself, in milliseconds. */
 const PREFILL_OVERHEAD_MS = 40;
 /** Time from the end of prefill to the first event, in milliseconds. */
@@ -62,14 +57,6 @@
 /** Longest prefill, in milliseconds: the reservation expires after it. */
 const MAX_CALL_MS = 1_500;
 
-/** A prefill in progress. */
-interface PrefillCall {
-  /** Undefined if it failed. */
-  result: Promise<PrefillResult | undefined>;
-  /** True once the engine is silent, so that another one should be tried. */
-  stalled: Promise<boolean>;
-}
-
 /** Prefills the prompt of one request, at each engine once. */
 export class Prefiller {
   readonly #ctx: RunContext;
@@ -387,17 +374,3 @@
     };
   }
 }
-
-/** Returns the first result; undefined once the newest call gives none soon. */
-function firstResult(
-  calls: readonly PrefillCall[],
-): Promise<PrefillResult | undefined> {
-  return new Promise((resolve, reject) => {
-    for (const { result } of calls) {
-      result.then((done) => done && resolve(done), reject);
-    }
-    const newest = calls.at(-1);
-    newest?.result.then(resolve, reject);
-    void newest?.stalled.then((stalled) => stalled && resolve(undefined));
-  });
-}
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -16,7 +16,8 @@
 import type { DecodeReservations, Reservation } from "./decode_reservations.ts";
 import type { StreamResult } from "./stream_call.ts";
 import type { Generation } from "./generation.ts";
-import { FIRST_EVENT_MS, Prefiller, type PrefillResult } from "./prefiller.ts";
+import type { PrefillResult } from "./prefill_calls.ts";
+import { FIRST_EVENT_MS, Prefiller } from "./prefiller.ts";
 import {
   ageMs,
   type CallerRequest,
