fix(gateway): a moved run is ended, never left open or reported as not run

What callers saw: neither an answer nor a refusal. A stream whose run had been moved from a draining engine got no further event and no end, or a 503 although it had run. Cause: a move takes back the attempt that it continues. If the target then rejects the run, and no retry is allowed, or the run was moved four times, zero attempts were taken for proof that nothing had run; the rejection of a response that had begun did nothing. A silent engine that had answered a check was left after 1 ms, since the time left for the next one was zero. Change: a stream that was moved, or whose response has begun, is ended; moves don't count as placements; a reply to a response that has begun closes the connection; a check of an engine lasts at least 200 ms.

--- a/packages/gateway/src/http/responder.ts
+++ b/packages/gateway/src/http/responder.ts
@@ -20,6 +20,8 @@
   }
 
   reply(status: number, headers: RawHeaders, body?: Buffer | string): void {
+    // A caller that has received a part must not wait for the rest forever.
+    if (this.#started && !this.#res.writableEnded) return this.destroy();
     if (this.#started || this.#res.destroyed) return;
     this.#started = true;
     const bytes = Buffer.from(body ?? "");
--- a/packages/gateway/src/runs/stream_outcome.ts
+++ b/packages/gateway/src/runs/stream_outcome.ts
@@ -28,6 +28,8 @@
 export class StreamFinisher {
   /** Calls to backend servers that may have run the request. */
   attempts = 0;
+  /** The run was moved: it isn't an attempt of its last backend server. */
+  moved = false;
   /** Calls to backend servers, including those that rejected the request. */
   sends = 0;
   /** The last backend server that the request was sent to. */
@@ -80,7 +82,7 @@
    * `reason`; if it may have run, it fails as a cut stream and `reason` is unused.
    */
   rejectOrFail(reason: RunReason): RunOutcome {
-    if (this.attempts > 0) return this.#fail(RunReason.StreamCut);
+    if (this.#mayHaveRun) return this.#fail(RunReason.StreamCut);
     return reject(
       this.#ctx,
       this.#req,
@@ -92,7 +94,7 @@
 
   /** Ends a request whose prompt would crash the next engine too. */
   quarantined(): RunOutcome {
-    if (this.attempts > 0) return this.#fail(RunReason.Quarantined);
+    if (this.#mayHaveRun) return this.#fail(RunReason.Quarantined);
     return rejectQuarantined(this.#ctx, this.#req, this.sends);
   }
 
@@ -104,7 +106,7 @@
 
   /** Ends a request that none of the ready backend servers can run. */
   noBackend(): RunOutcome {
-    if (this.attempts > 0) return this.#fail(RunReason.StreamCut);
+    if (this.#mayHaveRun) return this.#fail(RunReason.StreamCut);
     const ready = this.#ctx.directory.ready(this.#req.service.name);
     const reason = ready.length > 0
       ? RunReason.VersionAbsent
@@ -136,12 +138,16 @@
       return this.#outcome(RunEnd.CallerLeft, RunReason.None, 0);
     }
     if (this.#ctx.exitSignal.aborted) return this.#endAtExit();
-    if (this.attempts > 0) return this.#fail(RunReason.TimedOut);
+    if (this.#mayHaveRun) return this.#fail(RunReason.TimedOut);
     return reject(this.#ctx, this.#req, RunReason.TooLate, MEAN_RETRY_DELAY_MS);
   }
 
+  get #mayHaveRun(): boolean {
+    return this.attempts > 0 || this.moved || this.#req.responder.started;
+  }
+
   #endAtExit(): RunOutcome {
-    if (this.attempts > 0) return this.#fail(RunReason.Draining);
+    if (this.#mayHaveRun) return this.#fail(RunReason.Draining);
     return rejectDraining(this.#ctx, this.#req, this.sends);
   }
 
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -50,6 +50,8 @@
  * in milliseconds; also replaces an unset event gap.
  */
 const MIN_SILENCE_MS = 700;
+/** Shortest check, in milliseconds: a live engine responds within it. */
+const MIN_CHECK_MS = 200;
 /** Maximum number of placements of one request, one after another. */
 const MAX_PLACEMENTS = 4;
 
@@ -135,7 +137,10 @@
 
   /** Tries one placement after another until the request has an outcome. */
   async #tryPlacements(signal: AbortSignal): Promise<RunOutcome> {
-    for (let attempt = 0; attempt < MAX_PLACEMENTS; attempt += 1) {
+    let placements = 0;
+    while (placements < MAX_PLACEMENTS) {
+      // A run may be moved as often as its engines are drained.
+      if (!this.#continuation) placements += 1;
       const placement = await this.#nextPlacement(signal);
       if (typeof placement === "string") return this.#outcomeOf(placement);
       const result = await this.#streamFrom(placement, signal);
@@ -269,7 +274,10 @@
     const { clock, liveness } = this.#ctx;
     const heardAtMs = Math.max(sinceMs, this.#aliveAtMs);
     const waitMs = heardAtMs + MAX_STANDSTILL_MS - clock.now();
-    const result = await liveness.check(engine, Math.max(0, waitMs));
+    const result = await liveness.check(
+      engine,
+      Math.max(MIN_CHECK_MS, waitMs),
+    );
     if (result === Liveness.Alive) this.#aliveAtMs = clock.now();
     return result;
   }
@@ -308,6 +316,7 @@
       this.#continuation = await move?.wait(this.#maxMoveWaitMs());
       if (this.#continuation) {
         this.#finisher.attempts -= 1;
+        this.#finisher.moved = true;
         return undefined;
       }
     }
