refactor(gateway): the time of a prompt response has one name

Cause: the shortest liveness check of a stream had a constant of its own, equal in value and meaning to that of the checks. Change: PROMPT_RESPONSE_MS is used.

--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -19,6 +19,7 @@
 import { recordStream } from "./crash_detection.ts";
 import { Generation } from "./generation.ts";
 import { Liveness, MAX_STANDSTILL_MS } from "./liveness.ts";
+import { PROMPT_RESPONSE_MS } from "./liveness_checks.ts";
 import {
   moveFromDrainingEngine,
   PendingMove,
@@ -50,8 +51,6 @@
  * in milliseconds; also replaces an unset event gap.
  */
 const MIN_SILENCE_MS = 700;
-/** Shortest check, in milliseconds: a live engine responds within it. */
-const MIN_CHECK_MS = 200;
 /** Maximum number of placements of one request, one after another. */
 const MAX_PLACEMENTS = 4;
 
@@ -276,7 +275,7 @@
     const waitMs = heardAtMs + MAX_STANDSTILL_MS - clock.now();
     const result = await liveness.check(
       engine,
-      Math.max(MIN_CHECK_MS, waitMs),
+      Math.max(PROMPT_RESPONSE_MS, waitMs),
     );
     if (result === Liveness.Alive) this.#aliveAtMs = clock.now();
     return result;
