Review: a busy engine's reset connection is taken for a crash

Case 1, by reading runs/liveness.ts: ECONNRESET on a new connection counts as proof that the engine is gone.

The stand-ins under review/stand_ins are shared by all cases.

--- /dev/null
+++ b/review/stand_ins/client.mjs
@@ -0,0 +1,69 @@
+/** A client: one connection for each request, and all that it receives. */
+import { request } from "node:http";
+import { HOST } from "./config.mjs";
+import { now } from "./deployment.mjs";
+
+let count = 0;
+
+/** A new request id. */
+export function newId() {
+  count += 1;
+  return `req${String(count).padStart(4, "0")}${process.pid}`;
+}
+
+/** Sends one request; the result says whether the answer was complete. */
+export function send(port, { path, method = "POST", id = newId(), ...more }) {
+  const { body = "", headers = {}, deadlineMs, onData } = more;
+  const sentMs = now();
+  return new Promise((resolve) => {
+    const result = { id, path, sentMs, status: 0, text: "", complete: false };
+    const finish = (error) => {
+      if (error) result.error = error.code ?? error.message;
+      result.endMs = now();
+      resolve(result);
+    };
+    const req = request({
+      host: "127.0.0.1",
+      port,
+      method,
+      path,
+      agent: false,
+      headers: {
+        Host: HOST,
+        "X-Request-Id": id,
+        "X-Request-Deadline-Ms": deadlineMs,
+        "Content-Length": Buffer.byteLength(body),
+        ...headers,
+      },
+    }, (res) => {
+      result.status = res.statusCode;
+      result.headers = res.headers;
+      res.on("data", (chunk) => {
+        result.text += chunk.toString("latin1");
+        onData?.(result);
+      });
+      res.on("end", () => {
+        result.complete = res.complete;
+      });
+      res.on("error", (err) => result.error = err.code);
+      res.on("close", () => finish());
+    });
+    req.on("error", finish);
+    req.setTimeout(deadlineMs + 2_000, () => req.destroy());
+    req.end(body);
+  });
+}
+
+/** Headers of a generation. */
+export function promptHeaders(id) {
+  return {
+    "X-Model": "m",
+    "X-Token-Counts": "3000,300",
+    "X-Prompt-Prefix": `5c1e07a2:200,${Buffer.from(id).toString("hex")}:2800`,
+  };
+}
+
+/** Ids of the events in the text of a stream. */
+export function eventIds(text) {
+  return [...text.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
+}
