--- a/review/stand_ins/engine_process.mjs
+++ b/review/stand_ins/engine_process.mjs
@@ -16,7 +16,7 @@
  *           once it has been read again
  *   drops   false: it works on when the connection of a request has closed
  *
- * Told to "garble", it sends bytes that are no answer for the next plain request.
+ * Told to "garble", it spoils the answer to its next plain request.
  */
 import { createServer } from "node:http";
 
@@ -137,17 +137,21 @@
   tell({ kind: "end", requestId });
 }
 
+/** Sends a sound answer with one bit of its status wrong: 000 for 200. */
+function sendGarbled(res, requestId, headers, body) {
+  garbleNext = false;
+  tell({ kind: "garbled", requestId });
+  const lines = Object.entries(headers)
+    .map(([name, value]) => `${name}: ${value}\r\n`).join("");
+  res.socket.write(
+    `HTTP/1.1 000 OK\r\n${lines}Content-Length: ${body.length}\r\n\r\n${body}`,
+  );
+}
+
 async function plain(res, requestId, headers) {
-  if (garbleNext) {
-    garbleNext = false;
-    tell({ kind: "garbled", requestId });
-    return void res.socket.write(
-      `HTTP/1.1 099 Nothing\r\nX-Request-Id: ${requestId}\r\n` +
-        "Content-Length: 0\r\n\r\n",
-    );
-  }
   const half = "x".repeat(400);
   const body = `${half}${half}`;
+  if (garbleNext) return sendGarbled(res, requestId, headers, body);
   if (lengthless) beginLengthless(res, headers);
   else res.writeHead(200, { ...headers, "Content-Length": body.length });
   res.write(half);
