Review: a run stopped by a late move is given up

An engine is emptied, is silent for 1.2 s at that moment, then stops its runs and rejects their moves, as the other engines are full. The router ends the streams, though the engine has their memory, still serves and takes requests for 0.7 s more.

--- a/review/stand_ins/engine_process.mjs
+++ b/review/stand_ins/engine_process.mjs
@@ -16,6 +16,10 @@
  *           once it has been read again
  *   drops   false: it works on when the connection of a request has closed
  *
+ * A run that is to be moved is stopped, and its memory goes to the other engine if
+ * that has a slot free. If not, the move is rejected, and its handle can be used
+ * once, here.
+ *
  * Told to "garble", it spoils the answer to its next plain request.
  */
 import { createServer } from "node:http";
@@ -28,6 +32,10 @@
 let holds = 0;
 let handles = 0;
 let garbleNext = false;
+/** Runs that generate, by request id. */
+const active = new Map();
+/** Runs that were stopped, by handle. */
+const stopped = new Map();
 let running = 0;
 const waiting = [];
 const held = new Map();
@@ -96,7 +104,7 @@
       kvHandles: 0,
     });
   }
-  if (path === "/v1/kv-move") return json(res, 404, {});
+  if (path === "/v1/kv-move") return void move(JSON.parse(body), res);
   if (path === "/v1/order") {
     tell({ kind: "order", body: JSON.parse(body) });
     return json(res, 200, {});
@@ -108,6 +116,46 @@
   return json(res, 404, {});
 }
 
+/** Asks the other engine to take the memory of a run. */
+async function copyTo(target, kvHandle, requestId) {
+  const body = JSON.stringify({ kvHandle, requestId });
+  const res = await fetch(`http://${target}/stand-in/copy`, {
+    method: "POST",
+    body,
+  }).catch(() => undefined);
+  return res?.status === 200;
+}
+
+/** Takes the memory of a run at another engine, if there is room. */
+function takeCopy({ kvHandle, requestId }, res) {
+  if (running + held.size >= slots) return json(res, 503, {});
+  held.set(kvHandle, true);
+  stopped.set(kvHandle, requestId);
+  return json(res, 200, {});
+}
+
+async function move({ id: requestId, target }, res) {
+  const run = active.get(requestId);
+  if (!run) return json(res, 404, {});
+  run.stop();
+  handles += 1;
+  const kvHandle = `${id}-m${handles}`;
+  tell({ kind: "stopped", requestId, event: run.event });
+  const copied = await copyTo(target, kvHandle, requestId);
+  if (!copied) stopped.set(kvHandle, requestId);
+  return json(res, copied ? 200 : 503, { kvHandle, createdRev: run.event });
+}
+
+/** Whether a request goes on from a run that was stopped here. */
+function isUsable(source, requestId) {
+  const handle = source.slice(source.indexOf("/") + 1);
+  if (!handle.includes("-m")) return true;
+  const known = stopped.get(handle) === requestId;
+  stopped.delete(handle);
+  held.delete(handle);
+  return known;
+}
+
 /** Begins an answer that its connection ends. */
 function beginLengthless(res, headers) {
   res.removeHeader("Transfer-Encoding");
@@ -120,11 +168,19 @@
   else res.writeHead(200, type);
   res.flushHeaders();
   const from = Number(req.headers["last-event-id"] ?? 0);
+  const run = { event: from, isStopped: false };
+  run.stop = () => {
+    run.isStopped = true;
+    active.delete(requestId);
+    res.destroy();
+  };
+  active.set(requestId, run);
   for (let event = from + 1; event <= events; event += 1) {
-    if (res.destroyed && drops) return;
+    if (run.isStopped || (res.destroyed && drops)) return;
     if (!res.destroyed) {
       res.write(`id: ${event}\ndata: ${id} writes ${event} of ${events}\n\n`);
     }
+    run.event = event;
     tell({ kind: "event", requestId, event, open: !res.destroyed });
     await sleep(gapMs);
     const putBack = preempt?.event === event &&
@@ -133,6 +189,8 @@
     tell({ kind: "preempted", requestId });
     await sleep(preempt.forMs);
   }
+  if (run.isStopped) return;
+  active.delete(requestId);
   res.end();
   tell({ kind: "end", requestId });
 }
@@ -174,6 +232,9 @@
   if (expected !== undefined && expected !== id) {
     return notRun(res, 421, requestId);
   }
+  if (path === "/stand-in/copy") {
+    return takeCopy(JSON.parse(Buffer.concat(chunks).toString()), res);
+  }
   if (path.startsWith("/v1/")) {
     return control(path, req.method, Buffer.concat(chunks).toString(), res);
   }
@@ -198,7 +259,10 @@
     });
     return res.end(text);
   }
-  if (isFull()) return notRun(res, 503, requestId);
+  const source = req.headers["x-kv-source"];
+  if (isFull() || (source && !isUsable(source, requestId))) {
+    return notRun(res, 503, requestId);
+  }
   await takeSlot(req.headers["x-kv-hold"]);
   tell({ kind: "run", requestId, method: req.method, url: req.url });
   if (stage) await stream(req, res, requestId, headers);
--- a/review/stand_ins/engines.mjs
+++ b/review/stand_ins/engines.mjs
@@ -43,6 +43,12 @@
     this.#child.send("garble");
   }
 
+  /** Falls silent, and goes on. */
+  standStill(forMs) {
+    this.#child.kill("SIGSTOP");
+    setTimeout(() => this.#child.kill("SIGCONT"), forMs);
+  }
+
   /** Crashes; its entry lapses. */
   crash() {
     this.#child.kill("SIGKILL");
