fix(gateway): a run stays at its draining engine until another has room

Cause: the call for a move stopped the run before it was known that its memory had somewhere to go, and a stopped run might go back for 1 s only, counted from the call. Change: memory is copied while the run goes on, and the run is stopped only once there is a copy; without room, engines are asked again every 300 ms. A stopped run may go back until 1.9 s after the drain began at the earliest, which the watcher passes on.

--- a/packages/gateway/src/backends/directory.ts
+++ b/packages/gateway/src/backends/directory.ts
@@ -46,6 +46,11 @@
 const DEFAULT_ENTRY_LIFETIME_MS = 5_000;
 /** Most incarnations that are remembered after they were removed. */
 const MAX_REMEMBERED = 4_096;
+/**
+ * Time between the acceptance of an entry by the store and its arrival here, in
+ * milliseconds.
+ */
+const MAX_NOTICE_MS = 1_200;
 
 type Listener = (change: DirectoryChange, backend: Backend) => void;
 
@@ -67,10 +72,13 @@
   readonly #log: Logger;
   readonly #expiryGraceMs: number;
   readonly #entryLifetimeMs: number;
-  /** Incarnations that were found to be draining, which they never take back. */
-  readonly #draining = new LRUCache<string, true>({ max: MAX_REMEMBERED });
-  /** Incarnations that were removed. */
-  readonly #removed = new LRUCache<string, true>({ max: MAX_REMEMBERED });
+  /**
+   * When incarnations began to drain at the earliest, in milliseconds of the
+   * process clock. They never take back that they drain.
+   */
+  readonly #draining = new LRUCache<string, number>({ max: MAX_REMEMBERED });
+  /** When incarnations were removed at the earliest, by the process clock. */
+  readonly #removed = new LRUCache<string, number>({ max: MAX_REMEMBERED });
   /** Removed incarnations that a restored store lists, by id. */
   readonly #unconfirmed = new Map<string, Backend>();
   /** When entries that nobody renewed after a restoration have expired. */
@@ -131,6 +139,18 @@
     return this.#listed.get(id)?.backend;
   }
 
+  /**
+   * When an incarnation began to drain or was removed at the earliest, in
+   * milliseconds of the process clock; -Infinity if that isn't known.
+   */
+  leavingSinceMs(backend: Backend): number {
+    const key = incarnationOf(backend);
+    const drainingMs = this.#draining.get(key);
+    const removedMs = this.#removed.get(key);
+    if (drainingMs === undefined) return removedMs ?? -Infinity;
+    return Math.min(drainingMs, removedMs ?? Infinity);
+  }
+
   /** True while the store cannot be read, so that entries may be outdated. */
   get outdated(): boolean {
     return this.#storeUnreachable;
@@ -155,7 +175,7 @@
   markDraining(backend: Backend): void {
     const key = incarnationOf(backend);
     if (this.#draining.has(key)) return;
-    this.#draining.set(key, true);
+    this.#draining.set(key, this.#clock.now() - MAX_NOTICE_MS);
     const listed = this.#listed.get(backend.id);
     if (!listed || incarnationOf(listed.backend) !== key) return;
     listed.backend = { ...listed.backend, state: BackendState.Draining };
@@ -215,10 +235,13 @@
     this.#unconfirmed.set(backend.id, backend);
   }
 
-  /** Adds or updates the entry of one backend server. */
-  put(entry: Backend): void {
+  /**
+   * Adds or updates the entry of one backend server, which was written at
+   * `writtenAtMs` of the process clock at the earliest. @default an unknown time
+   */
+  put(entry: Backend, writtenAtMs = -Infinity): void {
     const before = this.#listed.get(entry.id)?.backend;
-    const backend = this.#keepDraining(entry);
+    const backend = this.#keepDraining(entry, writtenAtMs);
     this.#unconfirmed.delete(backend.id);
     this.#removed.delete(incarnationOf(backend));
     this.#listed.set(backend.id, { backend });
@@ -226,15 +249,18 @@
     const change = changeBetween(before, backend);
     if (!change) return;
     if (before && incarnationOf(before) !== incarnationOf(backend)) {
-      this.#removed.set(incarnationOf(before), true);
+      this.#removed.set(incarnationOf(before), writtenAtMs);
       this.#notify(DirectoryChange.Removed, before, "restarted");
     }
     this.#notify(change, backend, "listed");
   }
 
-  #keepDraining(entry: Backend): Backend {
+  #keepDraining(entry: Backend, writtenAtMs: number): Backend {
     const key = incarnationOf(entry);
-    if (entry.state === BackendState.Draining) this.#draining.set(key, true);
+    if (entry.state === BackendState.Draining) {
+      const sinceMs = this.#draining.get(key) ?? Infinity;
+      this.#draining.set(key, Math.min(sinceMs, writtenAtMs));
+    }
     return this.#draining.has(key)
       ? { ...entry, state: BackendState.Draining }
       : entry;
@@ -242,9 +268,11 @@
 
   /**
    * Removes an entry that the store no longer lists, during an outage of the
-   * store and shortly after only once the grace period is over.
+   * store and shortly after only once the grace period is over. It was removed
+   * at `removedAtMs` of the process clock at the earliest.
+   * @default an unknown time
    */
-  remove(id: string): void {
+  remove(id: string, removedAtMs = -Infinity): void {
     this.#unconfirmed.delete(id);
     const listed = this.#listed.get(id);
     if (!listed) return;
@@ -256,7 +284,7 @@
       });
       return;
     }
-    this.#drop(id, "unlisted");
+    this.#drop(id, "unlisted", removedAtMs);
   }
 
   #mayHaveExpired(): boolean {
@@ -282,11 +310,11 @@
     for (const backend of [...this.#unconfirmed.values()]) this.put(backend);
   }
 
-  #drop(id: string, reason: string): void {
+  #drop(id: string, reason: string, removedAtMs = -Infinity): void {
     const listed = this.#listed.get(id);
     if (!listed) return;
     this.#listed.delete(id);
-    this.#removed.set(incarnationOf(listed.backend), true);
+    this.#removed.set(incarnationOf(listed.backend), removedAtMs);
     this.#ready = undefined;
     this.#notify(DirectoryChange.Removed, listed.backend, reason);
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,6 +27,8 @@
 } from "./policy.ts";
 export { Liveness, livenessOf } from "./runs/liveness.ts";
 export {
+  CopyEnd,
+  type CopyResult,
   type EngineControl,
   HoldEnd,
   type HoldResult,
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -142,13 +142,32 @@
   tokens: number;
 }
 
+/** Result of an attempt to copy the memory of a running generation. */
+export enum CopyEnd {
+  /** The target engine has a copy of the memory; the run goes on. */
+  Copied = "copied",
+  /** The target engine has no room or can't be reached; the run goes on. */
+  NoRoom = "no_target_room",
+  /** The run has ended, or nothing is known of it. */
+  Failed = "copy_failed",
+}
+
+export interface CopyResult {
+  end: CopyEnd;
+  /** Where the memory can be fetched from if the run has stopped. */
+  source?: KvSource;
+  message?: string;
+}
+
 /** Result of an attempt to move a running generation. */
 export enum MoveEnd {
   /** The run has stopped, and its memory is at the target engine. */
   Moved = "moved",
   /** The run has stopped, and its memory is still at the source engine. */
   Stayed = "stayed",
-  /** The run continues at the source engine, or has already ended. */
+  /** The source engine has no such run any more. */
+  Ended = "ended",
+  /** The run continues at the source engine. */
   NotMoved = "not_moved",
   /** No response was received; the run may have stopped. */
   Unknown = "unknown",
@@ -176,6 +195,16 @@
   parsePrefill(engine: Backend, body: Buffer): PrefillReply | undefined;
   /** Frees an unused prefill result. */
   deleteKvHandle(engine: Backend, handle: string): void;
+  /**
+   * Copies the memory of a running generation to `target`. Waits for the result
+   * until `signal` aborts.
+   */
+  copyRun(
+    engine: Backend,
+    requestId: string,
+    target: Backend,
+    signal: AbortSignal,
+  ): Promise<CopyResult>;
   /**
    * Stops a running generation and transfers its memory to `target`. Waits for
    * the result until `signal` aborts.
--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -1,8 +1,9 @@
 /**
- * Moves a running generation off a draining engine: the engine stops the run,
- * its KV-cache memory is transferred to another engine, and the stream continues
- * there after its last event. This continues the same run rather than starting
- * a second one, so requests that may run only once are moved too.
+ * Moves a running generation off a draining engine. Its KV-cache memory is first
+ * copied to another engine while the run goes on; only once there is room for it
+ * does the engine stop the run, and the stream continues at the other engine
+ * after its last event. This continues the same run rather than starting a
+ * second one, so requests that may run only once are moved too.
  */
 import { childAbortController, sleep } from "@sassafrascleat/runtime";
 import {
@@ -13,11 +14,14 @@
 import { orderDecodeEngines } from "../decide/engine_placement.ts";
 import type { KvSource } from "../http/wire_codec.ts";
 import { ofVersion } from "../versions/same_version.ts";
-import type { Reservation } from "./decode_reservations.ts";
 import type { Generation } from "./generation.ts";
+import type { MovedRun, MoveSignals } from "./pending_move.ts";
 import {
   type CallerRequest,
+  CopyEnd,
+  type CopyResult,
   MoveEnd,
+  type MoveResult,
   type RunContext,
   tryAcquireRetry,
 } from "./run_context.ts";
@@ -25,47 +29,16 @@
 /** A run expected to end within this time stays at a draining engine, in ms. */
 const MIN_REMAINING_MS_TO_MOVE = 1_200;
 /**
- * A run may go back to a draining engine for this time, in milliseconds. After
- * it, the engine takes no more requests.
+ * Time since its drain began in which an engine may be sent requests, in
+ * milliseconds.
  */
-const MAX_STAY_MS = 1_000;
-
-/** Where a stopped run continues. */
-export interface MovedRun {
-  reservation: Reservation;
-  source: KvSource | undefined;
-}
-
-/** A move in progress, whose engine may stand still before it stops the run. */
-export class PendingMove {
-  readonly #controller: AbortController;
-  readonly #result: Promise<MovedRun | undefined>;
-
-  constructor(
-    start: (signal: AbortSignal) => Promise<MovedRun | undefined>,
-    signal: AbortSignal,
-  ) {
-    this.#controller = childAbortController(signal);
-    this.#result = start(this.#controller.signal);
-  }
-
-  /** Where the run continues, if that is known within `forMs`. */
-  async wait(forMs: number): Promise<MovedRun | undefined> {
-    const { signal } = this.#controller;
-    if (forMs < Infinity) {
-      void sleep(forMs, signal).then(() => this.#controller.abort());
-    }
-    const moved = await this.#result;
-    this.#controller.abort();
-    return moved;
-  }
-
-  /** Gives the move up because the stream has ended otherwise. */
-  cancel(): void {
-    this.#controller.abort();
-    void this.#result.then((moved) => moved?.reservation.release());
-  }
-}
+const MAX_STAY_MS = 1_900;
+/** Engines that are asked for room one after another. */
+const MAX_TARGETS = 2;
+/** Pause between two searches for an engine with room, in milliseconds. */
+const SEARCH_INTERVAL_MS = 300;
+/** An ended run is noticed on its stream within this time, in milliseconds. */
+const STREAM_END_MS = 500;
 
 /**
  * Calls `onDraining` when `engine` is drained or removed. Returns a function that
@@ -91,69 +64,182 @@
  * Moves a run that would not end in time at a draining engine. Returns undefined
  * if the run stays there or its state is unknown.
  */
-export async function moveFromDrainingEngine(
+export function moveFromDrainingEngine(
   ctx: RunContext,
   req: CallerRequest,
   generation: Generation,
   engine: Backend,
-  signal: AbortSignal,
+  signals: MoveSignals,
 ): Promise<MovedRun | undefined> {
-  if (generation.remainingMs() < MIN_REMAINING_MS_TO_MOVE) return undefined;
-  const target = pickTarget(ctx, req, generation, engine.version);
-  if (!target || !tryAcquireRetry(ctx, req, "move")) return undefined;
-  const tokens = generation.expectedTotalTokens;
-  const release = ctx.engineLoads.place(incarnationOf(target), tokens);
-  const id = req.metadata.requestId;
-  const startMs = ctx.clock.now();
-  const result = await ctx.engines.moveRun(engine, id, target, signal);
-  const elapsedMs = ctx.clock.now() - startMs;
-  ctx.log("run_moved", {
-    req: id,
-    from: engine.id,
-    to: target.id,
-    end: result.end,
-    message: result.message,
-    elapsed_ms: Math.round(elapsedMs),
-    events: generation.progress.events,
-  });
-  const mayStay = elapsedMs < MAX_STAY_MS;
-  const next = nextEngine(result.end, mayStay ? engine : undefined, target);
-  if (!next) {
+  return new RunMove(ctx, req, generation, engine, signals).run();
+}
+
+class RunMove {
+  readonly #ctx: RunContext;
+  readonly #req: CallerRequest;
+  readonly #generation: Generation;
+  /** The draining engine. */
+  readonly #engine: Backend;
+  readonly #signals: MoveSignals;
+  readonly #startMs: number;
+  /** Where an engine that found no room for a copy has kept the memory. */
+  #kept: KvSource | undefined;
+
+  constructor(
+    ctx: RunContext,
+    req: CallerRequest,
+    generation: Generation,
+    engine: Backend,
+    signals: MoveSignals,
+  ) {
+    this.#ctx = ctx;
+    this.#req = req;
+    this.#generation = generation;
+    this.#engine = engine;
+    this.#signals = signals;
+    this.#startMs = ctx.clock.now();
+  }
+
+  /** Searches for room until the run has moved or has ended. */
+  async run(): Promise<MovedRun | undefined> {
+    const { cancelled, cut } = this.#signals;
+    while (!cancelled.aborted) {
+      if (!this.#isWorthMoving()) return undefined;
+      for (const target of this.#targets()) {
+        const copy = await this.#copyTo(target);
+        if (copy.end === CopyEnd.Copied) return this.#stopAt(target, copy);
+        this.#kept = copy.source ?? this.#kept;
+        if (copy.end === CopyEnd.Failed) break;
+      }
+      await this.#pause(SEARCH_INTERVAL_MS);
+      if (cut.aborted) return this.#goBack();
+    }
+    return undefined;
+  }
+
+  #isWorthMoving(): boolean {
+    return this.#generation.remainingMs() >= MIN_REMAINING_MS_TO_MOVE;
+  }
+
+  #targets(): Backend[] {
+    const { service } = this.#req;
+    const { expectedTotalTokens, capacity } = this.#generation;
+    const engines = ofVersion(
+      this.#ctx.directory.readyAt(service.name, EngineStage.Decode),
+      this.#engine.version,
+    );
+    return orderDecodeEngines(engines, expectedTotalTokens, capacity.kvTokens, {
+      ...this.#ctx,
+      nowMs: this.#ctx.clock.now(),
+    }).slice(0, MAX_TARGETS);
+  }
+
+  async #copyTo(target: Backend): Promise<CopyResult> {
+    const copy = await this.#ctx.engines.copyRun(
+      this.#engine,
+      this.#req.metadata.requestId,
+      target,
+      this.#signals.cancelled,
+    );
+    if (copy.end !== CopyEnd.Copied) this.#log(target, copy);
+    return copy;
+  }
+
+  /** Stops the run, whose memory has been copied to `target`. */
+  async #stopAt(
+    target: Backend,
+    copy: CopyResult,
+  ): Promise<MovedRun | undefined> {
+    if (!tryAcquireRetry(this.#ctx, this.#req, "move")) {
+      this.#free(copy);
+      return undefined;
+    }
+    const release = this.#place(target);
+    const result = await this.#ctx.engines.moveRun(
+      this.#engine,
+      this.#req.metadata.requestId,
+      target,
+      this.#signals.cancelled,
+    );
+    this.#log(target, result);
+    switch (result.end) {
+      case MoveEnd.Moved:
+        return this.#continueAt(target, result.source, release);
+      case MoveEnd.Stayed:
+        release();
+        return this.#mayReturn()
+          ? this.#continueAt(this.#engine, result.source)
+          : undefined;
+      case MoveEnd.Ended:
+        // Its stream tells whether the caller has all of it.
+        await this.#pause(STREAM_END_MS);
+        if (this.#signals.cut.aborted && !this.#signals.cancelled.aborted) {
+          return this.#continueAt(target, copy.source, release);
+        }
+        break;
+      default:
+    }
     release();
+    this.#free(copy);
     return undefined;
   }
-  ctx.rateLimits.charge(incarnationOf(next));
-  const grantedAtMs = ctx.clock.now();
-  const reservation = { engine: next, tokens, grantedAtMs, release };
-  return { reservation, source: result.source };
-}
 
-function nextEngine(
-  end: MoveEnd,
-  engine: Backend | undefined,
-  target: Backend,
-): Backend | undefined {
-  if (end === MoveEnd.Moved) return target;
-  return end === MoveEnd.Stayed ? engine : undefined;
-}
+  /** Continues a run at its engine that was stopped there without a move. */
+  #goBack(): MovedRun | undefined {
+    if (!this.#kept || !this.#mayReturn()) return undefined;
+    if (!tryAcquireRetry(this.#ctx, this.#req, "move")) return undefined;
+    return this.#continueAt(this.#engine, this.#kept);
+  }
 
-function pickTarget(
-  ctx: RunContext,
-  req: CallerRequest,
-  generation: Generation,
-  version: string,
-): Backend | undefined {
-  const engines = ofVersion(
-    ctx.directory.readyAt(req.service.name, EngineStage.Decode),
-    version,
-  );
-  const inputs = { ...ctx, nowMs: ctx.clock.now() };
-  const { expectedTotalTokens, capacity } = generation;
-  const ordered = orderDecodeEngines(
-    engines,
-    expectedTotalTokens,
-    capacity.kvTokens,
-    inputs,
-  );
-  return ordered[0];
+  /** Whether the draining engine may still be sent a request. */
+  #mayReturn(): boolean {
+    const { clock, directory } = this.#ctx;
+    const sinceMs = directory.leavingSinceMs(this.#engine);
+    return clock.now() - sinceMs < MAX_STAY_MS;
+  }
+
+  #continueAt(
+    engine: Backend,
+    source: KvSource | undefined,
+    release = this.#place(engine),
+  ): MovedRun {
+    this.#ctx.rateLimits.charge(incarnationOf(engine));
+    const { expectedTotalTokens: tokens } = this.#generation;
+    const grantedAtMs = this.#ctx.clock.now();
+    return { reservation: { engine, tokens, grantedAtMs, release }, source };
+  }
+
+  #place(engine: Backend): () => void {
+    const tokens = this.#generation.expectedTotalTokens;
+    return this.#ctx.engineLoads.place(incarnationOf(engine), tokens);
+  }
+
+  /** Frees a copy that isn't used. */
+  #free({ source }: CopyResult): void {
+    if (!source) return;
+    this.#ctx.engines.deleteKvHandle(this.#engine, source.handle);
+  }
+
+  /** Waits until the stream ends, or for `ms`. */
+  async #pause(ms: number): Promise<void> {
+    const ended = childAbortController(this.#signals.cancelled);
+    const onCut = () => ended.abort();
+    const { cut } = this.#signals;
+    if (cut.aborted) onCut();
+    cut.addEventListener("abort", onCut, { signal: ended.signal });
+    await sleep(ms, ended.signal);
+    ended.abort();
+  }
+
+  #log(target: Backend, { end, message }: CopyResult | MoveResult): void {
+    this.#ctx.log("run_moved", {
+      req: this.#req.metadata.requestId,
+      from: this.#engine.id,
+      to: target.id,
+      end,
+      message,
+      elapsed_ms: Math.round(this.#ctx.clock.now() - this.#startMs),
+      events: this.#generation.progress.events,
+    });
+  }
 }
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -20,11 +20,8 @@
 import { Generation } from "./generation.ts";
 import { Liveness, MAX_STANDSTILL_MS } from "./liveness.ts";
 import { PROMPT_RESPONSE_MS } from "./liveness_checks.ts";
-import {
-  moveFromDrainingEngine,
-  PendingMove,
-  watchEngine,
-} from "./run_move.ts";
+import { type MoveSignals, PendingMove } from "./pending_move.ts";
+import { moveFromDrainingEngine, watchEngine } from "./run_move.ts";
 import { runPlainStream } from "./plain_stream.ts";
 import { reject } from "./reject.ts";
 import {
@@ -197,8 +194,8 @@
     });
     const unwatch = watchEngine(ctx, reservation.engine, () => {
       const { engine } = reservation;
-      const move = (moveSignal: AbortSignal) =>
-        moveFromDrainingEngine(ctx, req, this.#generation, engine, moveSignal);
+      const move = (signals: MoveSignals) =>
+        moveFromDrainingEngine(ctx, req, this.#generation, engine, signals);
       this.#pendingMove ??= new PendingMove(move, signal);
     });
     const onFirstEventOrEnd = source ? () => {} : ctx.engineLoads.startPrefill(
