fix(bundle): a failed assertion has a constant message

Cause: Node.js words a failed assertion without a message by parsing the source around it. In the minified bundle that takes seconds; the HTTP client has 40 such assertions. Change: the bundle uses an assertion with a constant message, for every package.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -3,6 +3,23 @@
  * reads and parses a single file without unused code.
  */
 import { build } from "esbuild";
+import { fileURLToPath } from "node:url";
+
+const ASSERT = fileURLToPath(new URL("assert.cjs", import.meta.url));
+
+/** Has every package use the assertions of assert.cjs. */
+const constantAssertions = {
+  name: "constant-assertions",
+  setup({ onResolve }) {
+    onResolve(
+      { filter: /^(node:)?assert(\/strict)?$/ },
+      ({ importer }) =>
+        importer === ASSERT
+          ? { path: "node:assert", external: true }
+          : { path: ASSERT },
+    );
+  },
+};
 
 await build({
   entryPoints: ["platform/src/main.ts"],
@@ -13,6 +30,7 @@
   format: "esm",
   minify: true,
   keepNames: false,
+  plugins: [constantAssertions],
   alias: Object.fromEntries(
     ["runtime", "gateway"].map((name) => [
       `@sassafrascleat/${name}`,
