fix(platform): signals are registered before the program is loaded

What callers saw: a router that got SIGHUP while it started was gone (FAULT). Cause: the handlers were registered after the whole program had been read, the settings checked and the router built. Change: target/router.mjs is a short entry point that registers the signals in one place and loads the rest after that.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,6 +1,7 @@
 /**
- * Bundles the router's program into one file under target/, so that startup
- * reads and parses a single file without unused code.
+ * Bundles the router's program under target/: a short file that registers the
+ * signals, and one with all the rest, so that startup reads and parses no unused
+ * code.
  */
 import { build } from "esbuild";
 import { fileURLToPath } from "node:url";
@@ -23,8 +24,12 @@
 
 await build({
   entryPoints: ["platform/src/main.ts"],
-  outfile: "target/router.mjs",
+  outdir: "target",
+  outExtension: { ".js": ".mjs" },
+  entryNames: "router",
+  chunkNames: "[name]",
   bundle: true,
+  splitting: true,
   platform: "node",
   target: "node20",
   format: "esm",
