fix(platform): an address that is still held doesn't end the router

What callers saw: no router, or one less (FAULT): with the address for callers, readiness or metrics held for 1.5 s it exited with status 1 (start_failed). Cause: each address was tried once, and one for metrics counted like the others.

--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -11,7 +11,12 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { errorMessage, type Logger } from "@sassafrascleat/runtime";
+import {
+  errorMessage,
+  listen,
+  listenWhenFree,
+  type Logger,
+} from "@sassafrascleat/runtime";
 import type { CallerLimits } from "../config/routing_table.ts";
 import { HttpResponder } from "./responder.ts";
 import { STATUS_BAD_GATEWAY, STATUS_UNAVAILABLE } from "./status.ts";
@@ -110,10 +115,18 @@
 
   /** Starts listening; rejects if the address cannot be bound. */
   listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => resolve());
-    });
+    return listen(this.#server, host, port);
+  }
+
+  /** Starts listening as soon as the address can be bound. */
+  listenWhenFree(
+    host: string,
+    port: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { log } = this.#options;
+    const options = { host, port, name: "callers", log, signal };
+    return listenWhenFree(this.#server, options);
   }
 
   /** The bound port, or 0 before the server listens. */
