fix(gateway): one bound on the memory that peers make a router hold

Cause: only buffered responses shared a bound. Bodies, error responses and incomplete events of streams, and output that callers don't read were bounded one by one. A body is admitted or refused when its head has arrived: 503 with Retry-After, not run, and the rest of it is discarded so that the caller gets the refusal. What has been computed may use more of the budget than what arrives. Messages of a declared length are collected in place, not copied once more at their end.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import type { RetryLimits } from "./decide/retry_budget.ts";
 import { Drain } from "./drain.ts";
 import { Ingress } from "./http/ingress.ts";
+import { MemoryBudget } from "./http/memory_budget.ts";
 import { Upstream } from "./http/upstream.ts";
 import type { HeaderCodec } from "./http/wire_codec.ts";
 import { createGatewayMetrics, type GatewayMetrics } from "./metrics.ts";
@@ -26,6 +27,7 @@
 } from "./policy.ts";
 import { type CrashLog, LocalCrashLog } from "./quarantine/crash_log.ts";
 import { RequestQuarantine } from "./quarantine/request_quarantine.ts";
+import { rejectUnread } from "./runs/reject.ts";
 import { DecodeReservations } from "./runs/decode_reservations.ts";
 import { LivenessChecks } from "./runs/liveness_checks.ts";
 import type {
@@ -68,6 +70,8 @@
    * @default a log of this router alone
    */
   versionLog?: () => VersionLog;
+  /** Memory for what peers send, in bytes. @default 41943040 */
+  memoryBytes?: number;
   /** Aborts when the gateway stops. */
   signal?: AbortSignal;
 }
@@ -138,8 +142,10 @@
       },
       prefillTokensPerMs: policy.prefillTokensPerMs,
     });
+    const memory = new MemoryBudget(options.memoryBytes);
     this.upstream = new Upstream({
       log,
+      memory,
       maxConnectionsTo: (backend) => this.#maxConnectionsTo(backend),
       onResponse: (backend, head) =>
         this.#servers.observeResponse(backend, head),
@@ -187,6 +193,8 @@
       handler: (req) => handler.handle(req),
       closing: () => this.#drain.started,
       exitSignal: this.#drain.exitSignal,
+      memory,
+      buildNoMemoryHeaders: (headers) => rejectUnread(this.#ctx, headers),
     });
     this.config.onChange((table) => {
       this.ingress.setLimits(table.limits);
--- a/packages/gateway/src/http/__tests__/response_limits_test.ts
+++ b/packages/gateway/src/http/__tests__/response_limits_test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, expect, test } from "@jest/globals";
 import type { Socket } from "node:net";
 import { exchange, ExchangeOutcome } from "../exchange.ts";
+import { MemoryBudget } from "../memory_budget.ts";
 import { MAX_HEAD_BYTES, MAX_RESPONSE_BYTES } from "../response_limits.ts";
 import { Upstream } from "../upstream.ts";
 import { CallFailure } from "../upstream_call.ts";
@@ -65,7 +66,7 @@
     expect(result.end).toBe(ExchangeOutcome.Failed);
     expect(performance.now() - startMs).toBeLessThan(TIMEOUT_MS / 4);
     expect(flooded?.bytesWritten).toBeLessThan(MAX_RECEIVED_BYTES);
-    expect(upstream.buffers.usedBytes).toBe(0);
+    expect(upstream.memory.usedBytes).toBe(0);
     const next = await call();
     expect(next).toMatchObject({ end: ExchangeOutcome.Answered, status: 200 });
     expect(server.connectionNumbers).toEqual([0, 1]);
@@ -82,7 +83,7 @@
       failure: CallFailure.InvalidResponse,
       message: `response longer than ${MAX_RESPONSE_BYTES} bytes`,
     });
-    expect(upstream.buffers.usedBytes).toBe(0);
+    expect(upstream.memory.usedBytes).toBe(0);
   });
 });
 
@@ -96,7 +97,8 @@
 
 test("many long responses share one memory bound, small ones still pass", async () => {
   const maxBufferedBytes = 1024 * 1024;
-  upstream = new Upstream({ log: () => {}, maxBufferedBytes });
+  const memory = new MemoryBudget(maxBufferedBytes);
+  upstream = new Upstream({ log: () => {}, memory });
   server = await startRawServer((socket, n) => {
     if (n > 6) return void socket.write(OK);
     flood(socket, "HTTP/1.1 200 OK\r\n\r\n", "x");
--- a/packages/gateway/src/http/exchange.ts
+++ b/packages/gateway/src/http/exchange.ts
@@ -1,7 +1,12 @@
 /** A call to a backend server with a fully buffered response. */
 import { childAbortController } from "@sassafrascleat/runtime";
 import type { Upstream } from "./upstream.ts";
-import { CallFailure, type UpstreamRequest } from "./upstream_call.ts";
+import { ByteCollector } from "./byte_collector.ts";
+import {
+  CallFailure,
+  declaredBytes,
+  type UpstreamRequest,
+} from "./upstream_call.ts";
 import { MAX_RESPONSE_BYTES } from "./response_limits.ts";
 import type { RawHeaders } from "./wire_codec.ts";
 
@@ -36,8 +41,7 @@
 
 export type ExchangeResult = ExchangeResponse | ExchangeFailure;
 
-/** Responses up to this size are buffered whatever memory is left, in bytes. */
-const SMALL_RESPONSE_BYTES = 64 * 1024;
+const NO_MEMORY = "no memory left for the response";
 
 /**
  * Sends `req` and buffers the response, for at most `timeoutMs`, which may be
@@ -54,8 +58,8 @@
   return new Promise((resolve) => {
     const startMs = performance.now();
     const controller = childAbortController(signal);
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const account = upstream.memory.open();
+    let bytes = new ByteCollector();
     let status = 0;
     let headers: RawHeaders = [];
     let timedOut = false;
@@ -73,7 +77,7 @@
       : setTimeout(onTimeout, Math.max(1, timeoutMs));
     const settle = (result: ExchangeResult) => {
       clearTimeout(timer);
-      upstream.buffers.remove(size);
+      account.release();
       // The call is over; this only removes the listener on `signal`.
       controller.abort();
       resolve(result);
@@ -82,23 +86,28 @@
       onHead(code, raw) {
         status = code;
         headers = raw;
-        if (accept && !accept(code, raw)) rejectResponse("head not accepted");
+        if (accept && !accept(code, raw)) {
+          return rejectResponse("head not accepted");
+        }
+        const declared = declaredBytes(raw);
+        if (declared === undefined || declared > MAX_RESPONSE_BYTES) return;
+        if (account.holdResponse(declared)) bytes = new ByteCollector(declared);
+        else rejectResponse(NO_MEMORY);
       },
       onData(chunk) {
-        chunks.push(chunk);
-        size += chunk.length;
-        const mayFail = size > SMALL_RESPONSE_BYTES;
-        const fits = upstream.buffers.add(chunk.length, mayFail);
-        if (size > MAX_RESPONSE_BYTES) {
+        bytes.add(chunk);
+        if (bytes.size > MAX_RESPONSE_BYTES) {
           rejectResponse(`response longer than ${MAX_RESPONSE_BYTES} bytes`);
-        } else if (!fits) rejectResponse("no memory left for the response");
+        } else if (!account.holdResponse(bytes.heldBytes)) {
+          rejectResponse(NO_MEMORY);
+        }
       },
       onEnd() {
         settle({
           end: ExchangeOutcome.Answered,
           status,
           headers,
-          body: Buffer.concat(chunks, size),
+          body: bytes.toBuffer(),
           elapsedMs: performance.now() - startMs,
         });
       },
--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -18,6 +18,8 @@
   type Logger,
 } from "@sassafrascleat/runtime";
 import type { CallerLimits } from "../config/routing_table.ts";
+import { BodyFailure, readBody } from "./body_reader.ts";
+import type { MemoryBudget } from "./memory_budget.ts";
 import { HttpResponder } from "./responder.ts";
 import { STATUS_BAD_GATEWAY, STATUS_UNAVAILABLE } from "./status.ts";
 import type { RawHeaders } from "./wire_codec.ts";
@@ -47,6 +49,10 @@
   closing: () => boolean;
   /** Aborts when requests must end because the process is about to exit. */
   exitSignal: AbortSignal;
+  /** Memory for the bodies of requests and for output that isn't read. */
+  memory: MemoryBudget;
+  /** Builds the headers that refuse a request for lack of memory. */
+  buildNoMemoryHeaders: (headers: RawHeaders) => RawHeaders;
 }
 
 /** Upper bound on header bytes, independent of the configured limit. */
@@ -154,11 +160,14 @@
 
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedMs = this.#options.now();
+    const { closing, memory } = this.#options;
     const controller = new AbortController();
-    const responder = new HttpResponder(res, this.#options.closing);
+    const responder = new HttpResponder(res, closing, memory);
+    const account = memory.open();
     this.#inProgress += 1;
     res.once("close", () => {
       this.#inProgress -= 1;
+      account.release();
       controller.abort();
     });
     const headers = req.rawHeaders;
@@ -167,11 +176,11 @@
       return;
     }
     this.#unread.add(responder);
-    const body = await this.#readBody(req);
+    const body = await readBody(req, this.#limits.maxBodyBytes, account);
     this.#unread.delete(responder);
     if (controller.signal.aborted) return;
-    if (!body) {
-      responder.reply(STATUS_TOO_LARGE, ["Connection", "close"]);
+    if (typeof body === "string") {
+      this.#rejectBody(body, headers, responder);
       return;
     }
     const request = {
@@ -189,6 +198,20 @@
     );
   }
 
+  #rejectBody(
+    failure: BodyFailure,
+    headers: RawHeaders,
+    responder: HttpResponder,
+  ): void {
+    if (failure !== BodyFailure.NoMemory) {
+      responder.reply(STATUS_TOO_LARGE, ["Connection", "close"]);
+      return;
+    }
+    // The rest of the body is read and discarded, so that its caller gets this.
+    const reply = this.#options.buildNoMemoryHeaders(headers);
+    responder.reply(STATUS_UNAVAILABLE, reply);
+  }
+
   /** Tells the callers of unread requests that these did not run. */
   #rejectUnread(): void {
     if (this.#unread.size === 0) return;
@@ -207,23 +230,6 @@
     if (req.responder.started) req.responder.destroy();
     else req.responder.reply(STATUS_BAD_GATEWAY, []);
   }
-
-  /** Reads the whole body; undefined if it is too large or was cut off. */
-  #readBody(req: IncomingMessage): Promise<Buffer | undefined> {
-    const limit = this.#limits.maxBodyBytes;
-    const chunks: Buffer[] = [];
-    let size = 0;
-    return new Promise((resolve) => {
-      req.on("data", (chunk: Buffer) => {
-        size += chunk.length;
-        if (size > limit) resolve(undefined);
-        else chunks.push(chunk);
-      });
-      req.once("end", () => resolve(Buffer.concat(chunks, size)));
-      req.once("close", () => resolve(undefined));
-      req.once("error", () => resolve(undefined));
-    });
-  }
 }
 
 function headerBytes(headers: RawHeaders): number {
--- a/packages/gateway/src/http/responder.ts
+++ b/packages/gateway/src/http/responder.ts
@@ -1,18 +1,27 @@
 /** Writes one response to a caller. */
 import type { ServerResponse } from "node:http";
 import type { Responder } from "../runs/run_context.ts";
+import type { MemoryAccount, MemoryBudget } from "./memory_budget.ts";
 import type { RawHeaders } from "./wire_codec.ts";
 
 /** Responder for a request of `node:http`. */
 export class HttpResponder implements Responder {
   readonly #res: ServerResponse;
   readonly #closing: () => boolean;
+  /** For output that the caller hasn't read. */
+  readonly #account: MemoryAccount;
   #started = false;
 
   /** `closing` returns true if the connection must close after the response. */
-  constructor(res: ServerResponse, closing: () => boolean) {
+  constructor(
+    res: ServerResponse,
+    closing: () => boolean,
+    memory: MemoryBudget,
+  ) {
     this.#res = res;
     this.#closing = closing;
+    this.#account = memory.open();
+    res.once("close", () => this.#account.release());
   }
 
   get started(): boolean {
@@ -28,6 +37,7 @@
     const all = [...headers, "Content-Length", String(bytes.length)];
     this.#writeHead(status, all);
     this.#res.end(bytes);
+    this.#account.holdOutput(this.#res.writableLength);
   }
 
   startStream(status: number, headers: RawHeaders): void {
@@ -38,11 +48,16 @@
 
   write(bytes: Buffer): boolean {
     if (this.#res.destroyed) return true;
-    return this.#res.write(bytes);
+    const flushed = this.#res.write(bytes);
+    if (!flushed) this.#account.holdOutput(this.#res.writableLength);
+    return flushed;
   }
 
   onceDrained(listener: () => void): void {
-    this.#res.once("drain", listener);
+    this.#res.once("drain", () => {
+      this.#account.release();
+      listener();
+    });
   }
 
   endStream(): void {
--- a/packages/gateway/src/http/response_limits.ts
+++ b/packages/gateway/src/http/response_limits.ts
@@ -71,29 +71,3 @@
     if (this.#onBytes === onBytes) this.#onBytes = undefined;
   }
 }
-
-/** Memory for buffered responses, shared by all calls of the process. */
-export class BufferBudget {
-  readonly #maxBytes: number;
-  #usedBytes = 0;
-
-  constructor(maxBytes: number) {
-    this.#maxBytes = maxBytes;
-  }
-
-  /** Memory in use, in bytes. */
-  get usedBytes(): number {
-    return this.#usedBytes;
-  }
-
-  /** Counts `bytes`; false if they exceed the budget and `mayFail` is set. */
-  add(bytes: number, mayFail: boolean): boolean {
-    this.#usedBytes += bytes;
-    return !mayFail || this.#usedBytes <= this.#maxBytes;
-  }
-
-  /** Returns memory that `add` has counted. */
-  remove(bytes: number): void {
-    this.#usedBytes -= bytes;
-  }
-}
--- a/packages/gateway/src/http/upstream.ts
+++ b/packages/gateway/src/http/upstream.ts
@@ -11,7 +11,8 @@
 import { buildConnector, type Client, type Dispatcher, Pool } from "undici";
 import { type Backend, incarnationOf } from "../backends/backend.ts";
 import { MAX_CONNECTIONS } from "../decide/connection_share.ts";
-import { BufferBudget, ConnectionBytes } from "./response_limits.ts";
+import { MemoryBudget } from "./memory_budget.ts";
+import { ConnectionBytes } from "./response_limits.ts";
 import type { RawHeaders } from "./wire_codec.ts";
 import {
   TrackedClient,
@@ -37,8 +38,8 @@
    * @default 64
    */
   maxConnectionsTo?: (backend: Backend) => number;
-  /** Memory for buffered responses of all calls, in bytes. @default 33554432 */
-  maxBufferedBytes?: number;
+  /** Memory for buffered responses. @default a budget of its own */
+  memory?: MemoryBudget;
   /** Called with the head of each response. */
   onResponse?: (backend: Backend, head: ResponseHead) => void;
 }
@@ -59,13 +60,12 @@
  */
 const KEEP_ALIVE_MARGIN_MS = 300;
 const TCP_KEEP_ALIVE_DELAY_MS = 1_000;
-const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 
 /** Connection pools for backend servers. */
 export class Upstream {
-  /** Memory used by the buffered responses of all calls. */
-  readonly buffers: BufferBudget;
-  readonly #options: Required<UpstreamOptions>;
+  /** Memory for the buffered responses of all calls. */
+  readonly memory: MemoryBudget;
+  readonly #options: Required<Omit<UpstreamOptions, "memory">>;
   readonly #pools = new Map<string, Pool>();
   /** Pools of calls that have a connection of their own. */
   readonly #singles = new Set<Pool>();
@@ -84,10 +84,9 @@
       connectTimeoutMs: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
       idleMs: options.idleMs ?? IDLE_MS,
       maxConnectionsTo: options.maxConnectionsTo ?? (() => MAX_CONNECTIONS),
-      maxBufferedBytes: options.maxBufferedBytes ?? MAX_BUFFERED_BYTES,
       onResponse: options.onResponse ?? (() => {}),
     };
-    this.buffers = new BufferBudget(this.#options.maxBufferedBytes);
+    this.memory = options.memory ?? new MemoryBudget();
   }
 
   /** Total number of connections opened. */
--- a/packages/gateway/src/http/upstream_call.ts
+++ b/packages/gateway/src/http/upstream_call.ts
@@ -201,3 +201,14 @@
     index % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(item)
   );
 }
+
+/** Length of the body that the response headers declare; undefined if none. */
+export function declaredBytes(headers: RawHeaders): number | undefined {
+  const index = headers.findIndex((item, i) =>
+    i % 2 === 0 && /^content-length$/i.test(item)
+  );
+  const length = Number(headers[index + 1] || NaN);
+  return index >= 0 && Number.isSafeInteger(length) && length >= 0
+    ? length
+    : undefined;
+}
--- a/packages/gateway/src/runs/reject.ts
+++ b/packages/gateway/src/runs/reject.ts
@@ -1,6 +1,7 @@
 /** Error responses that the gateway generates itself. */
 import { retryDelayMs } from "../decide/retry_delay.ts";
 import { STATUS_BAD_GATEWAY, STATUS_UNAVAILABLE } from "../http/status.ts";
+import type { RawHeaders } from "../http/wire_codec.ts";
 import {
   type CallerRequest,
   quarantineMs,
@@ -12,6 +13,8 @@
 } from "./run_context.ts";
 
 const STATUS_GATEWAY_TIMEOUT = 504;
+/** Mean delay of a retry after a refusal for lack of memory, in milliseconds. */
+const NO_MEMORY_RETRY_MS = 1_000;
 
 /**
  * Tells the caller that its request did not run, and when to retry: after
@@ -81,6 +84,27 @@
   return { end, reason, status: STATUS_UNAVAILABLE, attempts };
 }
 
+/**
+ * Headers that tell a caller that there is no memory for the body of its
+ * request, which has not been read and did not run.
+ */
+export function rejectUnread(ctx: RunContext, headers: RawHeaders): RawHeaders {
+  const { requestId, deadlineMs } = ctx.codec.parseRequest(headers);
+  const retryAfterMs = retryDelayMs(
+    NO_MEMORY_RETRY_MS,
+    deadlineMs ?? Infinity,
+    ctx.random,
+  );
+  const reason = RunReason.NoMemory;
+  ctx.log("refused", {
+    req: requestId,
+    reason,
+    back_ms: Math.round(retryAfterMs),
+  });
+  ctx.metrics.requests.inc({ kind: "unread", end: RunEnd.Rejected, reason });
+  return ctx.codec.buildLocalReplyHeaders(requestId, retryAfterMs);
+}
+
 /**
  * Tells the caller that its request failed and may have run. `attempts` counts
  * only the sends that may have run it.
--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -90,6 +90,8 @@
   TooLate = "too_late",
   TooLarge = "too_large",
   NotExecuted = "not_executed",
+  /** The body of the request has no room in the router's memory. */
+  NoMemory = "no_memory",
   NoResponse = "no_answer",
   InvalidResponse = "spoiled_answer",
   StreamCut = "stream_cut",
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -7,6 +7,7 @@
 import type { Backend } from "../backends/backend.ts";
 import { CallOutcome } from "../decide/backend_health.ts";
 import { type CompleteEvents, EventSplitter } from "../http/event_splitter.ts";
+import type { MemoryAccount } from "../http/memory_budget.ts";
 import { MAX_ERROR_BYTES, MAX_EVENT_BYTES } from "../http/response_limits.ts";
 import {
   CallFailure,
@@ -89,6 +90,8 @@
   readonly #options: StreamCallOptions;
   readonly #splitter = new EventSplitter();
   readonly #controller: AbortController;
+  /** For what can't be passed on yet. */
+  readonly #memory: MemoryAccount;
   readonly #errorBody: Buffer[] = [];
   #errorBytes = 0;
   #verdict: ReplyVerdict | undefined;
@@ -118,6 +121,7 @@
     this.#req = req;
     this.#options = options;
     this.#controller = childAbortController(options.signal);
+    this.#memory = ctx.upstream.memory.open();
   }
 
   run(): Promise<StreamResult> {
@@ -127,6 +131,7 @@
       const settle = (end: StreamEnd, message = "") => {
         this.#options.onFirstEventOrEnd();
         this.#stopSilenceCheck();
+        this.#memory.release();
         resolve(this.#result(end, message));
       };
       this.#watchSilence();
@@ -186,6 +191,14 @@
   }
 
   #onData(chunk: Buffer): void {
+    this.#readChunk(chunk);
+    const heldBytes = this.#errorBytes + this.#leadingBytes +
+      this.#splitter.pendingBytes;
+    if (this.#invalidReason || this.#memory.holdResponse(heldBytes)) return;
+    this.#giveUp("no memory left for the response");
+  }
+
+  #readChunk(chunk: Buffer): void {
     if (!this.#hasEvents) {
       this.#errorBody.push(chunk);
       this.#errorBytes += chunk.length;
@@ -238,6 +251,7 @@
     }
     const comments = this.#leadingComments;
     this.#leadingComments = [];
+    this.#leadingBytes = 0;
     if (responder.write(Buffer.concat([...comments, bytes]))) return;
     this.#flow?.pause();
     responder.onceDrained(() => this.#flow?.resume());
