--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -86,6 +86,11 @@
       help: "Version of the configuration in force.",
       registers,
     }),
+    unexpectedErrors: new Counter({
+      name: "sassafrascleat_gateway_unexpected_errors_total",
+      help: "Exceptions that nothing handled.",
+      registers,
+    }),
     logSuppressed: new Gauge({
       name: "sassafrascleat_gateway_log_lines_suppressed",
       help: "Log lines left out to bound their volume.",
