fix(gateway): a reset of a new connection is no proof of a crash

Cause: an engine that has as many connections as it takes resets new ones. The check of a silent engine took that for a crash, although the stream's own connection, which a crash would have ended, was open. Change: such a reset is a result of its own. With a connection open it counts as silence, for streams, prefills and reservations; without one as a crash, as before.

--- a/packages/gateway/src/runs/crash_detection.ts
+++ b/packages/gateway/src/runs/crash_detection.ts
@@ -84,5 +84,5 @@
   record(liveness);
   if (liveness !== Liveness.Silent) return;
   // The request doesn't wait for a server that stands still.
-  void ctx.liveness.check(backend, MAX_STANDSTILL_MS).then(record);
+  void ctx.liveness.check(backend, { waitMs: MAX_STANDSTILL_MS }).then(record);
 }
--- a/packages/gateway/src/runs/liveness.ts
+++ b/packages/gateway/src/runs/liveness.ts
@@ -12,6 +12,11 @@
   Alive = "alive",
   /** Nothing listens at its address, or another server does. */
   Gone = "gone",
+  /**
+   * It resets new connections, as a crashed server may, and a sound one that has
+   * as many as it takes.
+   */
+  Refusing = "refusing",
   /** No response in time: it may be either. */
   Silent = "silent",
 }
@@ -19,13 +24,10 @@
 /** Longest time for which sound servers stand still, in milliseconds. */
 export const MAX_STANDSTILL_MS = 3_000;
 
-/** Error codes of connections that the host of a server refused or reset. */
-const GONE_CODES = new Set([
-  "ECONNREFUSED",
-  "ECONNRESET",
-  "EPIPE",
-  "UND_ERR_SOCKET",
-]);
+/** Error code of connections to an address that nothing listens at. */
+const REFUSED_CODE = "ECONNREFUSED";
+/** Error codes of connections that were reset. */
+const RESET_CODES = new Set(["ECONNRESET", "EPIPE", "UND_ERR_SOCKET"]);
 
 /** Evaluates a call on a new connection that named the expected server. */
 export function livenessOf(result: ExchangeResult): Liveness {
@@ -34,8 +36,9 @@
       ? Liveness.Gone
       : Liveness.Alive;
   }
-  const refused = result.code !== undefined && GONE_CODES.has(result.code);
-  return refused ? Liveness.Gone : Liveness.Silent;
+  const { code = "" } = result;
+  if (code === REFUSED_CODE) return Liveness.Gone;
+  return RESET_CODES.has(code) ? Liveness.Refusing : Liveness.Silent;
 }
 
 /**
@@ -47,7 +50,8 @@
   if (ctx.health.isSilent(key)) return;
   ctx.log("backend_silent", { backend: backend.id });
   ctx.health.markSilent(key, MAX_STANDSTILL_MS);
-  void ctx.liveness.check(backend, MAX_STANDSTILL_MS).then((liveness) => {
+  const options = { waitMs: MAX_STANDSTILL_MS, hasConnection: true };
+  void ctx.liveness.check(backend, options).then((liveness) => {
     if (liveness === Liveness.Gone) ctx.health.eject(key);
   });
 }
--- a/packages/gateway/src/runs/liveness_checks.ts
+++ b/packages/gateway/src/runs/liveness_checks.ts
@@ -14,6 +14,22 @@
   ask: (backend: Backend) => Promise<Liveness>;
 }
 
+/** Options of one check. */
+export interface CheckOptions {
+  /** How long it is asked, in milliseconds. @default 200 */
+  waitMs?: number;
+  /**
+   * A connection to the server is open, which a crash would have ended.
+   * @default false
+   */
+  hasConnection?: boolean;
+  /**
+   * Only a call that began at this time or later counts, in milliseconds of the
+   * process clock. @default any
+   */
+  sinceMs?: number;
+}
+
 interface Check {
   startedAtMs: number;
   settled: boolean;
@@ -34,18 +50,22 @@
     this.#options = options;
   }
 
-  /** Asks until the backend server has responded, for at most `waitMs`. */
-  async check(
-    backend: Backend,
-    waitMs = PROMPT_RESPONSE_MS,
-  ): Promise<Liveness> {
+  /**
+   * Asks until the backend server has responded. The result is never `Refusing`:
+   * that is `Silent` where a connection is open, else `Gone`.
+   */
+  async check(backend: Backend, options: CheckOptions = {}): Promise<Liveness> {
     const { clock } = this.#options;
+    const { waitMs = PROMPT_RESPONSE_MS, hasConnection = false } = options;
     const endMs = clock.now() + waitMs;
     for (;;) {
-      const leftMs = endMs - clock.now();
-      const liveness = await within(this.#share(backend).liveness, leftMs);
+      const call = this.#share(backend, options.sinceMs ?? -Infinity);
+      const liveness = await within(call, endMs - clock.now());
+      const refusing = liveness === Liveness.Refusing;
+      if (refusing && !hasConnection) return Liveness.Gone;
       const pauseMs = Math.min(CHECK_TTL_MS, endMs - clock.now());
-      if (liveness !== Liveness.Silent || pauseMs <= 0) return liveness;
+      if (liveness !== Liveness.Silent && !refusing) return liveness;
+      if (pauseMs <= 0) return Liveness.Silent;
       await sleep(pauseMs);
     }
   }
@@ -55,17 +75,30 @@
     this.#checks.delete(incarnationOf(backend));
   }
 
-  #share(backend: Backend): Check {
+  /** Joins a call that began at `sinceMs` or later, or makes one. */
+  #share(backend: Backend, sinceMs: number): Promise<Liveness> {
+    const known = this.#checks.get(incarnationOf(backend));
+    const isLater = known !== undefined && known.startedAtMs >= sinceMs;
+    if (!known || known.settled && !this.#holds(known, sinceMs)) {
+      return this.#ask(backend);
+    }
+    if (isLater) return known.liveness;
+    // All that wait for the end of an earlier call share the next one.
+    return known.liveness.then(() => this.#share(backend, sinceMs));
+  }
+
+  #holds({ startedAtMs }: Check, sinceMs: number): boolean {
+    const ageMs = this.#options.clock.now() - startedAtMs;
+    return ageMs < CHECK_TTL_MS && startedAtMs >= sinceMs;
+  }
+
+  #ask(backend: Backend): Promise<Liveness> {
     const { clock, ask } = this.#options;
-    const key = incarnationOf(backend);
-    const known = this.#checks.get(key);
     const startedAtMs = clock.now();
-    if (known && !known.settled) return known;
-    if (known && startedAtMs - known.startedAtMs < CHECK_TTL_MS) return known;
     const liveness = ask(backend).finally(() => check.settled = true);
     const check: Check = { startedAtMs, settled: false, liveness };
-    this.#checks.set(key, check);
-    return check;
+    this.#checks.set(incarnationOf(backend), check);
+    return liveness;
   }
 }
 
--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -305,7 +305,9 @@
   ): Promise<boolean> {
     await sleep(silenceMs, call.signal);
     if (call.signal.aborted) return false;
-    const liveness = await this.#ctx.liveness.check(engine);
+    const liveness = await this.#ctx.liveness.check(engine, {
+      hasConnection: true,
+    });
     if (call.signal.aborted) return false;
     if (liveness === Liveness.Gone) call.abort();
     if (liveness !== Liveness.Silent) return false;
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -270,10 +270,10 @@
     const { clock, liveness } = this.#ctx;
     const heardAtMs = Math.max(sinceMs, this.#aliveAtMs);
     const waitMs = heardAtMs + MAX_STANDSTILL_MS - clock.now();
-    const result = await liveness.check(
-      engine,
-      Math.max(PROMPT_RESPONSE_MS, waitMs),
-    );
+    const result = await liveness.check(engine, {
+      waitMs: Math.max(PROMPT_RESPONSE_MS, waitMs),
+      hasConnection: true,
+    });
     if (result === Liveness.Alive) this.#aliveAtMs = clock.now();
     return result;
   }
