fix(gateway): the end of a connection is no proof of a whole response

Cause: a response without a length ends with its connection, and a crash ends that as well. The router asked whether the server is gone only if no event had come. Change: when such a response has ended, the server is asked by a call that begins after the end and that all such responses share. If it is gone, the response was cut off.

--- a/packages/gateway/src/runs/plain_call.ts
+++ b/packages/gateway/src/runs/plain_call.ts
@@ -9,9 +9,11 @@
   ExchangeOutcome,
   type ExchangeResult,
 } from "../http/exchange.ts";
+import { CallFailure } from "../http/upstream_call.ts";
 import type { RawHeaders } from "../http/wire_codec.ts";
 import { recordCall } from "./crash_detection.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
+import { endedByCrash } from "./response_end.ts";
 import {
   type CallerRequest,
   recordCallResult,
@@ -38,7 +40,8 @@
 ): Promise<PlainCallResult> {
   const key = incarnationOf(backend);
   ctx.inProgress.set(key, (ctx.inProgress.get(key) ?? 0) + 1);
-  const result = await forward(ctx, req, backend, signal);
+  const answer = await forward(ctx, req, backend, signal);
+  const result = await withoutHalfBody(ctx, req, backend, answer);
   ctx.inProgress.set(key, (ctx.inProgress.get(key) ?? 1) - 1);
   const verdict = verdictOf(ctx, req, result);
   if (!signal.aborted) recordHealth(ctx, backend, result, verdict);
@@ -71,6 +74,26 @@
   );
 }
 
+/** Half of a body that a crash has cut off is no response. */
+async function withoutHalfBody(
+  ctx: RunContext,
+  req: CallerRequest,
+  backend: Backend,
+  result: ExchangeResult,
+): Promise<ExchangeResult> {
+  if (result.end === ExchangeOutcome.Failed) return result;
+  const { headers, elapsedMs } = result;
+  if (!await endedByCrash(ctx, req, backend, headers)) return result;
+  return {
+    end: ExchangeOutcome.Failed,
+    failure: CallFailure.Broken,
+    sent: true,
+    timedOut: false,
+    message: "the server is gone",
+    elapsedMs,
+  };
+}
+
 function verdictOf(
   ctx: RunContext,
   req: CallerRequest,
--- /dev/null
+++ b/packages/gateway/src/runs/response_end.ts
@@ -0,0 +1,31 @@
+/**
+ * Tells whole responses from those that a crash has cut off. A response without
+ * a length ends with its connection, and a crash ends that as well.
+ */
+import type { Backend } from "../backends/backend.ts";
+import { declaresLength } from "../http/upstream_call.ts";
+import type { RawHeaders } from "../http/wire_codec.ts";
+import { Liveness, MAX_STANDSTILL_MS } from "./liveness.ts";
+import {
+  type CallerRequest,
+  remainingMs,
+  type RunContext,
+} from "./run_context.ts";
+
+/**
+ * Whether a response without a length ended because its server crashed: it ends
+ * with its connection in either case. Has to be called when it has ended. A
+ * server that only stands still has ended it itself.
+ */
+export async function endedByCrash(
+  ctx: RunContext,
+  req: CallerRequest,
+  backend: Backend,
+  headers: RawHeaders,
+): Promise<boolean> {
+  if (declaresLength(headers)) return false;
+  const sinceMs = ctx.clock.now();
+  const waitMs = Math.min(MAX_STANDSTILL_MS, remainingMs(ctx, req));
+  const liveness = await ctx.liveness.check(backend, { waitMs, sinceMs });
+  return liveness === Liveness.Gone;
+}
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -11,18 +11,13 @@
 import { MAX_ERROR_BYTES, MAX_EVENT_BYTES } from "../http/response_limits.ts";
 import {
   CallFailure,
-  declaresLength,
   type ResponseFlowControl,
 } from "../http/upstream_call.ts";
 import type { Directives, RawHeaders } from "../http/wire_codec.ts";
 import type { StreamProgress } from "./generation.ts";
-import { Liveness, MAX_STANDSTILL_MS } from "./liveness.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
-import {
-  type CallerRequest,
-  remainingMs,
-  type RunContext,
-} from "./run_context.ts";
+import { endedByCrash } from "./response_end.ts";
+import type { CallerRequest, RunContext } from "./run_context.ts";
 
 /** How a stream from one backend server ended. */
 export enum StreamEnd {
@@ -294,26 +289,15 @@
     }
     if (!this.#hasEvents) return StreamEnd.BackendError;
     if (this.#splitter.pendingBytes > 0) return StreamEnd.Cut;
-    if (this.#events === 0 && await this.#endedByCrash()) return StreamEnd.Cut;
+    if (await this.#endedByCrash()) return StreamEnd.Cut;
     // A response without events keeps its headers and its comments.
     if (!this.#req.responder.started) this.#write(EMPTY);
     return StreamEnd.Complete;
   }
 
-  /**
-   * Whether the engine of a response without events is gone. Without a length the
-   * end of the connection ends the response, also when the engine crashed; one
-   * that only stands still has ended it itself.
-   */
-  async #endedByCrash(): Promise<boolean> {
-    if (declaresLength(this.#headers)) return false;
+  #endedByCrash(): Promise<boolean> {
     const { backend } = this.#options;
-    const waitMs = Math.min(
-      MAX_STANDSTILL_MS,
-      remainingMs(this.#ctx, this.#req),
-    );
-    const liveness = await this.#ctx.liveness.check(backend, waitMs);
-    return liveness === Liveness.Gone;
+    return endedByCrash(this.#ctx, this.#req, backend, this.#headers);
   }
 
   #endOfFailure(failure: CallFailure, sent: boolean): StreamEnd {
