--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -10,30 +10,23 @@
   incarnationOf,
 } from "../backends/backend.ts";
 import { CallOutcome } from "../decide/backend_health.ts";
-import {
-  pickPrefillEngine,
-  prefillWaitMs,
-} from "../decide/engine_placement.ts";
-import { planPrefill, type PrefillPlan } from "../decide/prefill_plan.ts";
-import type { PrefillSpeedEstimator } from "../decide/prefill_speed.ts";
+import type { PrefillPlan } from "../decide/prefill_plan.ts";
 import {
   exchange,
   ExchangeOutcome,
   type ExchangeResult,
 } from "../http/exchange.ts";
 import type { KvSource, PromptInfo } from "../http/wire_codec.ts";
-import { ofVersion } from "../versions/same_version.ts";
 import { recordPrefill } from "./crash_detection.ts";
 import {
   firstResult,
   type PrefillCall,
   type PrefillResult,
 } from "./prefill_calls.ts";
+import { PrefillEstimate } from "./prefill_estimate.ts";
 import { Liveness, recordSilent } from "./liveness.ts";
-import { checkRateLimits } from "./rate_limit_check.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
 import {
-  ageMs,
   type CallerRequest,
   type PrefillReply,
   quarantineMs,
@@ -44,24 +37,12 @@
   tryAcquireRetry,
 } from "./run_context.ts";
 
-/** Overhead of a prefill call beyond the prefill itself, in milliseconds. */
-const PREFILL_OVERHEAD_MS = 40;
-/** Time from the end of prefill to the first event, in milliseconds. */
-export const FIRST_EVENT_MS = 90;
-/**
- * A call that takes this many times its expected duration may be queued behind
- * prompts of other routers, or its engine may be dead: its liveness is checked.
- */
-const SILENCE_FACTOR = 1.5;
-const MIN_SILENCE_MS = 200;
-/** Longest prefill, in milliseconds: the reservation expires after it. */
-const MAX_CALL_MS = 1_500;
-
 /** Prefills the prompt of one request, at each engine once. */
 export class Prefiller {
   readonly #ctx: RunContext;
   readonly #req: CallerRequest;
   readonly #prompt: PromptInfo;
+  readonly #estimate: PrefillEstimate;
   /** Engines that gave no result, or one that could not be fetched. */
   readonly #tried = new Set<string>();
   /** Number of calls that may have reached an engine. */
@@ -71,6 +52,7 @@
     this.#ctx = ctx;
     this.#req = req;
     this.#prompt = prompt;
+    this.#estimate = new PrefillEstimate(ctx, req);
   }
 
   /**
@@ -104,7 +86,7 @@
 
   /** Returns an engine that wasn't tried, if another call is allowed. */
   #pickNext(decodeEngine: Backend): Backend | undefined {
-    const engine = this.#pick(decodeEngine);
+    const engine = this.#estimate.pick(decodeEngine, this.#tried);
     if (!engine || quarantineMs(this.#ctx, this.#req) > 0) return undefined;
     const isRetry = this.#sentCalls > 0;
     if (isRetry && !tryAcquireRetry(this.#ctx, this.#req, "prefill")) {
@@ -136,45 +118,8 @@
    * for a decode engine, or for any one near this router.
    */
   plan(decodeEngine?: Backend): PrefillPlan {
-    const engine = this.#pick(decodeEngine);
-    const zone = decodeEngine?.zone ?? this.#ctx.zone;
-    const { tokensPerMs } = this.#speed;
-    return planPrefill({
-      prefillMs: this.#prefillMs(this.#prompt.promptTokens),
-      prefillWaitMs: engine &&
-        prefillWaitMs(engine, tokensPerMs, this.#inputs(zone)),
-      onTimeMs: this.#req.route.targetLatencyMs - FIRST_EVENT_MS -
-        ageMs(this.#ctx, this.#req),
-    });
-  }
-
-  get #speed(): PrefillSpeedEstimator {
-    return this.#ctx.prefillSpeedOf(this.#req.service.name);
-  }
-
-  /** Expected duration of a prefill without a queue, in milliseconds. */
-  #prefillMs(tokens: number): number {
-    return tokens / this.#speed.tokensPerMs + PREFILL_OVERHEAD_MS;
-  }
-
-  #inputs(zone: string) {
-    return { ...this.#ctx, zone, nowMs: this.#ctx.clock.now() };
-  }
-
-  #pick(decodeEngine: Backend | undefined): Backend | undefined {
-    const { directory, zone } = this.#ctx;
-    const engines = ofVersion(
-      directory.readyAt(this.#req.service.name, EngineStage.Prefill),
-      decodeEngine?.version,
-    );
-    checkRateLimits(this.#ctx, engines);
-    const { tokensPerMs } = this.#speed;
-    return pickPrefillEngine(
-      engines,
-      tokensPerMs,
-      this.#inputs(decodeEngine?.zone ?? zone),
-      this.#tried,
-    );
+    const engine = this.#estimate.pick(decodeEngine, this.#tried);
+    return this.#estimate.plan(this.#prompt.promptTokens, engine, decodeEngine);
   }
 
   #start(
@@ -184,7 +129,7 @@
     signal: AbortSignal,
   ): PrefillCall {
     const call = childAbortController(signal);
-    const { silenceMs, timeoutMs } = this.#timeouts(engine, tokens);
+    const { silenceMs, timeoutMs } = this.#estimate.timeouts(engine, tokens);
     let stoodStill = false;
     const stalled = this.#watch(engine, silenceMs, call);
     void stalled.then((isSilent) => stoodStill = isSilent);
@@ -198,7 +143,9 @@
     );
     const result = sent.then((end) => {
       call.abort();
-      if (!stoodStill) this.#recordDuration(engine, tokens, end);
+      if (!stoodStill && this.#parse(engine, end)) {
+        this.#estimate.learn(engine, tokens, end.elapsedMs);
+      }
       return this.#evaluate(engine, end, signal);
     });
     return { result, stalled };
@@ -259,27 +206,6 @@
     return result;
   }
 
-  /** Time until a silent engine is checked, and until the call is given up. */
-  #timeouts(
-    engine: Backend,
-    tokens: number,
-  ): { silenceMs: number; timeoutMs: number } {
-    const waitMs = prefillWaitMs(
-      engine,
-      this.#speed.tokensPerMs,
-      this.#inputs(engine.zone),
-    );
-    const silenceMs = Math.max(
-      MIN_SILENCE_MS,
-      (waitMs + this.#prefillMs(tokens)) * SILENCE_FACTOR,
-    );
-    const timeoutMs = Math.min(
-      remainingMs(this.#ctx, this.#req),
-      Math.max(silenceMs, MAX_CALL_MS),
-    );
-    return { silenceMs, timeoutMs };
-  }
-
   /** Returns the engine's reply if the prefill succeeded. */
   #parse(engine: Backend, result: ExchangeResult): PrefillReply | undefined {
     const { codec, engines } = this.#ctx;
@@ -315,25 +241,6 @@
     return true;
   }
 
-  /** Learns the engine's speed and queue from a successful prefill. */
-  #recordDuration(
-    engine: Backend,
-    tokens: number,
-    result: ExchangeResult,
-  ): void {
-    if (!this.#parse(engine, result)) return;
-    const ctx = this.#ctx;
-    const key = incarnationOf(engine);
-    const { elapsedMs } = result;
-    const localQueueMs = ctx.engineLoads.loadOf(key).prefillTokens /
-      this.#speed.tokensPerMs;
-    ctx.engineLoads.recordPrefillDelay(
-      key,
-      elapsedMs - this.#prefillMs(tokens) - localQueueMs,
-    );
-    this.#speed.record(tokens, elapsedMs);
-  }
-
   #recordFailure(
     engine: Backend,
     result: ExchangeResult,
--- a/packages/gateway/src/runs/stream_placement.ts
+++ b/packages/gateway/src/runs/stream_placement.ts
@@ -17,7 +17,8 @@
 import type { StreamResult } from "./stream_call.ts";
 import type { Generation } from "./generation.ts";
 import type { PrefillResult } from "./prefill_calls.ts";
-import { FIRST_EVENT_MS, Prefiller } from "./prefiller.ts";
+import { FIRST_EVENT_MS } from "./prefill_estimate.ts";
+import { Prefiller } from "./prefiller.ts";
 import {
   ageMs,
   type CallerRequest,
