--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -18,8 +18,7 @@
 } from "./stream_call.ts";
 import { recordStream } from "./crash_detection.ts";
 import { Generation } from "./generation.ts";
-import { Liveness, MAX_STANDSTILL_MS } from "./liveness.ts";
-import { PROMPT_RESPONSE_MS } from "./liveness_checks.ts";
+import { MAX_STANDSTILL_MS } from "./liveness.ts";
 import { type MoveSignals, PendingMove } from "./pending_move.ts";
 import { moveFromDrainingEngine, watchEngine } from "./run_move.ts";
 import { runPlainStream } from "./plain_stream.ts";
@@ -39,15 +38,9 @@
   PlacementFailure,
   StreamPlacer,
 } from "./stream_placement.ts";
+import { StreamSilence } from "./stream_silence.ts";
 import { openVersion, withVersion } from "./with_version.ts";
 
-/** Silence before an engine's liveness is checked, in longest allowed event gaps. */
-const SILENT_GAPS_BEFORE_CHECK = 2;
-/**
- * Shortest silence of a resumable stream before its engine's liveness is checked,
- * in milliseconds; also replaces an unset event gap.
- */
-const MIN_SILENCE_MS = 700;
 /** Maximum number of placements of one request, one after another. */
 const MAX_PLACEMENTS = 4;
 
@@ -80,8 +73,7 @@
   readonly #version: StreamVersion;
   readonly #placer: StreamPlacer;
   readonly #finisher: StreamFinisher;
-  /** When a check last showed that the stream's engine lives. */
-  #aliveAtMs = -Infinity;
+  readonly #silence: StreamSilence;
   /** Engines that the request was sent to. */
   readonly #sentTo = new Set<string>();
   /** A move to another engine that is in progress. */
@@ -106,6 +98,7 @@
       generation,
       this.#version,
     );
+    this.#silence = new StreamSilence(ctx, req);
     this.#finisher = new StreamFinisher(ctx, req, generation.progress);
   }
 
@@ -208,7 +201,7 @@
       progress: this.#generation.progress,
       signal,
       onFirstEvent: () => this.#version.begun(reservation.engine),
-      silenceCheckMs: this.#silenceCheckMs(),
+      silenceCheckMs: this.#silence.checkAfterMs,
       onFirstEventOrEnd,
       mayLeave: (sinceMs, signal) =>
         this.#mayLeave(reservation.engine, sinceMs, signal),
@@ -252,39 +245,11 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     if (!this.#mayResume()) return false;
-    const liveness = await this.#checkLiveness(engine, sinceMs);
-    if (liveness === Liveness.Alive || signal.aborted) return false;
-    const { log, health } = this.#ctx;
-    const req = this.#req.metadata.requestId;
-    log("engine_unreachable", { req, backend: engine.id, liveness });
-    if (liveness === Liveness.Gone) health.eject(incarnationOf(engine));
+    if (await this.#silence.isAlive(engine, sinceMs, signal)) return false;
     this.#continuation = await this.#placer.placeElsewhere(engine, signal);
     return this.#continuation !== undefined;
   }
 
-  /**
-   * Asks an engine that was last heard of at `sinceMs`. One that is silent is
-   * asked for as long as sound engines stand still.
-   */
-  async #checkLiveness(engine: Backend, sinceMs: number): Promise<Liveness> {
-    const { clock, liveness } = this.#ctx;
-    const heardAtMs = Math.max(sinceMs, this.#aliveAtMs);
-    const waitMs = heardAtMs + MAX_STANDSTILL_MS - clock.now();
-    const result = await liveness.check(engine, {
-      waitMs: Math.max(PROMPT_RESPONSE_MS, waitMs),
-      hasConnection: true,
-    });
-    if (result === Liveness.Alive) this.#aliveAtMs = clock.now();
-    return result;
-  }
-
-  #silenceCheckMs(): number {
-    const { resumable, maxEventGapMs } = this.#req.route;
-    if (!resumable) return 0;
-    const gapMs = SILENT_GAPS_BEFORE_CHECK * (maxEventGapMs || MIN_SILENCE_MS);
-    return Math.max(MIN_SILENCE_MS, gapMs);
-  }
-
   /** Handles the end of one stream; undefined if another engine should be tried. */
   async #handleEnd(
     result: StreamResult,
