fix(gateway): runs that leave an engine together spread over its peers

What callers saw: nothing yet; found by reading the change of run moves. Streams that left an engine at the same time were all copied to the same one first, as none counted there before its copy was complete. Responses without a body by their status (204, 304, HEAD) would each have had their server asked whether it is gone. Change: a run counts at the engine that it is copied to from the start; responses that have no body are never taken for cut. Result: tests of moved runs, cut responses, plain calls and streams pass.

--- a/packages/gateway/src/runs/plain_call.ts
+++ b/packages/gateway/src/runs/plain_call.ts
@@ -82,8 +82,8 @@
   result: ExchangeResult,
 ): Promise<ExchangeResult> {
   if (result.end === ExchangeOutcome.Failed) return result;
-  const { headers, elapsedMs } = result;
-  if (!await endedByCrash(ctx, req, backend, headers)) return result;
+  const { elapsedMs } = result;
+  if (!await endedByCrash(ctx, req, backend, result)) return result;
   return {
     end: ExchangeOutcome.Failed,
     failure: CallFailure.Broken,
--- a/packages/gateway/src/runs/response_end.ts
+++ b/packages/gateway/src/runs/response_end.ts
@@ -12,6 +12,14 @@
   type RunContext,
 } from "./run_context.ts";
 
+/** The start of a response. */
+export interface ResponseStart {
+  status: number;
+  headers: RawHeaders;
+}
+
+const STATUSES_WITHOUT_BODY = new Set([204, 304]);
+
 /**
  * Whether a response without a length ended because its server crashed: it ends
  * with its connection in either case. Has to be called when it has ended. A
@@ -21,9 +29,11 @@
   ctx: RunContext,
   req: CallerRequest,
   backend: Backend,
-  headers: RawHeaders,
+  { status, headers }: ResponseStart,
 ): Promise<boolean> {
-  if (declaresLength(headers)) return false;
+  const isDelimited = declaresLength(headers) || req.method === "HEAD" ||
+    STATUSES_WITHOUT_BODY.has(status);
+  if (isDelimited) return false;
   const sinceMs = ctx.clock.now();
   const waitMs = Math.min(MAX_STANDSTILL_MS, remainingMs(ctx, req));
   const liveness = await ctx.liveness.check(backend, { waitMs, sinceMs });
--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -106,8 +106,13 @@
     while (!cancelled.aborted) {
       if (!this.#isWorthMoving()) return undefined;
       for (const target of this.#targets()) {
+        // Others that leave the engine see this one on its way.
+        const release = this.#place(target);
         const copy = await this.#copyTo(target);
-        if (copy.end === CopyEnd.Copied) return this.#stopAt(target, copy);
+        if (copy.end === CopyEnd.Copied) {
+          return await this.#stopAt(target, copy, release);
+        }
+        release();
         this.#kept = copy.source ?? this.#kept;
         if (copy.end === CopyEnd.Failed) break;
       }
@@ -149,12 +154,13 @@
   async #stopAt(
     target: Backend,
     copy: CopyResult,
+    release: () => void,
   ): Promise<MovedRun | undefined> {
     if (!tryAcquireRetry(this.#ctx, this.#req, "move")) {
+      release();
       this.#free(copy);
       return undefined;
     }
-    const release = this.#place(target);
     const result = await this.#ctx.engines.moveRun(
       this.#engine,
       this.#req.metadata.requestId,
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -297,7 +297,8 @@
 
   #endedByCrash(): Promise<boolean> {
     const { backend } = this.#options;
-    return endedByCrash(this.#ctx, this.#req, backend, this.#headers);
+    const start = { status: this.#status, headers: this.#headers };
+    return endedByCrash(this.#ctx, this.#req, backend, start);
   }
 
   #endOfFailure(failure: CallFailure, sent: boolean): StreamEnd {
