fix(gateway): a run isn't stopped without a retry to continue it

A run that its engine had stopped ended midway if the retry budget was used up by then (LOST). Cause: the retry was acquired after the call that may stop the run. Change: the retry is acquired first, and returned if the run isn't moved.

--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -82,6 +82,7 @@
   readonly #engine: Backend;
   readonly #signals: MoveSignals;
   readonly #startMs: number;
+  #hasRetry = false;
   /** Where an engine that found no room for a copy has kept the memory. */
   #kept: KvSource | undefined;
 
@@ -100,12 +101,22 @@
     this.#startMs = ctx.clock.now();
   }
 
-  /** Searches for room until the run has moved or has ended. */
+  /** Moves the run, or returns the retry that it would have taken. */
   async run(): Promise<MovedRun | undefined> {
+    const moved = await this.#search();
+    if (!moved && this.#hasRetry) {
+      this.#ctx.retryBudgetOf(this.#req.service.name).refund();
+    }
+    return moved;
+  }
+
+  /** Searches for room until the run has moved or has ended. */
+  async #search(): Promise<MovedRun | undefined> {
     const { cancelled, cut } = this.#signals;
     while (!cancelled.aborted) {
       if (!this.#isWorthMoving()) return undefined;
-      for (const target of this.#targets()) {
+      const targets = this.#mayContinue() ? this.#targets() : [];
+      for (const target of targets) {
         // Others that leave the engine see this one on its way.
         const release = this.#place(target);
         const copy = await this.#copyTo(target);
@@ -122,6 +133,15 @@
     return undefined;
   }
 
+  /**
+   * Whether the retry budget allows the run to be sent once more. Asked before
+   * anything is done that may stop the run.
+   */
+  #mayContinue(): boolean {
+    this.#hasRetry ||= tryAcquireRetry(this.#ctx, this.#req, "move");
+    return this.#hasRetry;
+  }
+
   #isWorthMoving(): boolean {
     return this.#generation.remainingMs() >= MIN_REMAINING_MS_TO_MOVE;
   }
@@ -156,11 +176,6 @@
     copy: CopyResult,
     release: () => void,
   ): Promise<MovedRun | undefined> {
-    if (!tryAcquireRetry(this.#ctx, this.#req, "move")) {
-      release();
-      this.#free(copy);
-      return undefined;
-    }
     const result = await this.#ctx.engines.moveRun(
       this.#engine,
       this.#req.metadata.requestId,
@@ -193,7 +208,6 @@
   /** Continues a run at its engine that was stopped there without a move. */
   #goBack(): MovedRun | undefined {
     if (!this.#kept || !this.#mayReturn()) return undefined;
-    if (!tryAcquireRetry(this.#ctx, this.#req, "move")) return undefined;
     return this.#continueAt(this.#engine, this.#kept);
   }
 
