fix(gateway): a message in many small pieces takes few objects

Cause: a body or response of unknown length was kept as the pieces in which it arrived. Each is an object in the heap, about a hundred bytes for a piece of one byte, while the budget counted the byte. The heap's limit (120 MB) was reached at a small part of the budget. Change: the bytes are copied into blocks that grow with the message.

--- a/packages/gateway/src/http/byte_collector.ts
+++ b/packages/gateway/src/http/byte_collector.ts
@@ -1,22 +1,28 @@
-/** Collects the bytes of one message in memory. */
-
 /**
- * Bytes in memory for each byte of a message whose length isn't known before its
- * end: its parts, and the whole that is made of them.
+ * Collects the bytes of one message in memory. Bytes are copied into blocks: an
+ * object for each piece that arrives would take a hundred times the memory of
+ * a piece of one byte, and in the heap.
  */
-const UNDECLARED_FACTOR = 2;
+
+/** Size of the first block of a message of unknown length, in bytes. */
+const MIN_BLOCK_BYTES = 1024;
+/** Largest block, in bytes. */
+const MAX_BLOCK_BYTES = 256 * 1024;
 
 /** The bytes of a message, of a declared length or of any. */
 export class ByteCollector {
-  /** Holds a message of a declared length. */
-  readonly #whole: Buffer | undefined;
-  #parts: Buffer[] = [];
+  /** Whether the first block holds the whole message. */
+  readonly #isDeclared: boolean;
+  #blocks: Buffer[] = [];
+  #last: Buffer = Buffer.alloc(0);
+  /** Bytes that are used in the last block. */
+  #lastBytes = 0;
+  #capacity = 0;
   #size = 0;
 
   constructor(declaredBytes?: number) {
-    if (declaredBytes === undefined) return;
-    // Its pages take no memory before bytes are written to them.
-    this.#whole = Buffer.allocUnsafeSlow(declaredBytes);
+    this.#isDeclared = declaredBytes !== undefined;
+    if (declaredBytes !== undefined) this.#addBlock(declaredBytes);
   }
 
   /** Number of bytes added. */
@@ -26,24 +32,49 @@
 
   /** Number of bytes that are in memory when the message is complete. */
   get heldBytes(): number {
-    return this.#whole?.length ?? UNDECLARED_FACTOR * this.#size;
+    return this.#isDeclared ? this.#capacity : this.#capacity + this.#size;
   }
 
   /** Adds bytes; those beyond a declared length are left out. */
   add(bytes: Buffer): void {
-    if (this.#whole) bytes.copy(this.#whole, this.#size);
-    else this.#parts.push(bytes);
+    let copied = this.#copy(bytes, 0);
+    while (copied < bytes.length && !this.#isDeclared) {
+      this.#addBlock(this.#nextBlockBytes());
+      copied += this.#copy(bytes, copied);
+    }
     this.#size += bytes.length;
   }
 
   /** All bytes that were added. */
   toBuffer(): Buffer {
-    return this.#whole?.subarray(0, this.#size) ??
-      Buffer.concat(this.#parts, this.#size);
+    return this.#isDeclared
+      ? this.#last.subarray(0, this.#size)
+      : Buffer.concat(this.#blocks, this.#size);
   }
 
   /** Forgets all bytes. */
   clear(): void {
-    this.#parts = [];
+    this.#blocks = [];
+    this.#last = Buffer.alloc(0);
+    this.#lastBytes = 0;
+  }
+
+  #nextBlockBytes(): number {
+    return Math.min(MAX_BLOCK_BYTES, Math.max(MIN_BLOCK_BYTES, this.#capacity));
+  }
+
+  #addBlock(bytes: number): void {
+    // Its pages take no memory before bytes are written to them.
+    this.#last = Buffer.allocUnsafeSlow(bytes);
+    this.#blocks.push(this.#last);
+    this.#lastBytes = 0;
+    this.#capacity += bytes;
+  }
+
+  /** Copies what fits into the last block; returns the number of bytes. */
+  #copy(bytes: Buffer, from: number): number {
+    const count = bytes.copy(this.#last, this.#lastBytes, from);
+    this.#lastBytes += count;
+    return count;
   }
 }
