--- a/packages/runtime/src/__tests__/event_log_test.ts
+++ b/packages/runtime/src/__tests__/event_log_test.ts
@@ -1,5 +1,12 @@
 import { expect, test } from "@jest/globals";
-import { mkdtempSync, openSync, readFileSync, rmSync } from "node:fs";
+import { execFileSync } from "node:child_process";
+import {
+  constants,
+  mkdtempSync,
+  openSync,
+  readFileSync,
+  rmSync,
+} from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createEventLog } from "../event_log.ts";
@@ -69,3 +76,18 @@
   const odd = lines.find((line) => line.includes("event=odd"));
   expect(odd).toMatch(/ name=x{1000}… message="(a ){500}…"$/);
 });
+
+const LONG = "x".repeat(900);
+
+// The rest was written in a blocking way, to a pipe that may never have room.
+test("FAULT: a log that nobody reads doesn't keep a process from its exit", async () => {
+  const directory = mkdtempSync(join(tmpdir(), "event-log-"));
+  const path = join(directory, "pipe");
+  execFileSync("mkfifo", [path]);
+  const fd = openSync(path, constants.O_RDWR);
+  const log = createEventLog({ fd, linesPerSecond: 1_000 });
+  for (let i = 0; i < 250; i += 1) log.log("unread", { LONG });
+  await sleep(100);
+  log.close();
+  rmSync(directory, { recursive: true });
+});
