fix(platform): a router waits for settings that can be used

Callers saw: a router that ends with status 1 if its settings file is absent, empty, half written, a directory or without an address at the moment of its start, and at each restart while that lasts; a reload that was lost where the time stamp of the file did not change.

The file is read again after 100 ms, later after a fiftieth of the time that has passed, 5 s at most; SIGHUP has it read at once, and SIGTERM ends the process with status 0. settings_awaited says why, at first and at growing intervals. Changes are told by the content of the file, and a file that could not be used is read again.

--- a/packages/runtime/src/event_log.ts
+++ b/packages/runtime/src/event_log.ts
@@ -26,6 +26,8 @@
   readonly log: Logger;
   /** Number of lines suppressed or dropped so far. */
   readonly suppressed: number;
+  /** Adds fields to every line from now on. */
+  addBase(fields: LogFields): void;
   /** Writes the buffered lines and closes the log. */
   close(): void;
 }
@@ -50,7 +52,7 @@
 class BackgroundLog implements EventLog {
   readonly #out: InstanceType<typeof sonicBoom.SonicBoom>;
   readonly #limit: number;
-  readonly #base: LogFields;
+  #base: LogFields;
   readonly #windows = new Map<string, EventWindow>();
   #suppressed = 0;
 
@@ -77,6 +79,10 @@
     return this.#suppressed;
   }
 
+  addBase(fields: LogFields): void {
+    this.#base = { ...this.#base, ...fields };
+  }
+
   readonly log: Logger = (event, fields = {}) => {
     const window = this.#window(event);
     window.lines += 1;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -18,6 +18,12 @@
 } from "./log.ts";
 export { Mailbox } from "./mailbox.ts";
 export { createRandom, jitter, type Random } from "./random.ts";
+export {
+  type RetryFailure,
+  type RetryOptions,
+  type RetryResult,
+  retryUntilDone,
+} from "./retry.ts";
 export { matchSecret, Secret } from "./secret.ts";
 export {
   surviveUnexpectedErrors,
