fix(runtime): a log that nobody reads doesn't hold up the exit

Supervisors saw: a process that doesn't end after SIGTERM, until it was killed, if its standard output is a pipe or socket that nobody reads. What was left was written in a blocking way, and a thread that waits in a write keeps process.exit() from returning.

The descriptor of a pipe or socket is made non-blocking, as Node.js does for its own streams, and the last lines are dropped if there is no room.

--- a/packages/runtime/src/event_log.ts
+++ b/packages/runtime/src/event_log.ts
@@ -1,10 +1,12 @@
 /**
  * Structured logs on standard output: one line of key=value pairs per event.
  * `sonic-boom` writes the lines asynchronously; if the reader is too slow, lines
- * are dropped and the process is not blocked. The number of lines per second is
+ * are dropped and the process is not blocked, not at its exit either. The number of lines per second is
  * limited for each kind of event, and suppressed lines are counted and reported
  * in a `log_suppressed` event.
  */
+import { fstatSync } from "node:fs";
+import { Socket } from "node:net";
 import sonicBoom from "sonic-boom";
 import { systemClock } from "./clock.ts";
 import { formatEvent, type LogFields, type Logger } from "./log.ts";
@@ -32,6 +34,7 @@
   close(): void;
 }
 
+const STANDARD_OUTPUT = 1;
 const LINES_PER_SECOND = 150;
 const MAX_PENDING_BYTES = 256 * 1024;
 const FLUSH_BYTES = 2_048;
@@ -55,16 +58,20 @@
   #base: LogFields;
   readonly #windows = new Map<string, EventWindow>();
   #suppressed = 0;
+  #closing = false;
 
   constructor(options: EventLogOptions) {
+    const fd = options.fd ?? STANDARD_OUTPUT;
+    unblock(fd);
     this.#limit = options.linesPerSecond ?? LINES_PER_SECOND;
     this.#base = options.base ?? {};
     this.#out = new sonicBoom.SonicBoom({
-      fd: options.fd ?? 1,
+      fd,
       sync: false,
       minLength: FLUSH_BYTES,
       maxLength: options.maxPendingBytes ?? MAX_PENDING_BYTES,
       periodicFlush: FLUSH_INTERVAL_MS,
+      retryEAGAIN: () => !this.#closing,
     });
     this.#out.on("drop", () => {
       this.#suppressed += 1;
@@ -95,10 +102,11 @@
   };
 
   close(): void {
+    this.#closing = true;
     try {
       this.#out.flushSync();
     } catch (_err) {
-      // The reader has closed the pipe or the log is not open yet; there is nowhere to report it.
+      // The pipe is full or its reader gone: there is nowhere to report it.
       this.#suppressed += 1;
     }
     this.#out.end();
@@ -123,3 +131,17 @@
     );
   }
 }
+
+/**
+ * Has writes to a full pipe fail instead of waiting: a thread that waits in a
+ * write would keep the process from its exit.
+ */
+function unblock(fd: number): void {
+  try {
+    const stats = fstatSync(fd);
+    // Its handle makes the descriptor non-blocking.
+    if (stats.isFIFO() || stats.isSocket()) new Socket({ fd, readable: false });
+  } catch (_err) {
+    // A descriptor that is closed: the first write reports it.
+  }
+}
