fix(runtime): routers of one host find ports for their metrics

Operators saw: of several routers with one metrics address all but one have no metrics, and each tries every 100 ms for ever.

After 5 s the metrics take the first free port of those that the platform gives a host (metrics.otherPorts); 'listening' tells which. The usual port is still the one of a single router.

--- a/packages/runtime/src/listen.ts
+++ b/packages/runtime/src/listen.ts
@@ -4,8 +4,9 @@
  * to the host yet.
  */
 import type { Server } from "node:net";
+import { systemClock } from "./clock.ts";
 import type { Logger } from "./log.ts";
-import { sleep } from "./wait.ts";
+import { retryUntilDone } from "./retry.ts";
 
 /** Where a server listens. */
 export interface ListenOptions {
@@ -16,10 +17,17 @@
   log: Logger;
   /** Gives the attempts up. */
   signal?: AbortSignal;
+  /**
+   * Ports to take if another process keeps the wanted one, in this order.
+   * @default none
+   */
+  otherPorts?: readonly number[];
+  /** Time before one of them is taken, in milliseconds. @default 5000 */
+  otherPortsAfterMs?: number;
 }
 
-/** Pause between two attempts to bind an address, in milliseconds. */
-const RETRY_INTERVAL_MS = 100;
+/** A process that ends has released its address after this time, in ms. */
+const OTHER_PORTS_AFTER_MS = 5_000;
 
 /** Makes a server listen; rejects if its address can't be bound. */
 export function listen(
@@ -45,21 +53,47 @@
 /** Makes a server listen as soon as its address can be bound. */
 export async function listenWhenFree(
   server: Server,
-  { host, port, name, log, signal }: ListenOptions,
+  { host, port, name, log, signal, ...rest }: ListenOptions,
 ): Promise<void> {
-  let attempts = 0;
-  while (!signal?.aborted) {
-    attempts += 1;
+  const { otherPorts = [], otherPortsAfterMs = OTHER_PORTS_AFTER_MS } = rest;
+  const startMs = systemClock.now();
+  const result = await retryUntilDone(async () => {
+    const waitedMs = systemClock.now() - startMs;
+    const isLate = waitedMs >= otherPortsAfterMs;
+    return await listenAtOne(server, host, [
+      port,
+      ...(isLate ? otherPorts : []),
+    ]);
+  }, {
+    signal,
+    onFailure: ({ message, attempts, waitedMs }) =>
+      log("address_not_bound", {
+        listener: name,
+        port,
+        message,
+        attempts,
+        waited_ms: waitedMs,
+      }),
+  });
+  if (!result || result.attempts === 1) return;
+  const { value, attempts } = result;
+  log("listening", { listener: name, port: value, wanted: port, attempts });
+}
+
+/** Binds the first port that is free; throws the error of the first if none is. */
+async function listenAtOne(
+  server: Server,
+  host: string,
+  ports: readonly number[],
+): Promise<number> {
+  let firstError: unknown;
+  for (const port of ports) {
     try {
       await listen(server, host, port);
-      if (attempts > 1) log("listening", { listener: name, port, attempts });
-      return;
+      return port;
     } catch (err) {
-      if (attempts === 1) {
-        const { message } = err as Error;
-        log("address_not_bound", { listener: name, port, message });
-      }
+      firstError ??= err;
     }
-    await sleep(RETRY_INTERVAL_MS, signal);
   }
+  throw firstError;
 }
