fix(runtime): a duration beyond that of a timer doesn't end at once

Callers saw: 504 at once on a route whose timeout is longer than 2^31 ms, since a timer with such a delay fires after 1 ms; a loop that waits so long spins.

--- a/packages/runtime/src/__tests__/runtime_test.ts
+++ b/packages/runtime/src/__tests__/runtime_test.ts
@@ -8,6 +8,7 @@
   formatEvent,
   Mailbox,
   matchSecret,
+  MAX_TIMER_MS,
   rankCandidates,
   Secret,
   sleep,
@@ -106,3 +107,17 @@
     expect(signal.aborted).toBe(true);
   });
 });
+
+// Timers fire after 1 ms if their delay is longer than they can have.
+test.each([MAX_TIMER_MS + 1, 1e300, Infinity])(
+  "sleep(%d) waits",
+  async (ms) => {
+    const end = new AbortController();
+    const sleeping = sleep(ms, end.signal).then(() => "slept");
+    expect(await Promise.race([sleeping, sleep(20).then(() => "waits")])).toBe(
+      "waits",
+    );
+    end.abort();
+    await sleeping;
+  },
+);
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -33,6 +33,7 @@
   aborted,
   childAbortController,
   deadlineSignal,
+  MAX_TIMER_MS,
   runPeriodically,
   sleep,
 } from "./wait.ts";
--- a/packages/runtime/src/wait.ts
+++ b/packages/runtime/src/wait.ts
@@ -13,11 +13,17 @@
   setMaxListeners(0, signal);
 }
 
+/**
+ * Longest delay of a timer, in milliseconds, some 24 days. A longer one would
+ * fire at once.
+ */
+export const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** Resolves after `ms`, or as soon as `signal` aborts. */
 export function sleep(ms: number, signal?: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
     if (signal?.aborted) return resolve();
-    const timer = setTimeout(done, ms);
+    const timer = setTimeout(done, Math.min(ms, MAX_TIMER_MS));
     function done() {
       clearTimeout(timer);
       signal?.removeEventListener("abort", done);
@@ -64,7 +70,10 @@
  */
 export function deadlineSignal(ms: number, parent?: AbortSignal): AbortSignal {
   const controller = childAbortController(parent);
-  const timer = setTimeout(() => controller.abort(), ms);
+  const timer = setTimeout(
+    () => controller.abort(),
+    Math.min(ms, MAX_TIMER_MS),
+  );
   timer.unref();
   const stop = () => clearTimeout(timer);
   controller.signal.addEventListener("abort", stop, { once: true });
