fix(runtime): a background task that throws runs again

An exception in the loop of the stage balancer, the probes of the store or the registry was logged and ended that loop for good, while the process served on without it.

--- a/packages/runtime/src/__tests__/runtime_test.ts
+++ b/packages/runtime/src/__tests__/runtime_test.ts
@@ -6,6 +6,7 @@
   createRandom,
   deadlineSignal,
   formatEvent,
+  keepRunning,
   Mailbox,
   matchSecret,
   MAX_TIMER_MS,
@@ -121,3 +122,16 @@
     await sleeping;
   },
 );
+
+test("a task that throws is logged and runs again", async () => {
+  const end = new AbortController();
+  const events: string[] = [];
+  let runs = 0;
+  const run = () => {
+    runs += 1;
+    return runs === 1 ? Promise.reject(new Error("odd")) : Promise.resolve();
+  };
+  const log = (event: string) => events.push(event);
+  await keepRunning({ name: "task", log, signal: end.signal, run });
+  expect([runs, events]).toEqual([2, ["task_failed"]]);
+});
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -6,6 +6,7 @@
   type EventLog,
   type EventLogOptions,
 } from "./event_log.ts";
+export { keepRunning, type KeepRunningOptions } from "./keep_running.ts";
 export { listen, type ListenOptions, listenWhenFree } from "./listen.ts";
 export { baseUrlOf } from "./listener_address.ts";
 export { rankCandidates, rendezvousRank } from "./hash.ts";
