fix(gateway): a request with too many headers isn't cut short

What callers saw: nothing yet; found while measuring heads. Cause: node:http keeps 2,000 headers and leaves out the rest without a sign. Change: requests with more than 1,000 headers get 431; node:http keeps one more, so that they are known.

--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -57,6 +57,8 @@
 
 /** Upper bound on header bytes, independent of the configured limit. */
 const MAX_HEADER_BYTES = 64 * 1024;
+/** Number of headers that a request may have. */
+const MAX_HEADERS = 1_000;
 const DEFAULT_LIMITS: CallerLimits = {
   maxHeaderBytes: 16 * 1024,
   maxBodyBytes: 4 * 1024 * 1024,
@@ -94,6 +96,8 @@
       },
       (req, res) => void this.#serve(req, res),
     );
+    // Beyond its count of headers, node:http leaves out the rest.
+    this.#server.maxHeadersCount = MAX_HEADERS + 1;
     const rejectUnread = () => this.#rejectUnread();
     options.exitSignal.addEventListener("abort", rejectUnread, { once: true });
     this.#server.on("connection", (socket: Socket) => {
@@ -171,7 +175,7 @@
       controller.abort();
     });
     const headers = req.rawHeaders;
-    if (headerBytes(headers) > this.#limits.maxHeaderBytes) {
+    if (!isHeadAllowed(headers, this.#limits)) {
       responder.reply(STATUS_HEADERS_TOO_LARGE, ["Connection", "close"]);
       return;
     }
@@ -232,6 +236,10 @@
   }
 }
 
-function headerBytes(headers: RawHeaders): number {
-  return headers.reduce((sum, text) => sum + text.length + 2, 0);
+function isHeadAllowed(
+  headers: RawHeaders,
+  { maxHeaderBytes }: CallerLimits,
+): boolean {
+  const bytes = headers.reduce((sum, text) => sum + text.length + 2, 0);
+  return bytes <= maxHeaderBytes && headers.length <= 2 * MAX_HEADERS;
 }
