fix(gateway): heads of callers have a bound on the heap that they take

What callers saw: a router that is aborted by V8; all requests of its host end with it (FAULT, LOST). Cause: heads had a bound each, none in common, and a header of few bytes becomes objects of many times its size in the heap, whose limit ends the process. Each arriving head could have 64 KB, whatever the configuration allows. Change: heads that have arrived are accounted for until their response, those beyond a quarter of the heap get 503 with Retry-After, as they aren't run. Of heads that are still arriving, the longest are closed if all together would take more than another quarter; that is measured only with more connections than could fill it. node:http gives up heads beyond the configured limit and a request line.

--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -19,6 +19,7 @@
 } from "@sassafrascleat/runtime";
 import type { CallerLimits } from "../config/routing_table.ts";
 import { BodyFailure, readBody } from "./body_reader.ts";
+import { HeadMemory, MAX_HEAD_BYTES, MAX_HEADERS } from "./head_memory.ts";
 import type { MemoryBudget } from "./memory_budget.ts";
 import { HttpResponder } from "./responder.ts";
 import { STATUS_BAD_GATEWAY, STATUS_UNAVAILABLE } from "./status.ts";
@@ -55,10 +56,8 @@
   buildNoMemoryHeaders: (headers: RawHeaders) => RawHeaders;
 }
 
-/** Upper bound on header bytes, independent of the configured limit. */
-const MAX_HEADER_BYTES = 64 * 1024;
-/** Number of headers that a request may have. */
-const MAX_HEADERS = 1_000;
+/** Bytes that the request line may take beside the headers. */
+const MAX_REQUEST_LINE_BYTES = 16 * 1024;
 const DEFAULT_LIMITS: CallerLimits = {
   maxHeaderBytes: 16 * 1024,
   maxBodyBytes: 4 * 1024 * 1024,
@@ -79,6 +78,7 @@
   readonly #options: IngressOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  readonly #heads: HeadMemory;
   /** For requests that have not been read completely. */
   readonly #unread = new Set<HttpResponder>();
   #limits = DEFAULT_LIMITS;
@@ -86,9 +86,12 @@
 
   constructor(options: IngressOptions) {
     this.#options = options;
+    this.#heads = new HeadMemory({
+      onClosed: (connections) => options.log("heads_closed", { connections }),
+    });
     this.#server = createServer(
       {
-        maxHeaderSize: MAX_HEADER_BYTES,
+        maxHeaderSize: MAX_HEAD_BYTES,
         requestTimeout: BODY_TIMEOUT_MS,
         keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
         connectionsCheckingInterval: 2_000,
@@ -102,6 +105,7 @@
     options.exitSignal.addEventListener("abort", rejectUnread, { once: true });
     this.#server.on("connection", (socket: Socket) => {
       this.#sockets.add(socket);
+      this.#heads.addConnection(socket);
       socket.once("close", () => this.#sockets.delete(socket));
     });
   }
@@ -119,6 +123,11 @@
   /** Applies the limits of a new configuration. */
   setLimits(limits: CallerLimits): void {
     this.#limits = limits;
+    const headBytes = limits.maxHeaderBytes + MAX_REQUEST_LINE_BYTES;
+    // Read by node:http for each new connection.
+    Object.assign(this.#server, {
+      maxHeaderSize: Math.min(MAX_HEAD_BYTES, headBytes),
+    });
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
   }
@@ -165,24 +174,15 @@
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedMs = this.#options.now();
     const { closing, memory } = this.#options;
-    const controller = new AbortController();
     const responder = new HttpResponder(res, closing, memory);
-    const account = memory.open();
-    this.#inProgress += 1;
-    res.once("close", () => {
-      this.#inProgress -= 1;
-      account.release();
-      controller.abort();
-    });
+    const signal = this.#track(req, res);
     const headers = req.rawHeaders;
     if (!isHeadAllowed(headers, this.#limits)) {
       responder.reply(STATUS_HEADERS_TOO_LARGE, ["Connection", "close"]);
       return;
     }
-    this.#unread.add(responder);
-    const body = await readBody(req, this.#limits.maxBodyBytes, account);
-    this.#unread.delete(responder);
-    if (controller.signal.aborted) return;
+    const body = await this.#read(req, res, responder);
+    if (signal.aborted) return;
     if (typeof body === "string") {
       this.#rejectBody(body, headers, responder);
       return;
@@ -194,7 +194,7 @@
       headers,
       body,
       arrivedMs,
-      signal: controller.signal,
+      signal,
       responder,
     };
     await this.#options.handler(request).catch((err) =>
@@ -202,6 +202,37 @@
     );
   }
 
+  /** Counts a request until its response; aborts when its connection closes. */
+  #track(req: IncomingMessage, res: ServerResponse): AbortSignal {
+    const controller = new AbortController();
+    this.#inProgress += 1;
+    res.once("close", () => {
+      this.#inProgress -= 1;
+      controller.abort();
+    });
+    this.#heads.startRequest(req, res);
+    return controller.signal;
+  }
+
+  /** Reads the body, if there is memory for the request. */
+  async #read(
+    req: IncomingMessage,
+    res: ServerResponse,
+    responder: HttpResponder,
+  ): Promise<Buffer | BodyFailure> {
+    const headers = req.rawHeaders;
+    if (!this.#heads.hold(headers)) return BodyFailure.NoMemory;
+    const account = this.#options.memory.open();
+    res.once("close", () => {
+      this.#heads.release(headers);
+      account.release();
+    });
+    this.#unread.add(responder);
+    const body = await readBody(req, this.#limits.maxBodyBytes, account);
+    this.#unread.delete(responder);
+    return body;
+  }
+
   #rejectBody(
     failure: BodyFailure,
     headers: RawHeaders,
