feat(gateway): metrics of the memory of a router beside its limits

Cause: the incident's hypotheses couldn't be told apart: nothing showed how full the heap was beside the limit at which V8 aborts the process, nor what is held for peers.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -120,7 +120,11 @@
       retainMs: RETAIN_MS,
       signal: options.signal,
     });
-    this.metrics = createGatewayMetrics();
+    const memory = new MemoryBudget(options.memoryBytes);
+    this.metrics = createGatewayMetrics({
+      peerBytes: () => memory.usedBytes,
+      headBytes: () => this.ingress.headBytes,
+    });
     this.#rateLimits = new RequestRateLimits({
       clock,
       random,
@@ -142,7 +146,6 @@
       },
       prefillTokensPerMs: policy.prefillTokensPerMs,
     });
-    const memory = new MemoryBudget(options.memoryBytes);
     this.upstream = new Upstream({
       log,
       memory,
--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -120,6 +120,11 @@
     return this.#sockets.size;
   }
 
+  /** Heap for the heads of requests without a response, in bytes. */
+  get headBytes(): number {
+    return this.#heads.usedBytes;
+  }
+
   /** Applies the limits of a new configuration. */
   setLimits(limits: CallerLimits): void {
     this.#limits = limits;
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,4 +1,5 @@
 /** Counters and latency histograms of one gateway. */
+import { getHeapStatistics } from "node:v8";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 const LATENCY_BUCKETS_S = [
@@ -18,10 +19,19 @@
   14,
 ];
 
+/** What the gateway holds for its peers when the metrics are read. */
+export interface HeldMemory {
+  /** Bodies, responses and output that isn't read, in bytes. */
+  peerBytes: () => number;
+  /** Heap for the heads of callers' requests, in bytes. */
+  headBytes: () => number;
+}
+
 /** Creates the metrics in a separate registry. */
-export function createGatewayMetrics() {
+export function createGatewayMetrics(held: HeldMemory) {
   const registry = new Registry();
   const registers = [registry];
+  registerMemoryGauges(registry, held);
   return {
     registry,
     requests: new Counter({
@@ -99,4 +109,42 @@
   };
 }
 
+/** Gauges that are read when they are collected. */
+function registerMemoryGauges(registry: Registry, held: HeldMemory): void {
+  const add = (name: string, help: string, read: () => number) =>
+    new Gauge({
+      name: `sassafrascleat_gateway_${name}`,
+      help,
+      registers: [registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  add(
+    "heap_used_bytes",
+    "Heap in use, what isn't collected yet included.",
+    () => getHeapStatistics().used_heap_size,
+  );
+  add(
+    "heap_limit_bytes",
+    "Size of the heap at which the process is aborted.",
+    () => getHeapStatistics().heap_size_limit,
+  );
+  add(
+    "resident_bytes",
+    "Memory of the process, which the host limits.",
+    () => process.memoryUsage.rss(),
+  );
+  add(
+    "peer_bytes",
+    "Bodies, responses and unread output that are held.",
+    held.peerBytes,
+  );
+  add(
+    "head_bytes",
+    "Heap for the heads of requests without a response.",
+    held.headBytes,
+  );
+}
+
 export type GatewayMetrics = ReturnType<typeof createGatewayMetrics>;
