fix(gateway): pipelined requests have a bound, and all end with their connection

What callers saw: a router that is aborted by V8 (FAULT); requests that go on after their callers have left, and count as in progress, so that a planned stop waits for them (GONE). Cause: node:http reads all that a caller pipelines, however many responses are due, and each request takes about 17 KB of the heap. When the connection closes, it tells only the first of them. Change: a module of its own knows the connections and the requests on each: all end when it closes, and a connection with more than 100 in progress is closed. What a request takes beside its head counts as well; requests may have half of the heap, heads that arrive a fifth.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -123,7 +123,7 @@
     const memory = new MemoryBudget(options.memoryBytes);
     this.metrics = createGatewayMetrics({
       peerBytes: () => memory.usedBytes,
-      headBytes: () => this.ingress.headBytes,
+      requestBytes: () => this.ingress.requestBytes,
     });
     this.#rateLimits = new RequestRateLimits({
       clock,
--- a/packages/gateway/src/http/__tests__/head_memory_test.ts
+++ b/packages/gateway/src/http/__tests__/caller_connections_test.ts
@@ -2,11 +2,12 @@
 import { EventEmitter } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { HeadMemory, MAX_HEAD_BYTES } from "../head_memory.ts";
+import { CallerConnections, MAX_HEAD_BYTES } from "../caller_connections.ts";
 
 /** Connections whose heads fit, however long they are, and a few more. */
 const CONNECTIONS = 20;
-const MAX_BYTES = 6 * MAX_HEAD_BYTES;
+/** A fifth of it takes 64 KB of heads that arrive. */
+const HEAP_BYTES = 30 * MAX_HEAD_BYTES;
 
 class FakeSocket extends EventEmitter {
   bytesRead = 0;
@@ -19,18 +20,18 @@
 }
 
 let closed: number[];
-let memory: HeadMemory;
+let connections: CallerConnections;
 let sockets: FakeSocket[];
 
 beforeEach(() => {
   jest.useFakeTimers();
   closed = [];
-  memory = new HeadMemory({
-    maxBytes: MAX_BYTES,
-    onClosed: (connections) => closed.push(connections),
+  connections = new CallerConnections({
+    heapBytes: HEAP_BYTES,
+    onHeadsClosed: (count) => closed.push(count),
   });
   sockets = Array.from({ length: CONNECTIONS }, () => new FakeSocket());
-  for (const socket of sockets) memory.addConnection(asSocket(socket));
+  for (const socket of sockets) connections.add(asSocket(socket));
 });
 
 afterEach(() => {
@@ -55,7 +56,7 @@
   const requests = sockets.map((socket) => {
     const req = Object.assign(new EventEmitter(), { socket });
     const res = new EventEmitter();
-    memory.startRequest(
+    connections.track(
       req as unknown as IncomingMessage,
       res as unknown as ServerResponse,
     );
@@ -78,12 +79,18 @@
   expect(closed).toEqual([CONNECTIONS - 1]);
 });
 
-test("heads that have arrived count until their response", () => {
-  const headers = ["a", "b".repeat(MAX_HEAD_BYTES)];
-  const held = Array.from({ length: 10 }, () => memory.hold(headers));
-  expect(held.filter(Boolean)).toHaveLength(5);
-  memory.release(headers);
-  expect(memory.hold(headers)).toBe(true);
-  for (let i = 0; i < 5; i += 1) memory.release(headers);
-  expect(memory.usedBytes).toBe(0);
+test("all requests of a connection end when it closes", () => {
+  const [socket] = sockets;
+  const tracked = [1, 2].map((pipelined) => {
+    const req = Object.assign(new EventEmitter(), { socket });
+    const { signal, ...rest } = connections.track(
+      req as unknown as IncomingMessage,
+      new EventEmitter() as unknown as ServerResponse,
+    );
+    expect(rest).toEqual({ pipelined });
+    return signal;
+  });
+  expect(tracked.map((signal) => signal.aborted)).toEqual([false, false]);
+  socket?.destroy();
+  expect(tracked.map((signal) => signal.aborted)).toEqual([true, true]);
 });
--- /dev/null
+++ b/packages/gateway/src/http/caller_connections.ts
@@ -0,0 +1,152 @@
+/**
+ * The connections of callers and the requests that are in progress on each.
+ * `node:http` reads all that a caller sends before its responses, and tells only
+ * the first of several requests that the connection has closed. Heads that are
+ * still arriving are known only by the bytes on their connections; the longest are
+ * closed if all together would fill the heap, whose limit ends the process.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { getHeapStatistics } from "node:v8";
+
+/** Longest head, in bytes. */
+export const MAX_HEAD_BYTES = 64 * 1024;
+/** Part of the heap for heads that are still arriving. */
+const ARRIVING_HEAP_SHARE = 0.2;
+/** Heap for each byte of a head that is still arriving. */
+const HEAP_PER_ARRIVING_BYTE = 6;
+/** How often heads that are still arriving are measured, in milliseconds. */
+const CHECK_INTERVAL_MS = 100;
+
+/** Options of {@link CallerConnections}. */
+export interface CallerConnectionsOptions {
+  /** Heap of the process, in bytes. @default the limit of its heap */
+  heapBytes?: number;
+  /** Called with the number of connections closed for their long heads. */
+  onHeadsClosed: (connections: number) => void;
+}
+
+/** A request in progress. */
+export interface TrackedRequest {
+  /** Aborts when the response is complete or the connection has closed. */
+  signal: AbortSignal;
+  /** Requests in progress on the connection, this one included. */
+  pipelined: number;
+}
+
+/** Connections of callers. */
+export class CallerConnections {
+  readonly #options: CallerConnectionsOptions;
+  readonly #maxArrivingBytes: number;
+  readonly #connections = new Map<Socket, CallerConnection>();
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: CallerConnectionsOptions) {
+    this.#options = options;
+    const { heapBytes = getHeapStatistics().heap_size_limit } = options;
+    this.#maxArrivingBytes = ARRIVING_HEAP_SHARE * heapBytes;
+  }
+
+  /** Number of open connections. */
+  get size(): number {
+    return this.#connections.size;
+  }
+
+  /** Adds a new connection. */
+  add(socket: Socket): void {
+    const connection = new CallerConnection(socket);
+    this.#connections.set(socket, connection);
+    socket.once("close", () => {
+      this.#connections.delete(socket);
+      connection.close();
+    });
+    this.#scheduleCheck();
+  }
+
+  /** Tracks a request whose head has arrived. */
+  track(req: IncomingMessage, res: ServerResponse): TrackedRequest {
+    const connection = this.#connections.get(req.socket);
+    if (connection) return connection.track(req, res);
+    return { signal: AbortSignal.abort(), pipelined: 1 };
+  }
+
+  /** Closes every connection immediately. */
+  destroy(): void {
+    for (const socket of this.#connections.keys()) socket.destroy();
+  }
+
+  /** Few connections can't have heads that take too much. */
+  #scheduleCheck(): void {
+    const mostBytes = this.size * HEAP_PER_ARRIVING_BYTE * MAX_HEAD_BYTES;
+    if (this.#timer || mostBytes <= this.#maxArrivingBytes) return;
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      this.#closeLongestHeads();
+      this.#scheduleCheck();
+    }, CHECK_INTERVAL_MS);
+    this.#timer.unref();
+  }
+
+  /** Closes the connections with the longest heads until the others fit. */
+  #closeLongestHeads(): void {
+    const connections = [...this.#connections.values()];
+    let excessBytes = -this.#maxArrivingBytes;
+    for (const { arrivingBytes } of connections) {
+      excessBytes += HEAP_PER_ARRIVING_BYTE * arrivingBytes;
+    }
+    if (excessBytes <= 0) return;
+    connections.sort((a, b) => b.arrivingBytes - a.arrivingBytes);
+    let closed = 0;
+    for (const { socket, arrivingBytes } of connections) {
+      if (excessBytes <= 0) break;
+      excessBytes -= HEAP_PER_ARRIVING_BYTE * arrivingBytes;
+      closed += 1;
+      socket.destroy();
+    }
+    this.#options.onHeadsClosed(closed);
+  }
+}
+
+/** One connection. */
+class CallerConnection {
+  readonly socket: Socket;
+  /** Aborted when their requests are over. */
+  readonly #requests = new Set<AbortController>();
+  /** Requests and responses that aren't complete. */
+  #incomplete = 0;
+  /** Bytes that had been received before the head that arrives. */
+  #bytesBefore = 0;
+
+  constructor(socket: Socket) {
+    this.socket = socket;
+  }
+
+  /** Bytes of the head that is still arriving; 0 while a body may be. */
+  get arrivingBytes(): number {
+    return this.#incomplete > 0 ? 0 : this.socket.bytesRead - this.#bytesBefore;
+  }
+
+  track(req: IncomingMessage, res: ServerResponse): TrackedRequest {
+    const controller = new AbortController();
+    this.#requests.add(controller);
+    res.once("close", () => this.#end(controller));
+    // The rest of a body may come after the response.
+    for (const message of [req, res]) {
+      this.#incomplete += 1;
+      message.once("close", () => {
+        this.#incomplete -= 1;
+        this.#bytesBefore = this.socket.bytesRead;
+      });
+    }
+    return { signal: controller.signal, pipelined: this.#requests.size };
+  }
+
+  /** Ends all requests in progress. */
+  close(): void {
+    for (const controller of [...this.#requests]) this.#end(controller);
+  }
+
+  #end(controller: AbortController): void {
+    if (this.#requests.delete(controller)) controller.abort();
+  }
+}
--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -19,8 +19,9 @@
 } from "@sassafrascleat/runtime";
 import type { CallerLimits } from "../config/routing_table.ts";
 import { BodyFailure, readBody } from "./body_reader.ts";
-import { HeadMemory, MAX_HEAD_BYTES, MAX_HEADERS } from "./head_memory.ts";
+import { CallerConnections, MAX_HEAD_BYTES } from "./caller_connections.ts";
 import type { MemoryBudget } from "./memory_budget.ts";
+import { RequestMemory } from "./request_memory.ts";
 import { HttpResponder } from "./responder.ts";
 import { STATUS_BAD_GATEWAY, STATUS_UNAVAILABLE } from "./status.ts";
 import type { RawHeaders } from "./wire_codec.ts";
@@ -70,6 +71,13 @@
  */
 const IDLE_MARGIN_MS = 1_000;
 const BODY_TIMEOUT_MS = 20_000;
+/**
+ * Requests without a response that a connection may have. node:http reads all
+ * that a caller pipelines, however many responses are due.
+ */
+const MAX_PIPELINED_REQUESTS = 100;
+/** Number of headers that a request may have. */
+const MAX_HEADERS = 1_000;
 const STATUS_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
 
@@ -77,8 +85,8 @@
 export class Ingress {
   readonly #options: IngressOptions;
   readonly #server: Server;
-  readonly #sockets = new Set<Socket>();
-  readonly #heads: HeadMemory;
+  readonly #connections: CallerConnections;
+  readonly #requests = new RequestMemory();
   /** For requests that have not been read completely. */
   readonly #unread = new Set<HttpResponder>();
   #limits = DEFAULT_LIMITS;
@@ -86,8 +94,9 @@
 
   constructor(options: IngressOptions) {
     this.#options = options;
-    this.#heads = new HeadMemory({
-      onClosed: (connections) => options.log("heads_closed", { connections }),
+    this.#connections = new CallerConnections({
+      onHeadsClosed: (connections) =>
+        options.log("heads_closed", { connections }),
     });
     this.#server = createServer(
       {
@@ -103,11 +112,10 @@
     this.#server.maxHeadersCount = MAX_HEADERS + 1;
     const rejectUnread = () => this.#rejectUnread();
     options.exitSignal.addEventListener("abort", rejectUnread, { once: true });
-    this.#server.on("connection", (socket: Socket) => {
-      this.#sockets.add(socket);
-      this.#heads.addConnection(socket);
-      socket.once("close", () => this.#sockets.delete(socket));
-    });
+    this.#server.on(
+      "connection",
+      (socket: Socket) => this.#connections.add(socket),
+    );
   }
 
   /** Number of requests without a complete response. */
@@ -117,12 +125,12 @@
 
   /** Number of open connections from callers. */
   get connections(): number {
-    return this.#sockets.size;
+    return this.#connections.size;
   }
 
-  /** Heap for the heads of requests without a response, in bytes. */
-  get headBytes(): number {
-    return this.#heads.usedBytes;
+  /** Heap for the requests without a response, in bytes. */
+  get requestBytes(): number {
+    return this.#requests.usedBytes;
   }
 
   /** Applies the limits of a new configuration. */
@@ -173,7 +181,7 @@
   /** Stops listening and closes every connection immediately. */
   destroy(): void {
     this.#server.close();
-    for (const socket of this.#sockets) socket.destroy();
+    this.#connections.destroy();
   }
 
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -181,12 +189,13 @@
     const { closing, memory } = this.#options;
     const responder = new HttpResponder(res, closing, memory);
     const signal = this.#track(req, res);
+    if (signal.aborted || req.socket.destroyed) return;
     const headers = req.rawHeaders;
     if (!isHeadAllowed(headers, this.#limits)) {
       responder.reply(STATUS_HEADERS_TOO_LARGE, ["Connection", "close"]);
       return;
     }
-    const body = await this.#read(req, res, responder);
+    const body = await this.#read(req, responder, signal);
     if (signal.aborted) return;
     if (typeof body === "string") {
       this.#rejectBody(body, headers, responder);
@@ -207,29 +216,30 @@
     );
   }
 
-  /** Counts a request until its response; aborts when its connection closes. */
+  /** Counts a request until it is over, which the returned signal tells. */
   #track(req: IncomingMessage, res: ServerResponse): AbortSignal {
-    const controller = new AbortController();
+    const { signal, pipelined } = this.#connections.track(req, res);
+    if (signal.aborted) return signal;
     this.#inProgress += 1;
-    res.once("close", () => {
-      this.#inProgress -= 1;
-      controller.abort();
-    });
-    this.#heads.startRequest(req, res);
-    return controller.signal;
+    signal.addEventListener("abort", () => this.#inProgress -= 1);
+    if (pipelined > MAX_PIPELINED_REQUESTS) {
+      this.#options.log("pipeline_closed", { requests: pipelined });
+      req.socket.destroy();
+    }
+    return signal;
   }
 
   /** Reads the body, if there is memory for the request. */
   async #read(
     req: IncomingMessage,
-    res: ServerResponse,
     responder: HttpResponder,
+    signal: AbortSignal,
   ): Promise<Buffer | BodyFailure> {
     const headers = req.rawHeaders;
-    if (!this.#heads.hold(headers)) return BodyFailure.NoMemory;
+    if (!this.#requests.hold(headers)) return BodyFailure.NoMemory;
     const account = this.#options.memory.open();
-    res.once("close", () => {
-      this.#heads.release(headers);
+    signal.addEventListener("abort", () => {
+      this.#requests.release(headers);
       account.release();
     });
     this.#unread.add(responder);
--- /dev/null
+++ b/packages/gateway/src/http/request_memory.ts
@@ -0,0 +1,49 @@
+/**
+ * Bounds the heap that requests in progress take. A header of a few bytes becomes
+ * objects of many times its size, so that heads within their limit of bytes may
+ * fill the heap, whose limit ends the process.
+ */
+import { getHeapStatistics } from "node:v8";
+import type { RawHeaders } from "./wire_codec.ts";
+
+/** Part of the heap for requests in progress. */
+const HEAP_SHARE = 0.5;
+/** Heap for the objects of a request beside its head, in bytes. */
+const REQUEST_HEAP_BYTES = 16 * 1024;
+/** Heap for the objects of a header beside its text, in bytes. */
+const HEADER_HEAP_BYTES = 80;
+
+/** Heap for the requests in progress. */
+export class RequestMemory {
+  readonly #maxBytes: number;
+  #usedBytes = 0;
+
+  /** `heapBytes` is the heap of the process. @default the limit of its heap */
+  constructor(heapBytes = getHeapStatistics().heap_size_limit) {
+    this.#maxBytes = HEAP_SHARE * heapBytes;
+  }
+
+  /** Estimated heap in use, in bytes. */
+  get usedBytes(): number {
+    return this.#usedBytes;
+  }
+
+  /** Accounts for a request with this head; false if it doesn't fit. */
+  hold(headers: RawHeaders): boolean {
+    const usedBytes = this.#usedBytes + heapBytesOf(headers);
+    if (usedBytes > this.#maxBytes) return false;
+    this.#usedBytes = usedBytes;
+    return true;
+  }
+
+  /** Takes back what `hold` has accounted for. */
+  release(headers: RawHeaders): void {
+    this.#usedBytes -= heapBytesOf(headers);
+  }
+}
+
+function heapBytesOf(headers: RawHeaders): number {
+  const textBytes = headers.reduce((sum, text) => sum + text.length, 0);
+  const objectBytes = HEADER_HEAP_BYTES * headers.length / 2;
+  return REQUEST_HEAP_BYTES + textBytes + objectBytes;
+}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -23,8 +23,8 @@
 export interface HeldMemory {
   /** Bodies, responses and output that isn't read, in bytes. */
   peerBytes: () => number;
-  /** Heap for the heads of callers' requests, in bytes. */
-  headBytes: () => number;
+  /** Heap for the requests without a response, in bytes. */
+  requestBytes: () => number;
 }
 
 /** Creates the metrics in a separate registry. */
@@ -141,9 +141,9 @@
     held.peerBytes,
   );
   add(
-    "head_bytes",
-    "Heap for the heads of requests without a response.",
-    held.headBytes,
+    "request_heap_bytes",
+    "Estimated heap for the requests without a response.",
+    held.requestBytes,
   );
 }
 
