fix(gateway): a service without streams has no change of its default due

What callers saw: nothing that was measured; a router that checks the versions of its streams a thousand times a second and never stops, at the cost of its processor time. Cause: a change that was due for a service stayed due when a configuration took the last resumable stream from the service: only services with streams are checked, and the time to the next check was that of the change, which lay in the past, so 1 ms. Evidence: the test failed before (1 ms instead of a second). Change: what is due for other services is dropped at each check. Result: the tests of the folder pass, 22 of 22.

--- a/packages/gateway/src/versions/default_versions.ts
+++ b/packages/gateway/src/versions/default_versions.ts
@@ -79,7 +79,11 @@
   /** Makes the changes that are due. Returns the time to the next check, in ms. */
   check(): number {
     if (this.#defaults === undefined) return MAX_PAUSE_MS;
-    for (const service of this.#options.services()) this.#checkService(service);
+    const services = new Set(this.#options.services());
+    for (const service of services) this.#checkService(service);
+    for (const service of this.#dueMs.keys()) {
+      if (!services.has(service)) this.#dueMs.delete(service);
+    }
     this.#checkComplete();
     const nextMs = Math.min(...this.#dueMs.values(), this.#completeDueMs);
     const pauseMs = nextMs - this.#options.clock.now();
