--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -19,6 +19,7 @@
 } from "@sassafrascleat/runtime";
 import type { CallerLimits } from "../config/routing_table.ts";
 import { BodyFailure, readBody } from "./body_reader.ts";
+import { HeadMemory, MAX_HEAD_BYTES, MAX_HEADERS } from "./head_memory.ts";
 import type { MemoryBudget } from "./memory_budget.ts";
 import { HttpResponder } from "./responder.ts";
 import { STATUS_BAD_GATEWAY, STATUS_UNAVAILABLE } from "./status.ts";
@@ -55,8 +56,8 @@
   buildNoMemoryHeaders: (headers: RawHeaders) => RawHeaders;
 }
 
-/** Upper bound on header bytes, independent of the configured limit. */
-const MAX_HEADER_BYTES = 64 * 1024;
+/** Bytes that the request line may take beside the headers. */
+const MAX_REQUEST_LINE_BYTES = 16 * 1024;
 const DEFAULT_LIMITS: CallerLimits = {
   maxHeaderBytes: 16 * 1024,
   maxBodyBytes: 4 * 1024 * 1024,
@@ -77,6 +78,7 @@
   readonly #options: IngressOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  readonly #heads: HeadMemory;
   /** For requests that have not been read completely. */
   readonly #unread = new Set<HttpResponder>();
   #limits = DEFAULT_LIMITS;
@@ -84,9 +86,12 @@
 
   constructor(options: IngressOptions) {
     this.#options = options;
+    this.#heads = new HeadMemory({
+      onClosed: (connections) => options.log("heads_closed", { connections }),
+    });
     this.#server = createServer(
       {
-        maxHeaderSize: MAX_HEADER_BYTES,
+        maxHeaderSize: MAX_HEAD_BYTES,
         requestTimeout: BODY_TIMEOUT_MS,
         keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
         connectionsCheckingInterval: 2_000,
@@ -94,10 +99,13 @@
       },
       (req, res) => void this.#serve(req, res),
     );
+    // Beyond its count of headers, node:http leaves out the rest.
+    this.#server.maxHeadersCount = MAX_HEADERS + 1;
     const rejectUnread = () => this.#rejectUnread();
     options.exitSignal.addEventListener("abort", rejectUnread, { once: true });
     this.#server.on("connection", (socket: Socket) => {
       this.#sockets.add(socket);
+      this.#heads.addConnection(socket);
       socket.once("close", () => this.#sockets.delete(socket));
     });
   }
@@ -112,9 +120,19 @@
     return this.#sockets.size;
   }
 
+  /** Heap for the heads of requests without a response, in bytes. */
+  get headBytes(): number {
+    return this.#heads.usedBytes;
+  }
+
   /** Applies the limits of a new configuration. */
   setLimits(limits: CallerLimits): void {
     this.#limits = limits;
+    const headBytes = limits.maxHeaderBytes + MAX_REQUEST_LINE_BYTES;
+    // Read by node:http for each new connection.
+    Object.assign(this.#server, {
+      maxHeaderSize: Math.min(MAX_HEAD_BYTES, headBytes),
+    });
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
   }
@@ -161,24 +179,15 @@
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedMs = this.#options.now();
     const { closing, memory } = this.#options;
-    const controller = new AbortController();
     const responder = new HttpResponder(res, closing, memory);
-    const account = memory.open();
-    this.#inProgress += 1;
-    res.once("close", () => {
-      this.#inProgress -= 1;
-      account.release();
-      controller.abort();
-    });
+    const signal = this.#track(req, res);
     const headers = req.rawHeaders;
-    if (headerBytes(headers) > this.#limits.maxHeaderBytes) {
+    if (!isHeadAllowed(headers, this.#limits)) {
       responder.reply(STATUS_HEADERS_TOO_LARGE, ["Connection", "close"]);
       return;
     }
-    this.#unread.add(responder);
-    const body = await readBody(req, this.#limits.maxBodyBytes, account);
-    this.#unread.delete(responder);
-    if (controller.signal.aborted) return;
+    const body = await this.#read(req, res, responder);
+    if (signal.aborted) return;
     if (typeof body === "string") {
       this.#rejectBody(body, headers, responder);
       return;
@@ -190,7 +199,7 @@
       headers,
       body,
       arrivedMs,
-      signal: controller.signal,
+      signal,
       responder,
     };
     await this.#options.handler(request).catch((err) =>
@@ -198,6 +207,37 @@
     );
   }
 
+  /** Counts a request until its response; aborts when its connection closes. */
+  #track(req: IncomingMessage, res: ServerResponse): AbortSignal {
+    const controller = new AbortController();
+    this.#inProgress += 1;
+    res.once("close", () => {
+      this.#inProgress -= 1;
+      controller.abort();
+    });
+    this.#heads.startRequest(req, res);
+    return controller.signal;
+  }
+
+  /** Reads the body, if there is memory for the request. */
+  async #read(
+    req: IncomingMessage,
+    res: ServerResponse,
+    responder: HttpResponder,
+  ): Promise<Buffer | BodyFailure> {
+    const headers = req.rawHeaders;
+    if (!this.#heads.hold(headers)) return BodyFailure.NoMemory;
+    const account = this.#options.memory.open();
+    res.once("close", () => {
+      this.#heads.release(headers);
+      account.release();
+    });
+    this.#unread.add(responder);
+    const body = await readBody(req, this.#limits.maxBodyBytes, account);
+    this.#unread.delete(responder);
+    return body;
+  }
+
   #rejectBody(
     failure: BodyFailure,
     headers: RawHeaders,
@@ -232,6 +272,10 @@
   }
 }
 
-function headerBytes(headers: RawHeaders): number {
-  return headers.reduce((sum, text) => sum + text.length + 2, 0);
+function isHeadAllowed(
+  headers: RawHeaders,
+  { maxHeaderBytes }: CallerLimits,
+): boolean {
+  const bytes = headers.reduce((sum, text) => sum + text.length + 2, 0);
+  return bytes <= maxHeaderBytes && headers.length <= 2 * MAX_HEADERS;
 }
