--- /dev/null
+++ b/packages/gateway/src/http/__tests__/caller_connections_test.ts
@@ -0,0 +1,96 @@
+import { afterEach, beforeEach, expect, jest, test } from "@jest/globals";
+import { EventEmitter } from "node:events";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { CallerConnections, MAX_HEAD_BYTES } from "../caller_connections.ts";
+
+/** Connections whose heads fit, however long they are, and a few more. */
+const CONNECTIONS = 20;
+/** A fifth of it takes 64 KB of heads that arrive. */
+const HEAP_BYTES = 30 * MAX_HEAD_BYTES;
+
+class FakeSocket extends EventEmitter {
+  bytesRead = 0;
+  destroyed = false;
+
+  destroy(): void {
+    this.destroyed = true;
+    this.emit("close");
+  }
+}
+
+let closed: number[];
+let connections: CallerConnections;
+let sockets: FakeSocket[];
+
+beforeEach(() => {
+  jest.useFakeTimers();
+  closed = [];
+  connections = new CallerConnections({
+    heapBytes: HEAP_BYTES,
+    onHeadsClosed: (count) => closed.push(count),
+  });
+  sockets = Array.from({ length: CONNECTIONS }, () => new FakeSocket());
+  for (const socket of sockets) connections.add(asSocket(socket));
+});
+
+afterEach(() => {
+  jest.useRealTimers();
+});
+
+function asSocket(socket: FakeSocket): Socket {
+  return socket as unknown as Socket;
+}
+
+test("the longest of the heads that arrive are closed until the others fit", () => {
+  sockets.forEach((socket, i) => socket.bytesRead = 1_000 * i);
+  jest.advanceTimersByTime(200);
+  // 190 KB have arrived, and 64 KB fit.
+  const destroyed = sockets.map((socket) => socket.destroyed);
+  expect(destroyed.indexOf(true)).toBe(11);
+  expect(destroyed.slice(11)).not.toContain(false);
+  expect(closed).toEqual([9]);
+});
+
+test("bodies, and heads of earlier requests, are not heads that arrive", () => {
+  const requests = sockets.map((socket) => {
+    const req = Object.assign(new EventEmitter(), { socket });
+    const res = new EventEmitter();
+    connections.track(
+      req as unknown as IncomingMessage,
+      res as unknown as ServerResponse,
+    );
+    return { req, res, socket };
+  });
+  for (const { res, socket } of requests) {
+    socket.bytesRead = 1_000_000;
+    res.emit("close");
+  }
+  jest.advanceTimersByTime(200);
+  // The rest of a body is read after the response.
+  for (const { req, socket } of requests) {
+    socket.bytesRead = 2_000_000;
+    req.emit("close");
+  }
+  jest.advanceTimersByTime(200);
+  expect(closed).toEqual([]);
+  for (const socket of sockets) socket.bytesRead += MAX_HEAD_BYTES;
+  jest.advanceTimersByTime(200);
+  expect(closed).toEqual([CONNECTIONS - 1]);
+});
+
+test("all requests of a connection end when it closes", () => {
+  const [socket] = sockets;
+  const tracked = [1, 2].map((pipelined) => {
+    const req = Object.assign(new EventEmitter(), { socket });
+    const { signal, ...rest } = connections.track(
+      req as unknown as IncomingMessage,
+      new EventEmitter() as unknown as ServerResponse,
+    );
+    expect(rest).toEqual({ pipelined });
+    return signal;
+  });
+  expect(tracked.map((signal) => signal.aborted)).toEqual([false, false]);
+  socket?.destroy();
+  expect(tracked.map((signal) => signal.aborted)).toEqual([true, true]);
+});
--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -19,7 +19,9 @@
 } from "@sassafrascleat/runtime";
 import type { CallerLimits } from "../config/routing_table.ts";
 import { BodyFailure, readBody } from "./body_reader.ts";
+import { CallerConnections, MAX_HEAD_BYTES } from "./caller_connections.ts";
 import type { MemoryBudget } from "./memory_budget.ts";
+import { RequestMemory } from "./request_memory.ts";
 import { HttpResponder } from "./responder.ts";
 import { STATUS_BAD_GATEWAY, STATUS_UNAVAILABLE } from "./status.ts";
 import type { RawHeaders } from "./wire_codec.ts";
@@ -55,8 +57,8 @@
   buildNoMemoryHeaders: (headers: RawHeaders) => RawHeaders;
 }
 
-/** Upper bound on header bytes, independent of the configured limit. */
-const MAX_HEADER_BYTES = 64 * 1024;
+/** Bytes that the request line may take beside the headers. */
+const MAX_REQUEST_LINE_BYTES = 16 * 1024;
 const DEFAULT_LIMITS: CallerLimits = {
   maxHeaderBytes: 16 * 1024,
   maxBodyBytes: 4 * 1024 * 1024,
@@ -69,6 +71,13 @@
  */
 const IDLE_MARGIN_MS = 1_000;
 const BODY_TIMEOUT_MS = 20_000;
+/**
+ * Requests without a response that a connection may have. node:http reads all
+ * that a caller pipelines, however many responses are due.
+ */
+const MAX_PIPELINED_REQUESTS = 100;
+/** Number of headers that a request may have. */
+const MAX_HEADERS = 1_000;
 const STATUS_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
 
@@ -76,7 +85,8 @@
 export class Ingress {
   readonly #options: IngressOptions;
   readonly #server: Server;
-  readonly #sockets = new Set<Socket>();
+  readonly #connections: CallerConnections;
+  readonly #requests = new RequestMemory();
   /** For requests that have not been read completely. */
   readonly #unread = new Set<HttpResponder>();
   #limits = DEFAULT_LIMITS;
@@ -84,9 +94,13 @@
 
   constructor(options: IngressOptions) {
     this.#options = options;
+    this.#connections = new CallerConnections({
+      onHeadsClosed: (connections) =>
+        options.log("heads_closed", { connections }),
+    });
     this.#server = createServer(
       {
-        maxHeaderSize: MAX_HEADER_BYTES,
+        maxHeaderSize: MAX_HEAD_BYTES,
         requestTimeout: BODY_TIMEOUT_MS,
         keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
         connectionsCheckingInterval: 2_000,
@@ -94,12 +108,14 @@
       },
       (req, res) => void this.#serve(req, res),
     );
+    // Beyond its count of headers, node:http leaves out the rest.
+    this.#server.maxHeadersCount = MAX_HEADERS + 1;
     const rejectUnread = () => this.#rejectUnread();
     options.exitSignal.addEventListener("abort", rejectUnread, { once: true });
-    this.#server.on("connection", (socket: Socket) => {
-      this.#sockets.add(socket);
-      socket.once("close", () => this.#sockets.delete(socket));
-    });
+    this.#server.on(
+      "connection",
+      (socket: Socket) => this.#connections.add(socket),
+    );
   }
 
   /** Number of requests without a complete response. */
@@ -109,12 +125,22 @@
 
   /** Number of open connections from callers. */
   get connections(): number {
-    return this.#sockets.size;
+    return this.#connections.size;
+  }
+
+  /** Heap for the requests without a response, in bytes. */
+  get requestBytes(): number {
+    return this.#requests.usedBytes;
   }
 
   /** Applies the limits of a new configuration. */
   setLimits(limits: CallerLimits): void {
     this.#limits = limits;
+    const headBytes = limits.maxHeaderBytes + MAX_REQUEST_LINE_BYTES;
+    // Read by node:http for each new connection.
+    Object.assign(this.#server, {
+      maxHeaderSize: Math.min(MAX_HEAD_BYTES, headBytes),
+    });
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
   }
@@ -155,30 +181,22 @@
   /** Stops listening and closes every connection immediately. */
   destroy(): void {
     this.#server.close();
-    for (const socket of this.#sockets) socket.destroy();
+    this.#connections.destroy();
   }
 
   async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedMs = this.#options.now();
     const { closing, memory } = this.#options;
-    const controller = new AbortController();
     const responder = new HttpResponder(res, closing, memory);
-    const account = memory.open();
-    this.#inProgress += 1;
-    res.once("close", () => {
-      this.#inProgress -= 1;
-      account.release();
-      controller.abort();
-    });
+    const signal = this.#track(req, res);
+    if (signal.aborted || req.socket.destroyed) return;
     const headers = req.rawHeaders;
-    if (headerBytes(headers) > this.#limits.maxHeaderBytes) {
+    if (!isHeadAllowed(headers, this.#limits)) {
       responder.reply(STATUS_HEADERS_TOO_LARGE, ["Connection", "close"]);
       return;
     }
-    this.#unread.add(responder);
-    const body = await readBody(req, this.#limits.maxBodyBytes, account);
-    this.#unread.delete(responder);
-    if (controller.signal.aborted) return;
+    const body = await this.#read(req, responder, signal);
+    if (signal.aborted) return;
     if (typeof body === "string") {
       this.#rejectBody(body, headers, responder);
       return;
@@ -190,7 +208,7 @@
       headers,
       body,
       arrivedMs,
-      signal: controller.signal,
+      signal,
       responder,
     };
     await this.#options.handler(request).catch((err) =>
@@ -198,6 +216,38 @@
     );
   }
 
+  /** Counts a request until it is over, which the returned signal tells. */
+  #track(req: IncomingMessage, res: ServerResponse): AbortSignal {
+    const { signal, pipelined } = this.#connections.track(req, res);
+    if (signal.aborted) return signal;
+    this.#inProgress += 1;
+    signal.addEventListener("abort", () => this.#inProgress -= 1);
+    if (pipelined > MAX_PIPELINED_REQUESTS) {
+      this.#options.log("pipeline_closed", { requests: pipelined });
+      req.socket.destroy();
+    }
+    return signal;
+  }
+
+  /** Reads the body, if there is memory for the request. */
+  async #read(
+    req: IncomingMessage,
+    responder: HttpResponder,
+    signal: AbortSignal,
+  ): Promise<Buffer | BodyFailure> {
+    const headers = req.rawHeaders;
+    if (!this.#requests.hold(headers)) return BodyFailure.NoMemory;
+    const account = this.#options.memory.open();
+    signal.addEventListener("abort", () => {
+      this.#requests.release(headers);
+      account.release();
+    });
+    this.#unread.add(responder);
+    const body = await readBody(req, this.#limits.maxBodyBytes, account);
+    this.#unread.delete(responder);
+    return body;
+  }
+
   #rejectBody(
     failure: BodyFailure,
     headers: RawHeaders,
@@ -232,6 +282,10 @@
   }
 }
 
-function headerBytes(headers: RawHeaders): number {
-  return headers.reduce((sum, text) => sum + text.length + 2, 0);
+function isHeadAllowed(
+  headers: RawHeaders,
+  { maxHeaderBytes }: CallerLimits,
+): boolean {
+  const bytes = headers.reduce((sum, text) => sum + text.length + 2, 0);
+  return bytes <= maxHeaderBytes && headers.length <= 2 * MAX_HEADERS;
 }
