--- a/packages/runtime/src/__tests__/runtime_test.ts
+++ b/packages/runtime/src/__tests__/runtime_test.ts
@@ -6,8 +6,10 @@
   createRandom,
   deadlineSignal,
   formatEvent,
+  keepRunning,
   Mailbox,
   matchSecret,
+  MAX_TIMER_MS,
   rankCandidates,
   Secret,
   sleep,
@@ -106,3 +108,30 @@
     expect(signal.aborted).toBe(true);
   });
 });
+
+// Timers fire after 1 ms if their delay is longer than they can have.
+test.each([MAX_TIMER_MS + 1, 1e300, Infinity])(
+  "sleep(%d) waits",
+  async (ms) => {
+    const end = new AbortController();
+    const sleeping = sleep(ms, end.signal).then(() => "slept");
+    expect(await Promise.race([sleeping, sleep(20).then(() => "waits")])).toBe(
+      "waits",
+    );
+    end.abort();
+    await sleeping;
+  },
+);
+
+test("a task that throws is logged and runs again", async () => {
+  const end = new AbortController();
+  const events: string[] = [];
+  let runs = 0;
+  const run = () => {
+    runs += 1;
+    return runs === 1 ? Promise.reject(new Error("odd")) : Promise.resolve();
+  };
+  const log = (event: string) => events.push(event);
+  await keepRunning({ name: "task", log, signal: end.signal, run });
+  expect([runs, events]).toEqual([2, ["task_failed"]]);
+});
