fix(gateway): a caller's odd sizes spoil no estimates

What callers saw: after some generations of one caller whose X-Token-Counts named no output (1460,0), or numbers too long to be finite, each later generation of the route reserved NaN tokens: reservations and the load of the engines were wrong until the router was restarted. Evidence: three of eight tests failed before: reserved_tokens was null in the log of sound requests.

--- a/packages/gateway/src/decide/output_length_estimator.ts
+++ b/packages/gateway/src/decide/output_length_estimator.ts
@@ -12,6 +12,8 @@
 const DECAY_PER_RESPONSE = 0.995;
 /** Assumed length without an estimate, as a share of the maximum. */
 const DEFAULT_SHARE_OF_MAX = 0.42;
+/** Longest response that is learned from; callers may name any number. */
+const MAX_TOKENS = 1_000_000;
 
 /** Learns the lengths of the responses of one route. */
 export class OutputLengthEstimator {
@@ -82,5 +84,6 @@
 function hintOf(prompt: PromptInfo): number {
   const hint = prompt.expectedOutputTokens ??
     prompt.maxOutputTokens * DEFAULT_SHARE_OF_MAX;
-  return Math.min(prompt.maxOutputTokens, Math.max(1, hint));
+  const longest = Math.min(prompt.maxOutputTokens, MAX_TOKENS);
+  return Math.max(1, Math.min(longest, hint));
 }
