fix(bundle): a process that starts meanwhile finds whole files

Tests bundle the program beside others that start it, and a build may run while a process is restarted: it may read half of a file. Change: each file is written beside its place and renamed.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,6 +4,8 @@
  * code.
  */
 import { build } from "esbuild";
+import { mkdirSync, renameSync, writeFileSync } from "node:fs";
+import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 
 const ASSERT = fileURLToPath(new URL("assert.cjs", import.meta.url));
@@ -22,7 +24,8 @@
   },
 };
 
-await build({
+const { outputFiles } = await build({
+  write: false,
   entryPoints: ["platform/src/main.ts"],
   outdir: "target",
   outExtension: { ".js": ".mjs" },
@@ -48,3 +51,11 @@
       'import{createRequire as r}from"node:module";const require=r(import.meta.url);',
   },
 });
+
+// A process that starts meanwhile finds whole files.
+for (const { path, contents } of outputFiles) {
+  const unfinished = `${path}.${process.pid}`;
+  mkdirSync(dirname(path), { recursive: true });
+  writeFileSync(unfinished, contents);
+  renameSync(unfinished, path);
+}
