fix(runtime): a port out of range leaves no listeners behind

What operators saw: nothing yet; found by review. settings accept ':99999' for metrics; listen() throws there, and each attempt left two listeners on the server. Change: they are removed after every attempt. The test in listen_test was not run before the change.

--- a/packages/runtime/src/__tests__/listen_test.ts
+++ b/packages/runtime/src/__tests__/listen_test.ts
@@ -59,3 +59,9 @@
   expect(performance.now() - startMs).toBeGreaterThan(HELD_MS);
   expect(portOf(server)).toBe(otherPorts[1]);
 });
+
+test("attempts at a port out of range leave no listeners", async () => {
+  const signal = AbortSignal.timeout(HELD_MS);
+  await listenWhenFree(server, { ...options, port: 99_999, signal });
+  expect(server.listenerCount("error")).toBe(0);
+});
--- a/packages/runtime/src/listen.ts
+++ b/packages/runtime/src/listen.ts
@@ -36,17 +36,26 @@
   port: number,
 ): Promise<void> {
   return new Promise((resolve, reject) => {
-    const onListening = () => {
+    const removeListeners = () => {
       server.off("error", onError);
+      server.off("listening", onListening);
+    };
+    const onListening = () => {
+      removeListeners();
       resolve();
     };
-    const onError = (err: Error) => {
-      server.off("listening", onListening);
+    const onError = (err: unknown) => {
+      removeListeners();
       reject(err);
     };
     server.once("error", onError);
     server.once("listening", onListening);
-    server.listen(port, host);
+    try {
+      server.listen(port, host);
+    } catch (err) {
+      // The port is out of range.
+      onError(err);
+    }
   });
 }
 
