fix(gateway): long ids of prompt parts don't fill the heap

What callers saw: a router that is aborted by V8 (FAULT). Cause: the quarantine remembers 8,192 keys of requests that ran, whatever their length; a key has the id of a prompt part, up to the limit of a head. Change: ids of more than 64 characters are hashed in keys.

--- a/packages/gateway/src/quarantine/request_keys.ts
+++ b/packages/gateway/src/quarantine/request_keys.ts
@@ -17,8 +17,10 @@
   promptParts: readonly PromptPart[];
 }
 
-/** Length of the hash of a request, in bytes. */
+/** Length of the hash of a request or of a long id, in bytes. */
 const HASH_BYTES = 12;
+/** Longer ids are hashed, since thousands of keys are remembered. */
+const MAX_ID_LENGTH = 64;
 
 /**
  * Keys of one request, computed when they are first needed. They name the
@@ -40,16 +42,19 @@
 }
 
 function wholeKey({ service, method, host, target, body }: KeyedRequest) {
-  const hash = createHash("sha256")
-    .update(`${method}\n${host.toLowerCase()}\n${target}\n`)
-    .update(body)
-    .digest()
-    .subarray(0, HASH_BYTES)
-    .toString("hex");
-  return `${service}#${hash}`;
+  const head = `${method}\n${host.toLowerCase()}\n${target}\n`;
+  return `${service}#${hashOf(head, body)}`;
 }
 
 /** Keys of the prompt parts, without the last one, which only it has. */
 function partKeys({ service, promptParts }: KeyedRequest): string[] {
-  return promptParts.slice(0, -1).map((part) => `${service}/${part.id}`);
+  return promptParts.slice(0, -1).map(({ id }) =>
+    id.length > MAX_ID_LENGTH ? `${service}/#${hashOf(id)}` : `${service}/${id}`
+  );
+}
+
+function hashOf(...parts: (string | Buffer)[]): string {
+  const hash = createHash("sha256");
+  for (const part of parts) hash.update(part);
+  return hash.digest().subarray(0, HASH_BYTES).toString("hex");
 }
