fix(gateway): long ids of streams don't fill the heap

What callers saw: a router that is aborted by V8 (FAULT). Cause: the versions of 65,536 streams are remembered by their ids, whatever their length, in two maps. Evidence: streams one after another with ids of 15 KB each ended the process (SIGABRT after 6,407 of 9,500; the same test in a trial file). Measured: the test passes; so do those of versions (121 with those beside them).

--- a/packages/gateway/src/versions/recent_streams.ts
+++ b/packages/gateway/src/versions/recent_streams.ts
@@ -24,14 +24,23 @@
 
 /** Most streams that are remembered. */
 const MAX_STREAMS = 65_536;
+/** Longest text of all their ids together, which callers choose. */
+const MAX_ID_CHARACTERS = 4 * 1024 * 1024;
+
+/** Limits of a map by the ids of streams. */
+export const STREAM_MAP_LIMITS = {
+  max: MAX_STREAMS,
+  maxSize: MAX_ID_CHARACTERS,
+  sizeCalculation: (_value: unknown, id: string) => Math.max(1, id.length),
+};
 
 /** Remembers the streams of one router until they can't be resumed. */
 export class RecentStreams {
   readonly #clock: Clock;
   readonly #retainMs: number;
-  readonly #streams = new LRUCache<string, RememberedStream>({
-    max: MAX_STREAMS,
-  });
+  readonly #streams = new LRUCache<string, RememberedStream>(
+    STREAM_MAP_LIMITS,
+  );
 
   /** `retainMs` is how long a stream can be resumed, in milliseconds. */
   constructor(clock: Clock, retainMs: number) {
--- a/packages/gateway/src/versions/version_records.ts
+++ b/packages/gateway/src/versions/version_records.ts
@@ -11,6 +11,7 @@
   type Logger,
 } from "@sassafrascleat/runtime";
 import { LRUCache } from "lru-cache";
+import { STREAM_MAP_LIMITS } from "./recent_streams.ts";
 import {
   type RecordedVersion,
   RecordLookup,
@@ -26,8 +27,6 @@
   retainMs: number;
 }
 
-/** Most streams whose version is remembered. */
-const MAX_STREAMS = 65_536;
 /** Longest call to the log, in milliseconds. */
 const MAX_CALL_MS = 700;
 /** Failed writes in a row after which the log counts as failing. */
@@ -39,7 +38,7 @@
 export class VersionRecords {
   readonly #options: VersionRecordsOptions;
   /** Versions of streams that this router forwarded events of. */
-  readonly #seen = new LRUCache<string, string>({ max: MAX_STREAMS });
+  readonly #seen = new LRUCache<string, string>(STREAM_MAP_LIMITS);
   /** Deletions of records of interrupted streams. */
   readonly #deletions = new Map<string, ReturnType<typeof setTimeout>>();
   /** Failed writes since the last successful one. */
