fix(platform): an address that isn't bound yet is corrected by a later file

What operators saw: a router that doesn't start (FAULT): its first settings have an address that isn't the host's, the file is made right, and it goes on trying the old one. Cause: the file was read again only once all addresses were bound, and addresses were never taken from it. Change: the file is read while the router tries, and listeners that aren't bound take their address from it at each attempt.

--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -14,6 +14,7 @@
 import {
   errorMessage,
   listen,
+  type ListenAddress,
   listenWhenFree,
   type Logger,
 } from "@sassafrascleat/runtime";
@@ -152,12 +153,11 @@
 
   /** Starts listening as soon as the address can be bound. */
   listenWhenFree(
-    host: string,
-    port: number,
+    address: () => ListenAddress,
     signal: AbortSignal,
   ): Promise<void> {
     const { log } = this.#options;
-    const options = { host, port, name: "callers", log, signal };
+    const options = { address, name: "callers", log, signal };
     return listenWhenFree(this.#server, options);
   }
 
--- a/packages/runtime/src/__tests__/listen_test.ts
+++ b/packages/runtime/src/__tests__/listen_test.ts
@@ -11,15 +11,16 @@
 let server: Server;
 let lines: LogFields[];
 let options: ListenOptions;
+let port: number;
 
 beforeEach(async () => {
   holder = createServer().listen(0, "127.0.0.1");
   server = createServer();
   await once(holder, "listening");
   lines = [];
+  port = portOf(holder);
   options = {
-    host: "127.0.0.1",
-    port: portOf(holder),
+    address: () => ({ host: "127.0.0.1", port }),
     name: "metrics",
     log: (event, fields) => lines.push({ event, ...fields }),
   };
@@ -39,7 +40,7 @@
   await sleep(HELD_MS);
   holder.close();
   await listening;
-  expect(portOf(server)).toBe(options.port);
+  expect(portOf(server)).toBe(port);
   expect(lines.map((it) => it["event"])).toEqual([
     "address_not_bound",
     "listening",
@@ -50,7 +51,7 @@
 test("another port is taken if an address stays held", async () => {
   const free = createServer().listen(0, "127.0.0.1");
   await once(free, "listening");
-  const otherPorts = [options.port, portOf(free)];
+  const otherPorts = [port, portOf(free)];
   free.close();
   await once(free, "close");
   const startMs = performance.now();
@@ -62,6 +63,7 @@
 
 test("attempts at a port out of range leave no listeners", async () => {
   const signal = AbortSignal.timeout(HELD_MS);
-  await listenWhenFree(server, { ...options, port: 99_999, signal });
+  port = 99_999;
+  await listenWhenFree(server, { ...options, signal });
   expect(server.listenerCount("error")).toBe(0);
 });
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,7 +7,12 @@
   type EventLogOptions,
 } from "./event_log.ts";
 export { keepRunning, type KeepRunningOptions } from "./keep_running.ts";
-export { listen, type ListenOptions, listenWhenFree } from "./listen.ts";
+export {
+  listen,
+  type ListenAddress,
+  type ListenOptions,
+  listenWhenFree,
+} from "./listen.ts";
 export { baseUrlOf } from "./listener_address.ts";
 export { rankCandidates, rendezvousRank } from "./hash.ts";
 export {
--- a/packages/runtime/src/listen.ts
+++ b/packages/runtime/src/listen.ts
@@ -8,10 +8,16 @@
 import type { Logger } from "./log.ts";
 import { retryUntilDone } from "./retry.ts";
 
-/** Where a server listens. */
-export interface ListenOptions {
+/** Host and port of a listener. */
+export interface ListenAddress {
   host: string;
   port: number;
+}
+
+/** Where a server listens. */
+export interface ListenOptions {
+  /** The wanted address. Asked at each attempt, as it may be corrected. */
+  address: () => ListenAddress;
   /** What the listener is for, in logs. */
   name: string;
   log: Logger;
@@ -62,13 +68,14 @@
 /** Makes a server listen as soon as its address can be bound. */
 export async function listenWhenFree(
   server: Server,
-  { host, port, name, log, signal, ...rest }: ListenOptions,
+  { address, name, log, signal, ...rest }: ListenOptions,
 ): Promise<void> {
   const { otherPorts = [], otherPortsAfterMs = OTHER_PORTS_AFTER_MS } = rest;
   const startMs = systemClock.now();
   const result = await retryUntilDone(async () => {
     const waitedMs = systemClock.now() - startMs;
     const isLate = waitedMs >= otherPortsAfterMs;
+    const { host, port } = address();
     return await listenAtOne(server, host, [
       port,
       ...(isLate ? otherPorts : []),
@@ -78,7 +85,7 @@
     onFailure: ({ message, attempts, waitedMs }) =>
       log("address_not_bound", {
         listener: name,
-        port,
+        port: address().port,
         message,
         attempts,
         waited_ms: waitedMs,
@@ -86,7 +93,8 @@
   });
   if (!result || result.attempts === 1) return;
   const { value, attempts } = result;
-  log("listening", { listener: name, port: value, wanted: port, attempts });
+  const { port: wanted } = address();
+  log("listening", { listener: name, port: value, wanted, attempts });
 }
 
 /** Binds the first port that is free; throws the error of the first if none is. */
