--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -39,6 +39,7 @@
   aborted,
   childAbortController,
   deadlineSignal,
+  MAX_DURATION_MS,
   MAX_TIMER_MS,
   runPeriodically,
   sleep,
--- a/packages/runtime/src/wait.ts
+++ b/packages/runtime/src/wait.ts
@@ -18,6 +18,11 @@
  * fire at once.
  */
 export const MAX_TIMER_MS = 2 ** 31 - 1;
+/**
+ * Longest duration that settings and configurations may name, in milliseconds;
+ * the sum of several still fits a timer.
+ */
+export const MAX_DURATION_MS = 24 * 60 * 60 * 1_000;
 
 /** Resolves after `ms`, or as soon as `signal` aborts. */
 export function sleep(ms: number, signal?: AbortSignal): Promise<void> {
