fix(bundle): packages of another version fail the build, not the start

What operators saw: the build succeeds and the router ends at each start (FAULT): start_failed, 'LRUCache is not a constructor'. Cause: where the folder of packages of a workspace isn't carried over and the root's is, the bundler takes an older version from the root, which another package needs. Change: the versions of the packages are checked before bundling. A mismatch fails it, so that the build line installs them and is tried again.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -7,6 +7,7 @@
 import { mkdirSync, renameSync, writeFileSync } from "node:fs";
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
+import { checkPackages } from "./check_packages.mjs";
 
 const ASSERT = fileURLToPath(new URL("assert.cjs", import.meta.url));
 
@@ -24,6 +25,8 @@
   },
 };
 
+checkPackages(".", ["packages/runtime", "packages/gateway", "platform"]);
+
 const { outputFiles } = await build({
   write: false,
   entryPoints: ["platform/src/main.ts"],
