--- a/packages/gateway/src/http/__tests__/caller_connections_test.ts
+++ b/packages/gateway/src/http/__tests__/caller_connections_test.ts
@@ -2,12 +2,15 @@
 import { EventEmitter } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { CallerConnections, MAX_HEAD_BYTES } from "../caller_connections.ts";
+import {
+  CallerConnections,
+  MAX_REQUEST_HEAD_BYTES,
+} from "../caller_connections.ts";
 
 /** Connections whose heads fit, however long they are, and a few more. */
 const CONNECTIONS = 20;
 /** A fifth of it takes 64 KB of heads that arrive. */
-const HEAP_BYTES = 30 * MAX_HEAD_BYTES;
+const HEAP_BYTES = 30 * MAX_REQUEST_HEAD_BYTES;
 
 class FakeSocket extends EventEmitter {
   bytesRead = 0;
@@ -74,7 +77,7 @@
   }
   jest.advanceTimersByTime(200);
   expect(closed).toEqual([]);
-  for (const socket of sockets) socket.bytesRead += MAX_HEAD_BYTES;
+  for (const socket of sockets) socket.bytesRead += MAX_REQUEST_HEAD_BYTES;
   jest.advanceTimersByTime(200);
   expect(closed).toEqual([CONNECTIONS - 1]);
 });
--- a/packages/gateway/src/http/caller_connections.ts
+++ b/packages/gateway/src/http/caller_connections.ts
@@ -9,8 +9,8 @@
 import type { Socket } from "node:net";
 import { getHeapStatistics } from "node:v8";
 
-/** Longest head, in bytes. */
-export const MAX_HEAD_BYTES = 64 * 1024;
+/** Longest head of a request, in bytes. */
+export const MAX_REQUEST_HEAD_BYTES = 64 * 1024;
 /** Part of the heap for heads that are still arriving. */
 const ARRIVING_HEAP_SHARE = 0.2;
 /** Heap for each byte of a head that is still arriving. */
@@ -77,7 +77,8 @@
 
   /** Few connections can't have heads that take too much. */
   #scheduleCheck(): void {
-    const mostBytes = this.size * HEAP_PER_ARRIVING_BYTE * MAX_HEAD_BYTES;
+    const mostBytes = this.size * HEAP_PER_ARRIVING_BYTE *
+      MAX_REQUEST_HEAD_BYTES;
     if (this.#timer || mostBytes <= this.#maxArrivingBytes) return;
     this.#timer = setTimeout(() => {
       this.#timer = undefined;
--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -20,7 +20,10 @@
 } from "@sassafrascleat/runtime";
 import type { CallerLimits } from "../config/routing_table.ts";
 import { BodyFailure, readBody } from "./body_reader.ts";
-import { CallerConnections, MAX_HEAD_BYTES } from "./caller_connections.ts";
+import {
+  CallerConnections,
+  MAX_REQUEST_HEAD_BYTES,
+} from "./caller_connections.ts";
 import type { MemoryBudget } from "./memory_budget.ts";
 import { RequestMemory } from "./request_memory.ts";
 import { HttpResponder } from "./responder.ts";
@@ -101,7 +104,7 @@
     });
     this.#server = createServer(
       {
-        maxHeaderSize: MAX_HEAD_BYTES,
+        maxHeaderSize: MAX_REQUEST_HEAD_BYTES,
         requestTimeout: BODY_TIMEOUT_MS,
         keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs + IDLE_MARGIN_MS,
         connectionsCheckingInterval: 2_000,
@@ -140,7 +143,7 @@
     const headBytes = limits.maxHeaderBytes + MAX_REQUEST_LINE_BYTES;
     // Read by node:http for each new connection.
     Object.assign(this.#server, {
-      maxHeaderSize: Math.min(MAX_HEAD_BYTES, headBytes),
+      maxHeaderSize: Math.min(MAX_REQUEST_HEAD_BYTES, headBytes),
     });
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
--- a/packages/runtime/src/event_log.ts
+++ b/packages/runtime/src/event_log.ts
@@ -1,9 +1,9 @@
 /**
  * Structured logs on standard output: one line of key=value pairs per event.
  * `sonic-boom` writes the lines asynchronously; if the reader is too slow, lines
- * are dropped and the process is not blocked, not at its exit either. The number of lines per second is
- * limited for each kind of event, and suppressed lines are counted and reported
- * in a `log_suppressed` event.
+ * are dropped and the process is not blocked, not at its exit either. The number
+ * of lines per second is limited for each kind of event, and suppressed lines are
+ * counted and reported in a `log_suppressed` event.
  */
 import { fstatSync } from "node:fs";
 import { Socket } from "node:net";
