fix(gateway): a run that begins at a silent draining engine goes on

The router knew where the memory was, but was past the 1.9 s in which a draining engine may be sent requests. The time went into a pause of 300 ms after a first copy that got 404, as the run had not begun; a copy for a second engine after the stream was cut, 20 to 100 ms; and the pause after it.

- A search follows at once when the run begins.
- A stream that is cut ends the search and a copy in progress.
- With one event, or several at once, the speed of a run isn't known, and was taken for infinite: such runs weren't worth a move and stayed until their engine ended.
- A run that isn't worth a move is looked at again, rather than given up: its engine may have stopped it at a copy before.

--- a/packages/gateway/src/runs/generation.ts
+++ b/packages/gateway/src/runs/generation.ts
@@ -58,12 +58,16 @@
     return this.prompt.promptTokens + output;
   }
 
-  /** Expected time until the generation completes, in milliseconds. */
+  /**
+   * Expected time until the generation completes, in milliseconds; Infinity
+   * while its speed isn't known.
+   */
   remainingMs(): number {
     const { events, firstEventAtMs, lastEventAtMs } = this.progress;
     if (firstEventAtMs === undefined || lastEventAtMs === undefined) {
       return Infinity;
     }
+    if (lastEventAtMs === firstEventAtMs) return Infinity;
     const gaps = Math.max(1, events - 1);
     const gapMs = (lastEventAtMs - firstEventAtMs) / gaps;
     const expectedEvents = this.expectedTokens / this.capacity.tokensPerEvent;
--- a/packages/gateway/src/runs/pending_move.ts
+++ b/packages/gateway/src/runs/pending_move.ts
@@ -16,6 +16,8 @@
 export interface MoveSignals {
   /** Aborts when the move is given up. */
   cancelled: AbortSignal;
+  /** Aborts when the engine has sent the first event of the run. */
+  begun: AbortSignal;
   /** Aborts when the stream of the run has been cut off. */
   cut: AbortSignal;
 }
@@ -29,10 +31,11 @@
   readonly #cut = new AbortController();
   readonly #result: Promise<MovedRun | undefined>;
 
-  constructor(task: MoveTask, signal: AbortSignal) {
+  constructor(task: MoveTask, begun: AbortSignal, signal: AbortSignal) {
     this.#cancelled = childAbortController(signal);
     this.#result = task({
       cancelled: this.#cancelled.signal,
+      begun,
       cut: this.#cut.signal,
     });
   }
--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -62,7 +62,7 @@
 
 /**
  * Moves a run that would not end in time at a draining engine. Returns undefined
- * if the run stays there or its state is unknown.
+ * if the run has ended there or its state is unknown.
  */
 export function moveFromDrainingEngine(
   ctx: RunContext,
@@ -113,22 +113,28 @@
   /** Searches for room until the run has moved or has ended. */
   async #search(): Promise<MovedRun | undefined> {
     const { cancelled, cut } = this.#signals;
-    while (!cancelled.aborted) {
-      if (!this.#isWorthMoving()) return undefined;
-      const targets = this.#mayContinue() ? this.#targets() : [];
-      for (const target of targets) {
-        // Others that leave the engine see this one on its way.
-        const release = this.#place(target);
-        const copy = await this.#copyTo(target);
-        if (copy.end === CopyEnd.Copied) {
-          return await this.#stopAt(target, copy, release);
-        }
-        release();
-        this.#kept = copy.source ?? this.#kept;
-        if (copy.end === CopyEnd.Failed) break;
+    while (!cancelled.aborted && !cut.aborted) {
+      const moved = await this.#tryTargets();
+      if (moved) return moved;
+      await this.#untilNextSearch();
+    }
+    return cancelled.aborted ? undefined : this.#goBack();
+  }
+
+  /** Asks engines for room; undefined if the run stays at its engine so far. */
+  async #tryTargets(): Promise<MovedRun | undefined> {
+    const { cut } = this.#signals;
+    if (!this.#isWorthMoving() || !this.#mayContinue()) return undefined;
+    for (const target of this.#targets()) {
+      // Others that leave the engine see this one on its way.
+      const release = this.#place(target);
+      const copy = await this.#copyTo(target);
+      if (copy.end === CopyEnd.Copied) {
+        return await this.#stopAt(target, copy, release);
       }
-      await this.#pause(SEARCH_INTERVAL_MS);
-      if (cut.aborted) return this.#goBack();
+      release();
+      this.#kept = copy.source ?? this.#kept;
+      if (copy.end === CopyEnd.Failed || cut.aborted) return undefined;
     }
     return undefined;
   }
@@ -160,12 +166,14 @@
   }
 
   async #copyTo(target: Backend): Promise<CopyResult> {
+    const ended = this.#kept ? this.#untilEnded() : undefined;
     const copy = await this.#ctx.engines.copyRun(
       this.#engine,
       this.#req.metadata.requestId,
       target,
-      this.#signals.cancelled,
+      ended?.signal ?? this.#signals.cancelled,
     );
+    ended?.abort();
     if (copy.end !== CopyEnd.Copied) this.#log(target, copy);
     return copy;
   }
@@ -242,15 +250,28 @@
 
   /** Waits until the stream ends, or for `ms`. */
   async #pause(ms: number): Promise<void> {
-    const ended = childAbortController(this.#signals.cancelled);
-    const onCut = () => ended.abort();
-    const { cut } = this.#signals;
-    if (cut.aborted) onCut();
-    cut.addEventListener("abort", onCut, { signal: ended.signal });
+    const ended = this.#untilEnded();
     await sleep(ms, ended.signal);
     ended.abort();
   }
 
+  /** An engine may know a run only once it has begun. */
+  async #untilNextSearch(): Promise<void> {
+    const { begun } = this.#signals;
+    const waiting = this.#untilEnded();
+    if (!begun.aborted) abortWith(begun, waiting);
+    await sleep(SEARCH_INTERVAL_MS, waiting.signal);
+    waiting.abort();
+  }
+
+  /** Its signal aborts when the stream has ended; the caller aborts it too. */
+  #untilEnded(): AbortController {
+    const { cancelled, cut } = this.#signals;
+    const ended = childAbortController(cancelled);
+    abortWith(cut, ended);
+    return ended;
+  }
+
   #log(target: Backend, { end, message }: CopyResult | MoveResult): void {
     this.#ctx.log("run_moved", {
       req: this.#req.metadata.requestId,
@@ -263,3 +284,10 @@
     });
   }
 }
+
+/** Aborts `controller` when `signal` aborts. */
+function abortWith(signal: AbortSignal, controller: AbortController): void {
+  if (signal.aborted) return controller.abort();
+  const onAbort = () => controller.abort();
+  signal.addEventListener("abort", onAbort, { signal: controller.signal });
+}
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -185,11 +185,12 @@
       resumes: req.metadata.resumedRequestId,
       config: req.configVersion,
     });
+    const begun = new AbortController();
     const unwatch = watchEngine(ctx, reservation.engine, () => {
       const { engine } = reservation;
       const move = (signals: MoveSignals) =>
         moveFromDrainingEngine(ctx, req, this.#generation, engine, signals);
-      this.#pendingMove ??= new PendingMove(move, signal);
+      this.#pendingMove ??= new PendingMove(move, begun.signal, signal);
     });
     const onFirstEventOrEnd = source ? () => {} : ctx.engineLoads.startPrefill(
       incarnationOf(reservation.engine),
@@ -200,7 +201,10 @@
       backend: reservation.engine,
       progress: this.#generation.progress,
       signal,
-      onFirstEvent: () => this.#version.begun(reservation.engine),
+      onFirstEvent: () => {
+        begun.abort();
+        this.#version.begun(reservation.engine);
+      },
       silenceCheckMs: this.#silence.checkAfterMs,
       onFirstEventOrEnd,
       mayLeave: (sinceMs, signal) =>
