fix(gateway): a run that was stopped goes on from its copy whatever the stop returned

A stream that can't be resumed ended with its draining engine although its memory had been copied to another one: when the response of the stop was lost, when the engine rejected the stop once, and when the engine stood still in the middle of it for longer than it serves. The move was given up in each case, and the copy freed.

- A stop whose response is lost is called again until the engine tells what became of the run.
- After a rejected stop the search goes on.
- A run that was stopped too late to go back goes on from the copy.
- A run that is gone at its engine is waited for until its stream has ended, rather than for 500 ms.

--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -37,8 +37,10 @@
 const MAX_TARGETS = 2;
 /** Pause between two searches for an engine with room, in milliseconds. */
 const SEARCH_INTERVAL_MS = 300;
-/** An ended run is noticed on its stream within this time, in milliseconds. */
-const STREAM_END_MS = 500;
+/** Calls to stop one run after a response was lost. */
+const MAX_STOP_CALLS = 5;
+/** Pause between two such calls, in milliseconds. */
+const STOP_INTERVAL_MS = 100;
 
 /**
  * Calls `onDraining` when `engine` is drained or removed. Returns a function that
@@ -184,25 +186,20 @@
     copy: CopyResult,
     release: () => void,
   ): Promise<MovedRun | undefined> {
-    const result = await this.#ctx.engines.moveRun(
-      this.#engine,
-      this.#req.metadata.requestId,
-      target,
-      this.#signals.cancelled,
-    );
-    this.#log(target, result);
+    const result = await this.#stop(target);
     switch (result.end) {
       case MoveEnd.Moved:
         return this.#continueAt(target, result.source, release);
       case MoveEnd.Stayed:
+        if (!this.#mayReturn()) {
+          return this.#continueAt(target, copy.source, release);
+        }
         release();
-        return this.#mayReturn()
-          ? this.#continueAt(this.#engine, result.source)
-          : undefined;
+        return this.#continueAt(this.#engine, result.source);
       case MoveEnd.Ended:
         // Its stream tells whether the caller has all of it.
-        await this.#pause(STREAM_END_MS);
-        if (this.#signals.cut.aborted && !this.#signals.cancelled.aborted) {
+        await this.#pause(Infinity);
+        if (!this.#signals.cancelled.aborted) {
           return this.#continueAt(target, copy.source, release);
         }
         break;
@@ -213,6 +210,27 @@
     return undefined;
   }
 
+  /** Asks again once a response is lost: the run may have stopped. */
+  async #stop(target: Backend): Promise<MoveResult> {
+    const { cancelled } = this.#signals;
+    let mayHaveStopped = false;
+    for (let calls = 1;; calls += 1) {
+      const result = await this.#ctx.engines.moveRun(
+        this.#engine,
+        this.#req.metadata.requestId,
+        target,
+        cancelled,
+      );
+      this.#log(target, result);
+      mayHaveStopped ||= result.end === MoveEnd.Unknown;
+      const isCertain = result.end !== MoveEnd.Unknown &&
+        result.end !== MoveEnd.NotMoved;
+      if (isCertain || !mayHaveStopped) return result;
+      if (calls === MAX_STOP_CALLS || cancelled.aborted) return result;
+      await sleep(STOP_INTERVAL_MS, cancelled);
+    }
+  }
+
   /** Continues a run at its engine that was stopped there without a move. */
   #goBack(): MovedRun | undefined {
     if (!this.#kept || !this.#mayReturn()) return undefined;
