fix(gateway): an engine isn't asked to copy a run until another has room for it

The target itself is now asked for room first, with a reservation that lapses at once. A full or silent target thereby also costs no call at the engine that leaves.

--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -20,6 +20,7 @@
   type CallerRequest,
   CopyEnd,
   type CopyResult,
+  HoldEnd,
   MoveEnd,
   type MoveResult,
   type RunContext,
@@ -35,6 +36,8 @@
 const MAX_STAY_MS = 1_900;
 /** Engines that are asked for room one after another. */
 const MAX_TARGETS = 2;
+/** Lifetime of a reservation that only asks for room, in milliseconds. */
+const ROOM_CHECK_TTL_MS = 1;
 /** Pause between two searches for an engine with room, in milliseconds. */
 const SEARCH_INTERVAL_MS = 300;
 /** Calls to stop one run after a response was lost. */
@@ -128,6 +131,7 @@
     const { cut } = this.#signals;
     if (!this.#isWorthMoving() || !this.#mayContinue()) return undefined;
     for (const target of this.#targets()) {
+      if (!await this.#hasRoom(target)) continue;
       // Others that leave the engine see this one on its way.
       const release = this.#place(target);
       const copy = await this.#copyTo(target);
@@ -167,6 +171,21 @@
     }).slice(0, MAX_TARGETS);
   }
 
+  /**
+   * Asks the target itself for room, with a reservation that lapses at once: the
+   * draining engine may stand still, or stop the run before it finds none.
+   */
+  async #hasRoom(target: Backend): Promise<boolean> {
+    const { prompt, generatedTokens } = this.#generation;
+    const hold = await this.#ctx.engines.createHold(
+      target,
+      prompt.promptTokens + generatedTokens,
+      ROOM_CHECK_TTL_MS,
+      this.#signals.cancelled,
+    );
+    return hold.end === HoldEnd.Granted && !this.#signals.cut.aborted;
+  }
+
   async #copyTo(target: Backend): Promise<CopyResult> {
     const ended = this.#kept ? this.#untilEnded() : undefined;
     const copy = await this.#ctx.engines.copyRun(
