fix(gateway): an error response to a stream counts with all the memory that it takes

The error response to a stream was counted by its bytes, but took twice as much when it ended, as its pieces were joined, also for a response that was given up and joined for nothing; and the pieces that were kept are parts of the buffers that the sockets were read with.

They are copied into the blocks of a collector, as plain responses are, which counts the copy; a response that is given up is forgotten at once.

--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -6,6 +6,7 @@
 import { childAbortController } from "@sassafrascleat/runtime";
 import type { Backend } from "../backends/backend.ts";
 import { CallOutcome } from "../decide/backend_health.ts";
+import { ByteCollector } from "../http/byte_collector.ts";
 import { type CompleteEvents, EventSplitter } from "../http/event_splitter.ts";
 import type { MemoryAccount } from "../http/memory_budget.ts";
 import { MAX_ERROR_BYTES, MAX_EVENT_BYTES } from "../http/response_limits.ts";
@@ -87,8 +88,7 @@
   readonly #controller: AbortController;
   /** For what can't be passed on yet. */
   readonly #memory: MemoryAccount;
-  readonly #errorBody: Buffer[] = [];
-  #errorBytes = 0;
+  readonly #errorBody = new ByteCollector();
   #verdict: ReplyVerdict | undefined;
   /** The body consists of events for the caller, and is no error's text. */
   #hasEvents = false;
@@ -182,12 +182,13 @@
 
   #giveUp(reason: string): void {
     this.#invalidReason = reason;
+    this.#errorBody.clear();
     this.#controller.abort();
   }
 
   #onData(chunk: Buffer): void {
     this.#readChunk(chunk);
-    const heldBytes = this.#errorBytes + this.#leadingBytes +
+    const heldBytes = this.#errorBody.heldBytes + this.#leadingBytes +
       this.#splitter.pendingBytes;
     if (this.#invalidReason || this.#memory.holdResponse(heldBytes)) return;
     this.#giveUp("no memory left for the response");
@@ -195,9 +196,8 @@
 
   #readChunk(chunk: Buffer): void {
     if (!this.#hasEvents) {
-      this.#errorBody.push(chunk);
-      this.#errorBytes += chunk.length;
-      if (this.#errorBytes <= MAX_ERROR_BYTES) return;
+      this.#errorBody.add(chunk);
+      if (this.#errorBody.size <= MAX_ERROR_BYTES) return;
       return this.#giveUp(`error longer than ${MAX_ERROR_BYTES} bytes`);
     }
     const events = this.#splitter.push(chunk);
@@ -310,12 +310,13 @@
   }
 
   #result(end: StreamEnd, message: string): StreamResult {
+    const isError = end === StreamEnd.BackendError;
     return {
       end,
       events: this.#events,
       status: this.#status,
       headers: this.#headers,
-      body: Buffer.concat(this.#errorBody),
+      body: isError ? this.#errorBody.toBuffer() : EMPTY,
       message,
     };
   }
