fix(gateway): blocks of responses that are given up are used again

A router came near the memory of the smallest host (178 MB) when many engines sent responses without end. Its array buffers took 73 MB at the peak, of which less than half was held: the rest were the blocks of responses that had been given up, which stay until V8 collects them, later on a busy machine.

"blocks of a message that is forgotten are used again" counts the allocations.

--- a/packages/gateway/src/http/__tests__/byte_collector_test.ts
+++ b/packages/gateway/src/http/__tests__/byte_collector_test.ts
@@ -1,4 +1,4 @@
-import { expect, test } from "@jest/globals";
+import { expect, jest, test } from "@jest/globals";
 import { ByteCollector } from "../byte_collector.ts";
 
 function collect(pieces: readonly Buffer[], declared?: number): ByteCollector {
@@ -40,3 +40,24 @@
   expect(collect([]).toBuffer()).toHaveLength(0);
   expect(collect([], 0).toBuffer()).toHaveLength(0);
 });
+
+// A response whose blocks were used again would have got the bytes of another one.
+test("MIXED: a message stays as it is when its blocks are used again", () => {
+  const first = collect([Buffer.alloc(200_000, "a")]);
+  const message = first.toBuffer();
+  first.clear();
+  const second = collect([Buffer.alloc(300_000, "b")]);
+  expect(message.equals(Buffer.alloc(200_000, "a"))).toBe(true);
+  expect(second.toBuffer().equals(Buffer.alloc(300_000, "b"))).toBe(true);
+});
+
+test("blocks of a message that is forgotten are used again", () => {
+  const allocated = jest.spyOn(Buffer, "allocUnsafeSlow");
+  for (let i = 0; i < 10; i += 1) {
+    const collector = collect([Buffer.alloc(1_000_000, "x")]);
+    collector.clear();
+  }
+  const blocks = allocated.mock.calls.filter(([bytes]) => bytes === 65_536);
+  allocated.mockRestore();
+  expect(blocks.length).toBeLessThan(20);
+});
--- a/packages/gateway/src/http/byte_collector.ts
+++ b/packages/gateway/src/http/byte_collector.ts
@@ -4,10 +4,10 @@
  * a piece of one byte, and in the heap.
  */
 
+import { BLOCK_BYTES, blockPool } from "./block_pool.ts";
+
 /** Size of the first block of a message of unknown length, in bytes. */
 const MIN_BLOCK_BYTES = 1024;
-/** Largest block, in bytes. */
-const MAX_BLOCK_BYTES = 256 * 1024;
 
 /** The bytes of a message, of a declared length or of any. */
 export class ByteCollector {
@@ -52,20 +52,32 @@
       : Buffer.concat(this.#blocks, this.#size);
   }
 
-  /** Forgets all bytes. */
+  /** Forgets all bytes; what {@link toBuffer} returned stays valid. */
   clear(): void {
+    for (const block of this.#blocks) this.#giveBack(block);
     this.#blocks = [];
     this.#last = Buffer.alloc(0);
     this.#lastBytes = 0;
   }
 
   #nextBlockBytes(): number {
-    return Math.min(MAX_BLOCK_BYTES, Math.max(MIN_BLOCK_BYTES, this.#capacity));
+    return Math.min(BLOCK_BYTES, Math.max(MIN_BLOCK_BYTES, this.#capacity));
   }
 
-  #addBlock(bytes: number): void {
+  /** A declared message is a block of its own, which may be in use. */
+  #giveBack(block: Buffer): void {
+    if (this.#isDeclared || block.length !== BLOCK_BYTES) return;
+    blockPool.giveBack(block);
+  }
+
+  #createBlock(bytes: number): Buffer {
+    if (!this.#isDeclared && bytes === BLOCK_BYTES) return blockPool.take();
     // Its pages take no memory before bytes are written to them.
-    this.#last = Buffer.allocUnsafeSlow(bytes);
+    return Buffer.allocUnsafeSlow(bytes);
+  }
+
+  #addBlock(bytes: number): void {
+    this.#last = this.#createBlock(bytes);
     this.#blocks.push(this.#last);
     this.#lastBytes = 0;
     this.#capacity += bytes;
--- a/packages/gateway/src/http/exchange.ts
+++ b/packages/gateway/src/http/exchange.ts
@@ -77,6 +77,7 @@
       : setTimeout(onTimeout, Math.max(1, timeoutMs));
     const settle = (result: ExchangeResult) => {
       clearTimeout(timer);
+      bytes.clear();
       account.release();
       // The call is over; this only removes the listener on `signal`.
       controller.abort();
@@ -95,6 +96,7 @@
         else rejectResponse(NO_MEMORY);
       },
       onData(chunk) {
+        if (invalidReason) return;
         bytes.add(chunk);
         if (bytes.size > MAX_RESPONSE_BYTES) {
           rejectResponse(`response longer than ${MAX_RESPONSE_BYTES} bytes`);
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -126,8 +126,10 @@
       const settle = (end: StreamEnd, message = "") => {
         this.#options.onFirstEventOrEnd();
         this.#stopSilenceCheck();
+        const result = this.#result(end, message);
+        this.#errorBody.clear();
         this.#memory.release();
-        resolve(this.#result(end, message));
+        resolve(result);
       };
       this.#watchSilence();
       this.#ctx.upstream.open(
@@ -182,7 +184,6 @@
 
   #giveUp(reason: string): void {
     this.#invalidReason = reason;
-    this.#errorBody.clear();
     this.#controller.abort();
   }
 
