--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -20,6 +20,7 @@
   type CallerRequest,
   CopyEnd,
   type CopyResult,
+  HoldEnd,
   MoveEnd,
   type MoveResult,
   type RunContext,
@@ -35,10 +36,14 @@
 const MAX_STAY_MS = 1_900;
 /** Engines that are asked for room one after another. */
 const MAX_TARGETS = 2;
+/** Lifetime of a reservation that only asks for room, in milliseconds. */
+const ROOM_CHECK_TTL_MS = 1;
 /** Pause between two searches for an engine with room, in milliseconds. */
 const SEARCH_INTERVAL_MS = 300;
-/** An ended run is noticed on its stream within this time, in milliseconds. */
-const STREAM_END_MS = 500;
+/** Calls to stop one run after a response was lost. */
+const MAX_STOP_CALLS = 5;
+/** Pause between two such calls, in milliseconds. */
+const STOP_INTERVAL_MS = 100;
 
 /**
  * Calls `onDraining` when `engine` is drained or removed. Returns a function that
@@ -62,7 +67,7 @@
 
 /**
  * Moves a run that would not end in time at a draining engine. Returns undefined
- * if the run stays there or its state is unknown.
+ * if the run has ended there or its state is unknown.
  */
 export function moveFromDrainingEngine(
   ctx: RunContext,
@@ -113,22 +118,29 @@
   /** Searches for room until the run has moved or has ended. */
   async #search(): Promise<MovedRun | undefined> {
     const { cancelled, cut } = this.#signals;
-    while (!cancelled.aborted) {
-      if (!this.#isWorthMoving()) return undefined;
-      const targets = this.#mayContinue() ? this.#targets() : [];
-      for (const target of targets) {
-        // Others that leave the engine see this one on its way.
-        const release = this.#place(target);
-        const copy = await this.#copyTo(target);
-        if (copy.end === CopyEnd.Copied) {
-          return await this.#stopAt(target, copy, release);
-        }
-        release();
-        this.#kept = copy.source ?? this.#kept;
-        if (copy.end === CopyEnd.Failed) break;
+    while (!cancelled.aborted && !cut.aborted) {
+      const moved = await this.#tryTargets();
+      if (moved) return moved;
+      await this.#untilNextSearch();
+    }
+    return cancelled.aborted ? undefined : this.#goBack();
+  }
+
+  /** Asks engines for room; undefined if the run stays at its engine so far. */
+  async #tryTargets(): Promise<MovedRun | undefined> {
+    const { cut } = this.#signals;
+    if (!this.#isWorthMoving() || !this.#mayContinue()) return undefined;
+    for (const target of this.#targets()) {
+      if (!await this.#hasRoom(target)) continue;
+      // Others that leave the engine see this one on its way.
+      const release = this.#place(target);
+      const copy = await this.#copyTo(target);
+      if (copy.end === CopyEnd.Copied) {
+        return await this.#stopAt(target, copy, release);
       }
-      await this.#pause(SEARCH_INTERVAL_MS);
-      if (cut.aborted) return this.#goBack();
+      release();
+      this.#kept = copy.source ?? this.#kept;
+      if (copy.end === CopyEnd.Failed || cut.aborted) return undefined;
     }
     return undefined;
   }
@@ -159,13 +171,30 @@
     }).slice(0, MAX_TARGETS);
   }
 
+  /**
+   * Asks the target itself for room, with a reservation that lapses at once: the
+   * draining engine may stand still, or stop the run before it finds none.
+   */
+  async #hasRoom(target: Backend): Promise<boolean> {
+    const { prompt, generatedTokens } = this.#generation;
+    const hold = await this.#ctx.engines.createHold(
+      target,
+      prompt.promptTokens + generatedTokens,
+      ROOM_CHECK_TTL_MS,
+      this.#signals.cancelled,
+    );
+    return hold.end === HoldEnd.Granted && !this.#signals.cut.aborted;
+  }
+
   async #copyTo(target: Backend): Promise<CopyResult> {
+    const ended = this.#kept ? this.#untilEnded() : undefined;
     const copy = await this.#ctx.engines.copyRun(
       this.#engine,
       this.#req.metadata.requestId,
       target,
-      this.#signals.cancelled,
+      ended?.signal ?? this.#signals.cancelled,
     );
+    ended?.abort();
     if (copy.end !== CopyEnd.Copied) this.#log(target, copy);
     return copy;
   }
@@ -176,25 +205,20 @@
     copy: CopyResult,
     release: () => void,
   ): Promise<MovedRun | undefined> {
-    const result = await this.#ctx.engines.moveRun(
-      this.#engine,
-      this.#req.metadata.requestId,
-      target,
-      this.#signals.cancelled,
-    );
-    this.#log(target, result);
+    const result = await this.#stop(target);
     switch (result.end) {
       case MoveEnd.Moved:
         return this.#continueAt(target, result.source, release);
       case MoveEnd.Stayed:
+        if (!this.#mayReturn()) {
+          return this.#continueAt(target, copy.source, release);
+        }
         release();
-        return this.#mayReturn()
-          ? this.#continueAt(this.#engine, result.source)
-          : undefined;
+        return this.#continueAt(this.#engine, result.source);
       case MoveEnd.Ended:
         // Its stream tells whether the caller has all of it.
-        await this.#pause(STREAM_END_MS);
-        if (this.#signals.cut.aborted && !this.#signals.cancelled.aborted) {
+        await this.#pause(Infinity);
+        if (!this.#signals.cancelled.aborted) {
           return this.#continueAt(target, copy.source, release);
         }
         break;
@@ -205,6 +229,27 @@
     return undefined;
   }
 
+  /** Asks again once a response is lost: the run may have stopped. */
+  async #stop(target: Backend): Promise<MoveResult> {
+    const { cancelled } = this.#signals;
+    let mayHaveStopped = false;
+    for (let calls = 1;; calls += 1) {
+      const result = await this.#ctx.engines.moveRun(
+        this.#engine,
+        this.#req.metadata.requestId,
+        target,
+        cancelled,
+      );
+      this.#log(target, result);
+      mayHaveStopped ||= result.end === MoveEnd.Unknown;
+      const isCertain = result.end !== MoveEnd.Unknown &&
+        result.end !== MoveEnd.NotMoved;
+      if (isCertain || !mayHaveStopped) return result;
+      if (calls === MAX_STOP_CALLS || cancelled.aborted) return result;
+      await sleep(STOP_INTERVAL_MS, cancelled);
+    }
+  }
+
   /** Continues a run at its engine that was stopped there without a move. */
   #goBack(): MovedRun | undefined {
     if (!this.#kept || !this.#mayReturn()) return undefined;
@@ -242,15 +287,28 @@
 
   /** Waits until the stream ends, or for `ms`. */
   async #pause(ms: number): Promise<void> {
-    const ended = childAbortController(this.#signals.cancelled);
-    const onCut = () => ended.abort();
-    const { cut } = this.#signals;
-    if (cut.aborted) onCut();
-    cut.addEventListener("abort", onCut, { signal: ended.signal });
+    const ended = this.#untilEnded();
     await sleep(ms, ended.signal);
     ended.abort();
   }
 
+  /** An engine may know a run only once it has begun. */
+  async #untilNextSearch(): Promise<void> {
+    const { begun } = this.#signals;
+    const waiting = this.#untilEnded();
+    if (!begun.aborted) abortWith(begun, waiting);
+    await sleep(SEARCH_INTERVAL_MS, waiting.signal);
+    waiting.abort();
+  }
+
+  /** Its signal aborts when the stream has ended; the caller aborts it too. */
+  #untilEnded(): AbortController {
+    const { cancelled, cut } = this.#signals;
+    const ended = childAbortController(cancelled);
+    abortWith(cut, ended);
+    return ended;
+  }
+
   #log(target: Backend, { end, message }: CopyResult | MoveResult): void {
     this.#ctx.log("run_moved", {
       req: this.#req.metadata.requestId,
@@ -263,3 +321,10 @@
     });
   }
 }
+
+/** Aborts `controller` when `signal` aborts. */
+function abortWith(signal: AbortSignal, controller: AbortController): void {
+  if (signal.aborted) return controller.abort();
+  const onAbort = () => controller.abort();
+  signal.addEventListener("abort", onAbort, { signal: controller.signal });
+}
