fix(gateway): a quarantine that blocks a whole service tries single requests

Cause: a router that has seen nothing run takes what all lost requests share for the cause of the crashes (here the first prompt part, after two of them). Then no request runs that could show otherwise, and the shared records carry that into the next lives of all routers, for a minute or more. Change: once a router has rejected a dozen requests for a service and admitted none in between, the next one is tried, and a run clears the records. It is tried once, and not after five crashes of a part or three of a whole request. While anything of the service is admitted, nothing changes. Result: 41 tests of the quarantine, crashing prompts and requests and the crash log pass.

--- a/packages/gateway/src/quarantine/__tests__/request_quarantine_test.ts
+++ b/packages/gateway/src/quarantine/__tests__/request_quarantine_test.ts
@@ -6,6 +6,7 @@
 import { RequestQuarantine } from "../request_quarantine.ts";
 
 const MINUTE_MS = 60_000;
+const MANY = 30;
 
 let clock: ManualClock;
 let crashLog: CrashLog;
@@ -57,6 +58,11 @@
   quarantine.recordCrash(engine, prompt(...parts));
 }
 
+/** Many requests with a part. */
+function blocked(part: string): RequestKeys[] {
+  return Array.from({ length: MANY }, () => prompt(part));
+}
+
 describe("the quarantine of a prompt", () => {
   test("begins with the second crash and doubles with each one after it", () => {
     crash("e1", "bad");
@@ -129,6 +135,51 @@
     expect(remainingMs("part")).toBe(MINUTE_MS);
   });
 
+  // Guards against a service that is lost at once, and then blocked as a whole.
+  test("a part of all requests that two servers were lost with is tried", () => {
+    crash("e1", "shared");
+    crash("e2", "shared");
+    const tried = blocked("shared").find((it) =>
+      quarantine.remainingMs(it) === 0
+    );
+    expect(tried).toBeDefined();
+    expect(remainingMs("shared")).toBe(MINUTE_MS);
+    clock.advance(10);
+    quarantine.recordRun(tried as RequestKeys);
+    expect(remainingMs("shared")).toBe(0);
+  });
+
+  test("a request that was tried and lost is not tried again", () => {
+    crash("e1", "bad");
+    crash("e2", "bad");
+    const tried = blocked("bad").find((it) => quarantine.remainingMs(it) === 0);
+    quarantine.recordCrash("e3", tried as RequestKeys);
+    expect(quarantine.remainingMs(tried as RequestKeys)).toBe(2 * MINUTE_MS);
+  });
+
+  test("a harmful part is not tried while other requests are admitted", () => {
+    crash("e1", "bad");
+    crash("e2", "bad");
+    for (const keys of blocked("bad")) {
+      expect(quarantine.remainingMs(keys)).toBe(MINUTE_MS);
+      expect(remainingMs("sound")).toBe(0);
+    }
+  });
+
+  test("a part is not tried after five crashes, a request after three", () => {
+    for (const engine of ["e1", "e2", "e3"]) {
+      quarantine.recordCrash(engine, request("bad"));
+    }
+    for (let i = 0; i < MANY; i += 1) {
+      expect(quarantine.remainingMs(request("bad"))).toBeGreaterThan(0);
+    }
+    quarantine = create();
+    for (const engine of ["e1", "e2", "e3", "e4", "e5"]) crash(engine, "bad");
+    for (const keys of blocked("bad")) {
+      expect(quarantine.remainingMs(keys)).toBeGreaterThan(0);
+    }
+  });
+
   test("records of other routers count, also after a restart", () => {
     quarantine.observe([{ engine: "e1", keys: ["llm/bad"] }]);
     crash("e2", "bad");
--- a/packages/gateway/src/quarantine/request_keys.ts
+++ b/packages/gateway/src/quarantine/request_keys.ts
@@ -34,6 +34,15 @@
     this.#req = req;
   }
 
+  get service(): string {
+    return this.#req.service;
+  }
+
+  /** The key of the whole request. */
+  get whole(): string {
+    return this.all[0] as string;
+  }
+
   /** The key of the whole request, then those of its shared prompt parts. */
   get all(): readonly string[] {
     this.#all ??= [wholeKey(this.#req), ...partKeys(this.#req)];
--- a/packages/gateway/src/quarantine/request_quarantine.ts
+++ b/packages/gateway/src/quarantine/request_quarantine.ts
@@ -22,6 +22,7 @@
 } from "./crash_log.ts";
 import type { RequestKeys } from "./request_keys.ts";
 import { SoundKeys } from "./sound_keys.ts";
+import { Trials } from "./trials.ts";
 
 /** Options of {@link RequestQuarantine}. */
 export interface RequestQuarantineOptions {
@@ -53,6 +54,7 @@
 export class RequestQuarantine {
   readonly #options: RequestQuarantineOptions;
   readonly #sound: SoundKeys;
+  readonly #trials = new Trials();
   /** The shared records, as this router last saw them. */
   #shared: readonly CrashRecord[] = [];
   /** Records that are not in the shared log yet. */
@@ -78,10 +80,17 @@
   remainingMs(keys: RequestKeys): number {
     if (this.#causes.length === 0) return 0;
     const all = new Set(keys.all);
-    const ends = this.#causes
-      .filter((cause) => isHarmful(all, cause))
-      .map((cause) => this.#quarantineEndMs(cause));
-    return Math.max(0, ...ends.map((end) => end - this.#options.clock.now()));
+    const nowMs = this.#options.clock.now();
+    const causes = this.#causes.filter((cause) =>
+      isHarmful(all, cause) && this.#quarantineEndMs(cause) > nowMs
+    );
+    if (causes.length === 0) {
+      this.#trials.recordAdmitted(keys);
+      return 0;
+    }
+    if (this.#trials.isTrial(keys, causes)) return 0;
+    const ends = causes.map((cause) => this.#quarantineEndMs(cause));
+    return Math.max(...ends) - nowMs;
   }
 
   /** Records that a backend server ran the request. */
@@ -92,6 +101,7 @@
 
   /** Records that a backend server crashed before it had run the request. */
   recordCrash(engine: string, keys: RequestKeys): void {
+    this.#trials.recordCrash(keys);
     const suspected = keys.all.filter((key) => this.#sound.recordCrash(key));
     this.#options.log("crash_with_request", {
       engine,
