fix(fuzz): a hazard waits for the event that it needs, not for a time

Cause: the sequences set up their hazards by time. A sidecar was killed 30 ms after a call had been sent, which may be before the call is executed; a caller left after 400 ms, which may be before its answer begins; and the last step of a run is followed at once by a heal, which ends the doubling of frames before the first frame arrives. Change: await_execution waits until a server executes the latest plain call, await_chunks until the latest stream runs or has ended, and the caller of callerGoneSequence leaves at its first chunk.

--- a/playground/src/fuzz/oracle.ts
+++ b/playground/src/fuzz/oracle.ts
@@ -13,7 +13,11 @@
  */
 const MEMORY_RELEASE_TIMEOUT_MS = 8_000;
 
-function executionsOf(deployment: FuzzDeployment, body: string): number {
+/** Number of times that servers began to execute a plain call with `body`. */
+export function executionsOf(
+  deployment: FuzzDeployment,
+  body: string,
+): number {
   return deployment.byRole(BackendRole.Plain).reduce(
     (total, { plain }) => total + (plain?.stats().executionsByBody[body] ?? 0),
     0,
--- a/playground/src/fuzz/records.ts
+++ b/playground/src/fuzz/records.ts
@@ -12,8 +12,11 @@
   cancelled: boolean;
   /** Backend servers that were already leaving when the request was sent. */
   leaving: Set<string>;
+  /** Number of chunks of a streamed answer that have arrived. */
+  chunks: number;
   /** Undefined if the connection was cut. */
   answer: ModelAnswer | undefined;
+  ended: boolean;
   hung: boolean;
 }
 
--- a/playground/src/fuzz/run.ts
+++ b/playground/src/fuzz/run.ts
@@ -10,6 +10,7 @@
 import { callPlain } from "../caller/plain_caller.ts";
 import type { MessageProxy } from "./message_proxy.ts";
 import type { FuzzBackend } from "./fuzz_backend.ts";
+import { executionsOf } from "./oracle.ts";
 import {
   CALLER_TIMEOUT_MS,
   type CallRecords,
@@ -26,12 +27,22 @@
   StepKind,
   StoreFault,
 } from "./steps.ts";
+import { until } from "../until.ts";
 import type { FuzzDeployment, FuzzEntry } from "./deployment.ts";
 import { FUZZ_MODEL, FUZZ_PLAIN_SERVICE } from "./deployment_config.ts";
 
 /** Delay of a dispatch, in milliseconds; longer than a plain call's timeout. */
 const DISPATCH_DELAY_MS = 2_500;
 
+/** Maximum time until a plain call is executed, in milliseconds. */
+const EXECUTION_TIMEOUT_MS = 1_000;
+
+/** Number of chunks after which a stream counts as running. */
+const RUNNING_CHUNKS = 2;
+
+/** Maximum time until a stream is running, in milliseconds. */
+const CHUNKS_TIMEOUT_MS = 3_000;
+
 /** Response delay of a slow store, in milliseconds. */
 const STORE_DELAY_MS = 150;
 
@@ -77,9 +88,11 @@
     const record: ModelRecord = {
       prompt: `${this.#id}-${number} ${filler} #len=${step.tokens}`,
       tokens: step.tokens,
-      cancelled: step.cancelAfterMs !== undefined,
+      cancelled: step.cancelAfterMs !== undefined || step.cancelAtFirstChunk,
       leaving: new Set(this.#leaving),
+      chunks: 0,
       answer: undefined,
+      ended: false,
       hung: false,
     };
     this.records.modelRequests.push(record);
@@ -88,9 +101,11 @@
 
   async #callModel(step: ModelStep, record: ModelRecord): Promise<void> {
     const timeoutSignal = deadlineSignal(CALLER_TIMEOUT_MS);
+    const leave = new AbortController();
+    const hangUp = AbortSignal.any([timeoutSignal, leave.signal]);
     const signal = step.cancelAfterMs === undefined
-      ? timeoutSignal
-      : deadlineSignal(step.cancelAfterMs, timeoutSignal);
+      ? hangUp
+      : deadlineSignal(step.cancelAfterMs, hangUp);
     const answer = callModel({
       address: this.#entry(step.entry).address,
       model: FUZZ_MODEL,
@@ -98,10 +113,15 @@
       maxTokens: step.tokens,
       stream: step.stream,
       signal,
+      onChunk: (chunks) => {
+        record.chunks = chunks;
+        if (step.cancelAtFirstChunk) leave.abort();
+      },
     });
     record.answer = await answer.catch((): ModelAnswer | undefined =>
       undefined
     );
+    record.ended = true;
     record.hung = timeoutSignal.aborted;
   }
 
@@ -141,6 +161,10 @@
     switch (step.kind) {
       case StepKind.Wait:
         return await sleep(step.ms);
+      case StepKind.AwaitExecution:
+        return await this.#awaitExecution();
+      case StepKind.AwaitChunks:
+        return await this.#awaitChunks();
       case StepKind.ProxyFault:
         return this.#setProxyFault(step.entry, step.node, step.fault);
       case StepKind.KillSidecar:
@@ -164,6 +188,25 @@
     }
   }
 
+  /** Waits in vain if no server can execute the latest plain call. */
+  async #awaitExecution(): Promise<void> {
+    const body = this.records.plainCalls.at(-1)?.body;
+    if (body === undefined) return;
+    await until(
+      () => executionsOf(this.#deployment, body) > 0,
+      EXECUTION_TIMEOUT_MS,
+    );
+  }
+
+  async #awaitChunks(): Promise<void> {
+    const record = this.records.modelRequests.at(-1);
+    if (!record) return;
+    await until(
+      () => record.ended || record.chunks >= RUNNING_CHUNKS,
+      CHUNKS_TIMEOUT_MS,
+    );
+  }
+
   #proxy(entry: number, backend: number): MessageProxy {
     const { proxies } = this.#entry(entry);
     return proxies[backend % proxies.length]!;
--- a/playground/src/fuzz/steps.ts
+++ b/playground/src/fuzz/steps.ts
@@ -10,6 +10,8 @@
   Model = "model",
   Plain = "plain",
   Wait = "wait",
+  AwaitExecution = "await_execution",
+  AwaitChunks = "await_chunks",
   ProxyFault = "box",
   KillSidecar = "kill_sidecar",
   StartSidecar = "start_sidecar",
@@ -55,6 +57,8 @@
   stream: boolean;
   /** Time after which the caller disconnects, in milliseconds. */
   cancelAfterMs: number | undefined;
+  /** Whether the caller disconnects at the first chunk of the answer. */
+  cancelAtFirstChunk: boolean;
 }
 
 /** A call to the plain service. */
@@ -72,6 +76,10 @@
  */
 export type FaultStep =
   | { kind: StepKind.Wait; ms: number }
+  /** Waits until a server executes the latest plain call. */
+  | { kind: StepKind.AwaitExecution }
+  /** Waits until the latest model request has several chunks or has ended. */
+  | { kind: StepKind.AwaitChunks }
   | {
     kind: StepKind.ProxyFault;
     entry: number;
@@ -114,6 +122,7 @@
   tokens: fc.integer({ min: 1, max: SHORT_ANSWER_TOKENS }),
   stream: fc.boolean(),
   cancelAfterMs: fc.constant(undefined),
+  cancelAtFirstChunk: fc.constant(false),
 });
 
 /** A long answer whose caller disconnects early. */
@@ -124,6 +133,7 @@
   tokens: fc.constant(LONG_ANSWER_TOKENS),
   stream: fc.constant(true),
   cancelAfterMs: fc.integer({ min: 0, max: MAX_CANCEL_DELAY_MS }),
+  cancelAtFirstChunk: fc.constant(false),
 });
 
 const plainStep = fc.record({
@@ -229,7 +239,8 @@
   .tuple(
     cancelledStep.map((step) => ({
       ...step,
-      cancelAfterMs: MAX_CANCEL_DELAY_MS,
+      cancelAfterMs: undefined,
+      cancelAtFirstChunk: true,
     })),
     waitStep,
   );
@@ -258,15 +269,12 @@
   call,
 ]);
 
-/** Length of the pause in which a plain call is executed, in milliseconds. */
-const EXECUTION_PAUSE_MS = 30;
-
 /** Every server of a plain service restarts while it executes a call. */
 const restartDuringCallSequence: fc.Arbitrary<Step[]> = plainStep.map((
   call,
 ) => [
   call,
-  { kind: StepKind.Wait as const, ms: EXECUTION_PAUSE_MS },
+  { kind: StepKind.AwaitExecution as const },
   ...PLAIN_BACKEND_INDEXES.flatMap((index) => [
     { kind: StepKind.KillSidecar as const, node: index },
     { kind: StepKind.StartSidecar as const, node: index },
@@ -282,6 +290,7 @@
     fault: ProxyFault.RepeatFrames,
   },
   { ...call, tokens: SHORT_ANSWER_TOKENS, stream: true },
+  { kind: StepKind.AwaitChunks as const },
 ]);
 
 /** Sequences of steps that set up one hazard each. */
