--- a/playground/src/fuzz/deployment.ts
+++ b/playground/src/fuzz/deployment.ts
@@ -17,7 +17,7 @@
 } from "@sassafrascleat/testing";
 import { randomUUID } from "node:crypto";
 import { until } from "../until.ts";
-import type { Mutation } from "./mutations.ts";
+import type { ActiveMutation } from "./mutations.ts";
 import { createMessageProxy, type MessageProxy } from "./message_proxy.ts";
 import { type FuzzBackend, startFuzzBackend } from "./fuzz_backend.ts";
 import { seedConfiguration } from "./deployment_config.ts";
@@ -150,7 +150,7 @@
 async function createEntry(
   index: number,
   backends: readonly FuzzBackend[],
-  mutation: Mutation | undefined,
+  mutation: ActiveMutation | undefined,
 ): Promise<FuzzEntry> {
   const proxies = await Promise.all(
     backends.map((backend) =>
@@ -165,7 +165,7 @@
  * test whether the fuzzer detects that; undefined for the product as it is.
  */
 export async function startFuzzDeployment(
-  mutation: Mutation | undefined,
+  mutation: ActiveMutation | undefined,
 ): Promise<FuzzDeployment> {
   const secret = new Secret("fuzz", randomUUID());
   const plans = ["gastonia", "kannapolis"].flatMap((zone, i) =>
--- a/playground/src/fuzz/fuzz_backend.ts
+++ b/playground/src/fuzz/fuzz_backend.ts
@@ -19,7 +19,7 @@
   type EngineServer,
   type PlainServer,
 } from "@sassafrascleat/testing";
-import { Mutation } from "./mutations.ts";
+import { type ActiveMutation, Mutation } from "./mutations.ts";
 
 /** Factor applied to the stand-in engines' durations. */
 const ENGINE_TIME_SCALE = 0.2;
@@ -28,14 +28,20 @@
 const PLAIN_DELAY_MS = 60;
 
 /** Creates the engine client; with `ForgetCancel` it never sends cancels. */
-function createEngine(baseUrl: string, mutation: Mutation | undefined): Engine {
+function createEngine(
+  baseUrl: string,
+  mutation: ActiveMutation | undefined,
+): Engine {
   const engine = createHttpEngine({ baseUrl });
-  if (mutation !== Mutation.ForgetCancel) return engine;
+  if (mutation?.kind !== Mutation.ForgetCancel) return engine;
   const withoutCancel: Engine = {
     prefill: (req, signal) => engine.prefill(req, signal),
     decode: (req, signal) => engine.decode(req, signal),
     resume: (id, offset, signal) => engine.resume(id, offset, signal),
-    cancel: () => Promise.resolve(true),
+    cancel: () => {
+      mutation.countEffect();
+      return Promise.resolve(true);
+    },
     held: () => engine.held(),
     load: () => engine.load(),
     cacheEvents: (afterNumber) => engine.cacheEvents(afterNumber),
@@ -51,7 +57,7 @@
   readonly engine?: EngineServer;
   readonly plain?: PlainServer;
   readonly #secret: Secret;
-  readonly #mutation: Mutation | undefined;
+  readonly #mutation: ActiveMutation | undefined;
   #sidecar: Sidecar | undefined;
   /** Address of the most recent sidecar; connections fail while it is down. */
   #address = "http://127.0.0.1:1";
@@ -60,7 +66,7 @@
     listed: BackendServer,
     standIn: { engine?: EngineServer; plain?: PlainServer },
     secret: Secret,
-    mutation: Mutation | undefined,
+    mutation: ActiveMutation | undefined,
   ) {
     this.listed = listed;
     this.engine = standIn.engine;
@@ -112,7 +118,7 @@
   role: BackendRole,
   availabilityZone: string,
   secret: Secret,
-  mutation: Mutation | undefined,
+  mutation: ActiveMutation | undefined,
 ): Promise<FuzzBackend> {
   const isPlain = role === BackendRole.Plain;
   const plain = isPlain
--- a/playground/src/fuzz/main.ts
+++ b/playground/src/fuzz/main.ts
@@ -3,17 +3,20 @@
  * steps and faults. On a failure it prints the seed, the shrunk steps and the
  * violated guarantees, and exits with status 1. `--break NAME` deliberately
  * breaks a rule of the product; exit status 0 then means that the fuzzer failed
- * to detect it.
+ * to detect it. Status 3 means that a run could not be judged, for example as
+ * its deployment did not start.
  */
 import { command, flag, number, option, optional, run, string } from "cmd-ts";
 import { findMutation, MUTATION_NAMES } from "./mutations.ts";
-import { fuzz, type FuzzFailure } from "./property.ts";
+import type { FuzzFailure } from "./lane.ts";
+import { fuzz, type FuzzReport } from "./session.ts";
 
 /** Exit statuses of the fuzzer. */
 enum FuzzExit {
   Clean = 0,
   Broken = 1,
   Usage = 2,
+  Error = 3,
 }
 
 function printFailure(failure: FuzzFailure): void {
@@ -26,6 +29,17 @@
   console.log(`broken:\n  ${problems.replaceAll("\n", "\n  ")}`);
 }
 
+function exitStatus(report: FuzzReport): FuzzExit {
+  if (report.failure) return FuzzExit.Broken;
+  return report.error === undefined ? FuzzExit.Clean : FuzzExit.Error;
+}
+
+const VERDICTS: Partial<Record<FuzzExit, string>> = {
+  [FuzzExit.Clean]: "clean",
+  [FuzzExit.Broken]: "broken",
+  [FuzzExit.Error]: "error",
+};
+
 const program = command({
   name: "fuzz",
   description: "Drives a small deployment with random steps and faults.",
@@ -58,10 +72,10 @@
     const replay = path === undefined ? undefined : { lane: lane ?? 0, path };
     const report = await fuzz({ seed, runs, mutation, replay });
     if (report.failure) printFailure(report.failure);
-    const caught = report.failure !== undefined;
-    const verdict = caught ? "broken" : "clean";
-    console.log(`fuzz ${verdict} seed=${seed} runs=${report.runs}`);
-    return caught ? FuzzExit.Broken : FuzzExit.Clean;
+    if (report.error) console.error(report.error);
+    const status = exitStatus(report);
+    console.log(`fuzz ${VERDICTS[status]} seed=${seed} runs=${report.runs}`);
+    return status;
   },
 });
 
--- a/playground/src/fuzz/message_proxy.ts
+++ b/playground/src/fuzz/message_proxy.ts
@@ -18,7 +18,7 @@
 import type { AddressInfo } from "node:net";
 import { Agent, type Dispatcher, request } from "undici";
 import { splitStream } from "../caller/split_stream.ts";
-import type { Mutation } from "./mutations.ts";
+import type { ActiveMutation } from "./mutations.ts";
 import {
   forgeReply,
   FrameRepeater,
@@ -58,12 +58,12 @@
 export class MessageProxy {
   readonly #app: FastifyInstance;
   readonly #agent = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
-  readonly #mutation: Mutation | undefined;
+  readonly #mutation: ActiveMutation | undefined;
   readonly #target: () => string;
   readonly #streams = new Set<FastifyReply>();
   #faults: MessageProxyFaults = { ...NO_PROXY_FAULTS };
 
-  constructor(target: () => string, mutation: Mutation | undefined) {
+  constructor(target: () => string, mutation: ActiveMutation | undefined) {
     this.#target = target;
     this.#mutation = mutation;
     this.#app = Fastify({
@@ -228,7 +228,7 @@
 /** Starts a proxy in front of the sidecar at `target()`. */
 export async function createMessageProxy(
   target: () => string,
-  mutation: Mutation | undefined,
+  mutation: ActiveMutation | undefined,
 ): Promise<MessageProxy> {
   const proxy = new MessageProxy(target, mutation);
   await proxy.listen();
--- a/playground/src/fuzz/messages.ts
+++ b/playground/src/fuzz/messages.ts
@@ -14,7 +14,7 @@
   STREAM_START_PATH,
   UnknownReason,
 } from "@sassafrascleat/protocol";
-import { Mutation } from "./mutations.ts";
+import { type ActiveMutation, Mutation } from "./mutations.ts";
 
 /** Message kinds, distinguished by path. */
 export enum MessageKind {
@@ -41,19 +41,24 @@
 
 /** Returns the reply that a mutation sends in place of the sidecar, if any. */
 export function forgeReply(
-  mutation: Mutation | undefined,
+  mutation: ActiveMutation | undefined,
   kind: MessageKind,
   body: unknown,
 ): ForgedReply | undefined {
   if (
-    mutation === Mutation.AcceptWorkWhileLeaving && kind === MessageKind.Drain
+    mutation?.kind === Mutation.AcceptWorkWhileLeaving &&
+    kind === MessageKind.Drain
   ) {
+    mutation.countEffect();
     const data: DrainReply = { incarnation: "", leaving: true, inFlight: 0 };
     return { body: { result: { data } } };
   }
-  if (mutation === Mutation.SkipTombstone && kind === MessageKind.Attach) {
+  if (
+    mutation?.kind === Mutation.SkipTombstone && kind === MessageKind.Attach
+  ) {
     const req = body as PlainAttachRequest;
     if (!req.settle) return undefined;
+    mutation.countEffect();
     const forged: PlainCallReply = {
       state: PlainCallState.NotRun,
       incarnation: req.incarnation,
@@ -66,15 +71,16 @@
 
 /** Applies a mutation to a sidecar's reply to a plain call. */
 export function mutatePlainReply(
-  mutation: Mutation | undefined,
+  mutation: ActiveMutation | undefined,
   req: { incarnation: string },
   reply: PlainCallReply,
 ): PlainCallReply {
   if (reply.state !== PlainCallState.Unknown) return reply;
   const restarted = reply.reason === UnknownReason.SidecarRestarted;
-  const forget = mutation === Mutation.RetryUnknown ||
-    (mutation === Mutation.IgnoreIncarnation && restarted);
+  const forget = mutation?.kind === Mutation.RetryUnknown ||
+    (mutation?.kind === Mutation.IgnoreIncarnation && restarted);
   if (!forget) return reply;
+  mutation.countEffect();
   return {
     state: PlainCallState.NotRun,
     incarnation: req.incarnation,
@@ -88,10 +94,10 @@
  * offset, as if the receiver had accepted it.
  */
 export class FrameRepeater {
-  readonly #mutation: Mutation | undefined;
+  readonly #mutation: ActiveMutation | undefined;
   #shift = 0;
 
-  constructor(mutation: Mutation | undefined) {
+  constructor(mutation: ActiveMutation | undefined) {
     this.#mutation = mutation;
   }
 
@@ -99,7 +105,10 @@
   repeat(frame: Frame): Frame[] {
     const shifted = { ...frame, offset: frame.offset + this.#shift };
     if (frame.kind !== FrameKind.Tokens) return [shifted];
-    if (this.#mutation !== Mutation.AcceptCrossedFrame) return [frame, frame];
+    if (this.#mutation?.kind !== Mutation.AcceptCrossedFrame) {
+      return [frame, frame];
+    }
+    this.#mutation.countEffect();
     const count = frame.tokens.length;
     const copy = { ...shifted, offset: shifted.offset + count };
     this.#shift += count;
--- a/playground/src/fuzz/mutations.ts
+++ b/playground/src/fuzz/mutations.ts
@@ -27,6 +27,25 @@
   AcceptWorkWhileLeaving = "accept-work-while-leaving",
 }
 
+/** A mutation that is in force in one run, and how often it took effect. */
+export class ActiveMutation {
+  readonly kind: Mutation;
+  #effects = 0;
+
+  constructor(kind: Mutation) {
+    this.kind = kind;
+  }
+
+  /** Number of times that the mutation changed or withheld a message. */
+  get effects(): number {
+    return this.#effects;
+  }
+
+  countEffect(): void {
+    this.#effects += 1;
+  }
+}
+
 /** Names of the mutations on the command line. */
 export const MUTATION_NAMES: readonly string[] = Object.values(Mutation);
 
