--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,11 +1,10 @@
 /**
  * Bundles the router's program under target/: a short file that registers the
- * signals, and one with all the rest, so that startup reads and parses no unused
- * code.
+ * signals, and one with all the rest, whose name has the hash of its content.
  */
 import { build } from "esbuild";
 import { mkdirSync, renameSync, writeFileSync } from "node:fs";
-import { dirname } from "node:path";
+import { basename, dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { checkPackages } from "./check_packages.mjs";
 
@@ -27,36 +26,60 @@
 
 checkPackages(".", ["packages/runtime", "packages/gateway", "platform"]);
 
-const { outputFiles } = await build({
-  write: false,
-  entryPoints: ["platform/src/main.ts"],
-  outdir: "target",
-  outExtension: { ".js": ".mjs" },
-  entryNames: "router",
-  chunkNames: "[name]",
-  bundle: true,
-  splitting: true,
-  platform: "node",
-  target: "node20",
-  format: "esm",
-  minify: true,
-  keepNames: false,
-  plugins: [constantAssertions],
-  alias: Object.fromEntries(
-    ["runtime", "gateway"].map((name) => [
-      `@sassafrascleat/${name}`,
-      `./packages/${name}/src/index.ts`,
-    ]),
-  ),
-  // Bundled CommonJS packages call `require` for Node.js built-in modules.
-  banner: {
-    js:
-      'import{createRequire as r}from"node:module";const require=r(import.meta.url);',
-  },
-});
+/** Has the entry point load `file` as its program. */
+function programIn(file) {
+  return {
+    name: "program",
+    setup({ onResolve }) {
+      onResolve(
+        { filter: /^\.\/program\.ts$/ },
+        () => ({ path: `./${file}`, external: true }),
+      );
+    },
+  };
+}
+
+/** Bundles one module as CommonJS, which Node.js starts and loads faster. */
+async function bundle(entryPoint, entryNames, plugins) {
+  const { outputFiles: [file] } = await build({
+    write: false,
+    entryPoints: [entryPoint],
+    outdir: "target",
+    outExtension: { ".js": ".cjs" },
+    entryNames,
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    // A module that could not be imported can't be imported again.
+    supported: { "dynamic-import": false },
+    minify: true,
+    keepNames: false,
+    plugins,
+    alias: Object.fromEntries(
+      ["runtime", "gateway"].map((name) => [
+        `@sassafrascleat/${name}`,
+        `./packages/${name}/src/index.ts`,
+      ]),
+    ),
+  });
+  return file;
+}
+
+// An entry point finds its own program, whatever is built later.
+const program = await bundle(
+  "platform/src/program.ts",
+  "program-[hash]",
+  [constantAssertions],
+);
+const entry = await bundle(
+  "platform/src/main.ts",
+  "router",
+  [programIn(basename(program.path))],
+);
 
 // A process that starts meanwhile finds whole files.
-for (const { path, contents } of outputFiles) {
+for (const { path, contents } of [program, entry]) {
   const unfinished = `${path}.${process.pid}`;
   mkdirSync(dirname(path), { recursive: true });
   writeFileSync(unfinished, contents);
