fix(gateway): the store tells when a server that says so itself began to drain

A run that its draining engine has stopped may go back there until 1.9 s after the drain. An engine that says itself that it leaves is taken to have drained up to 1.2 s before, and that stayed so when the store listed the drain right after: runs had 0.7 s to go back, and ended with an engine that still served. A list of all servers took the time away altogether.

Both times are the earliest possible ones, so that the later one counts, once; later changes of the entry don't tell when the drain began.

The new test failed before (8800 instead of 9700).

--- a/packages/gateway/src/backends/__tests__/directory_test.ts
+++ b/packages/gateway/src/backends/__tests__/directory_test.ts
@@ -90,6 +90,23 @@
   expect(ready().sort()).toEqual(["a", "b"]);
 });
 
+// The run of an engine that said itself that it leaves could go back to it only in
+// 0.7 s, although the store told a later begin of the drain.
+test("LOST: the store tells when a server that says so itself began to drain", () => {
+  const { clock, directory } = create();
+  const draining = { state: BackendState.Draining };
+  directory.markDraining(backend("a"));
+  expect(directory.leavingSinceMs(backend("a"))).toBeLessThan(clock.now());
+  const writtenAtMs = clock.now() - 300;
+  directory.put(backend("a", draining), writtenAtMs);
+  expect(directory.leavingSinceMs(backend("a"))).toBe(writtenAtMs);
+  // Later changes of the entry, and whole lists, don't tell when the drain began.
+  clock.advance(500);
+  directory.put(backend("a", draining), clock.now());
+  directory.reset([backend("a", draining), backend("b")]);
+  expect(directory.leavingSinceMs(backend("a"))).toBe(writtenAtMs);
+});
+
 describe("a store that was restored from a copy", () => {
   test("DRAIN: lists a backend server that was draining as ready", () => {
     const { directory, ready } = create();
--- a/packages/gateway/src/backends/directory.ts
+++ b/packages/gateway/src/backends/directory.ts
@@ -54,6 +54,14 @@
 
 type Listener = (change: DirectoryChange, backend: Backend) => void;
 
+/** When an incarnation began to drain. */
+interface DrainStart {
+  /** The earliest possible time, in milliseconds of the process clock. */
+  sinceMs: number;
+  /** The store has listed it as draining, rather than only its responses. */
+  isListed: boolean;
+}
+
 interface ListedBackend {
   backend: Backend;
   /** When the entry disappeared; usable until the grace period ends. */
@@ -72,11 +80,10 @@
   readonly #log: Logger;
   readonly #expiryGraceMs: number;
   readonly #entryLifetimeMs: number;
-  /**
-   * When incarnations began to drain at the earliest, in milliseconds of the
-   * process clock. They never take back that they drain.
-   */
-  readonly #draining = new LRUCache<string, number>({ max: MAX_REMEMBERED });
+  /** Incarnations that drain; they never take that back. */
+  readonly #draining = new LRUCache<string, DrainStart>({
+    max: MAX_REMEMBERED,
+  });
   /** When incarnations were removed at the earliest, by the process clock. */
   readonly #removed = new LRUCache<string, number>({ max: MAX_REMEMBERED });
   /** Removed incarnations that a restored store lists, by id. */
@@ -145,7 +152,7 @@
    */
   leavingSinceMs(backend: Backend): number {
     const key = incarnationOf(backend);
-    const drainingMs = this.#draining.get(key);
+    const drainingMs = this.#draining.get(key)?.sinceMs;
     const removedMs = this.#removed.get(key);
     if (drainingMs === undefined) return removedMs ?? -Infinity;
     return Math.min(drainingMs, removedMs ?? Infinity);
@@ -175,7 +182,8 @@
   markDraining(backend: Backend): void {
     const key = incarnationOf(backend);
     if (this.#draining.has(key)) return;
-    this.#draining.set(key, this.#clock.now() - MAX_NOTICE_MS);
+    const sinceMs = this.#clock.now() - MAX_NOTICE_MS;
+    this.#draining.set(key, { sinceMs, isListed: false });
     const listed = this.#listed.get(backend.id);
     if (!listed || incarnationOf(listed.backend) !== key) return;
     listed.backend = { ...listed.backend, state: BackendState.Draining };
@@ -257,9 +265,10 @@
 
   #keepDraining(entry: Backend, writtenAtMs: number): Backend {
     const key = incarnationOf(entry);
-    if (entry.state === BackendState.Draining) {
-      const sinceMs = this.#draining.get(key) ?? Infinity;
-      this.#draining.set(key, Math.min(sinceMs, writtenAtMs));
+    const known = this.#draining.get(key);
+    if (entry.state === BackendState.Draining && !known?.isListed) {
+      const sinceMs = Math.max(known?.sinceMs ?? -Infinity, writtenAtMs);
+      this.#draining.set(key, { sinceMs, isListed: true });
     }
     return this.#draining.has(key)
       ? { ...entry, state: BackendState.Draining }
