fix(gateway): crashes are published after an attempt that threw

An exception counts as a failed attempt, is logged and followed by the next one.

"crashes are published after an attempt that threw" failed before: the exception went unhandled and the record was missing.

--- a/packages/gateway/src/quarantine/__tests__/request_quarantine_test.ts
+++ b/packages/gateway/src/quarantine/__tests__/request_quarantine_test.ts
@@ -188,3 +188,23 @@
     expect(remainingMs("part")).toBe(0);
   });
 });
+
+// One exception ended the publishing of crashes until the router restarted.
+test("BUDGET: crashes are published after an attempt that threw", async () => {
+  let attempts = 0;
+  const shared = crashLog;
+  const failing = {
+    update: (change: Parameters<CrashLog["update"]>[0]) => {
+      attempts += 1;
+      if (attempts === 1) throw new Error("no memory");
+      return shared.update(change);
+    },
+  };
+  quarantine = create(() => failing);
+  crash("e1", "bad");
+  const startMs = performance.now();
+  while (attempts < 2 && performance.now() - startMs < 3_000) await sleep(10);
+  await sleep(10);
+  const records = await shared.update(() => undefined);
+  expect(records?.map(({ engine }) => engine)).toEqual(["e1"]);
+});
--- a/packages/gateway/src/quarantine/request_quarantine.ts
+++ b/packages/gateway/src/quarantine/request_quarantine.ts
@@ -5,7 +5,12 @@
  * they see of such crashes, and reject requests that caused them, or that have
  * the parts that did, until the quarantine ends; it lasts longer with each crash.
  */
-import { type Clock, type Logger, sleep } from "@sassafrascleat/runtime";
+import {
+  type Clock,
+  errorMessage,
+  type Logger,
+  sleep,
+} from "@sassafrascleat/runtime";
 import type { Random } from "@sassafrascleat/runtime";
 import { LRUCache } from "lru-cache";
 import {
@@ -201,18 +206,8 @@
     let backoffMs = MIN_BACKOFF_MS;
     while (this.#changed) {
       this.#changed = false;
-      const added = this.#unpublished;
-      const stored = await this.#options.crashLog().update((records) => {
-        const merged = mergeCrashRecords(records, added);
-        const next = removeKeys(merged, this.#isCleared);
-        return areSameRecords(next, records) ? undefined : next;
-      });
-      if (stored) {
+      if (await this.#tryPublish()) {
         backoffMs = MIN_BACKOFF_MS;
-        this.#unpublished = this.#unpublished.filter((item) =>
-          !added.includes(item)
-        );
-        this.observe(stored);
         continue;
       }
       this.#changed = true;
@@ -221,4 +216,31 @@
     }
     this.#publishing = false;
   }
+
+  /** Writes this router's changes once; an exception counts as a failure. */
+  async #tryPublish(): Promise<boolean> {
+    try {
+      return await this.#publishOnce();
+    } catch (err) {
+      this.#options.log("crashes_not_published", {
+        message: errorMessage(err),
+      });
+      return false;
+    }
+  }
+
+  async #publishOnce(): Promise<boolean> {
+    const added = this.#unpublished;
+    const stored = await this.#options.crashLog().update((records) => {
+      const merged = mergeCrashRecords(records, added);
+      const next = removeKeys(merged, this.#isCleared);
+      return areSameRecords(next, records) ? undefined : next;
+    });
+    if (!stored) return false;
+    this.#unpublished = this.#unpublished.filter((item) =>
+      !added.includes(item)
+    );
+    this.observe(stored);
+    return true;
+  }
 }
