fix(platform): an entry point finds its own chunks while a build replaces them

Callers saw: none reported. A process that starts while a build of another version writes target/ may read the old entry point and the new program, or the reverse, and ends.

Cause: the program and the shared chunk had the same names in every version (program.mjs, chunk.mjs), so that a build replaced them one by one under an entry point of another version.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,9 +4,8 @@
  * code.
  */
 import { build } from "esbuild";
-import { mkdirSync, renameSync, writeFileSync } from "node:fs";
-import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
+import { writeOutputs } from "./build/outputs.mjs";
 import { checkPackages } from "./check_packages.mjs";
 
 const ASSERT = fileURLToPath(new URL("assert.cjs", import.meta.url));
@@ -33,7 +32,7 @@
   outdir: "target",
   outExtension: { ".js": ".mjs" },
   entryNames: "router",
-  chunkNames: "[name]",
+  chunkNames: "[name]-[hash]",
   bundle: true,
   splitting: true,
   platform: "node",
@@ -55,10 +54,4 @@
   },
 });
 
-// A process that starts meanwhile finds whole files.
-for (const { path, contents } of outputFiles) {
-  const unfinished = `${path}.${process.pid}`;
-  mkdirSync(dirname(path), { recursive: true });
-  writeFileSync(unfinished, contents);
-  renameSync(unfinished, path);
-}
+writeOutputs(outputFiles);
