fix(deploy): the build comes right in any environment and says what failed

A build that fails is one hypothesis.

What the environment lets npm leave out was left out, the bundler too (NODE_ENV=production, omit=dev, omit=optional); a cache that can't be written, an option that Node.js can't follow, or one download that ends early ended the build without a reason; two builds of a checkout removed each other's packages; 242 MB were installed. Also, `debug` found the supports-color of the test runner at the root, so the program depended on packages that it doesn't declare.

Change: scripts/build.mjs installs the packages of the three workspaces that make up the program, from the committed lock file, in a folder of its own under target/build, and publishes it by one rename under a hash of all that decides its content. A digest tells whether it is whole; a later build needs no network. Flags of npm beat variables and files, but for those about the network and access. An installation is tried five times, within 14 minutes, from the second on with a cache of its own, each time with npm's reason. The bundler takes packages from that folder alone and fails otherwise. NODE_OPTIONS are emptied by the build line, since a bad one ends Node.js before any script; those about the network reach npm under another name.

Tests: those of the old line ran a stand-in npm and looked at modification times, which decide nothing now. Each has one in its place that runs the real npm against a registry on loopback: a clean checkout, packages used as they are (no registry), another lock file, an incomplete folder, a bundling that fails. The check of versions is kept.

--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -1,8 +1,8 @@
 /** Runs every test from source; packages resolve to their public index. */
 export default {
   testMatch: ["**/__tests__/**/*_test.ts"],
-  testPathIgnorePatterns: ["/node_modules/", "/dist/"],
-  modulePathIgnorePatterns: ["/dist/"],
+  testPathIgnorePatterns: ["/node_modules/", "/dist/", "<rootDir>/target/"],
+  modulePathIgnorePatterns: ["/dist/", "<rootDir>/target/"],
   extensionsToTreatAsEsm: [".ts"],
   transform: { "^.+\\.ts$": "@swc/jest" },
   moduleNameMapper: {
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,13 +1,19 @@
 /**
  * Bundles the router's program under target/: a short file that registers the
  * signals, and one with all the rest, so that startup reads and parses no unused
- * code.
+ * code. Its argument is the folder of the installed packages, in the layout of the
+ * repository, whose root is the default.
  */
-import { build } from "esbuild";
+import { realpathSync } from "node:fs";
+import { createRequire } from "node:module";
+import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { writeOutputs } from "./build/outputs.mjs";
+import { packagesOf, requirePackagesOf } from "./build/resolve.mjs";
+import { PROGRAM_WORKSPACES } from "./build/workspaces.mjs";
 import { checkPackages } from "./check_packages.mjs";
 
+const PACKAGES = realpathSync(process.argv[2] ?? ".");
 const ASSERT = fileURLToPath(new URL("assert.cjs", import.meta.url));
 
 /** Has every package use the assertions of assert.cjs. */
@@ -24,10 +30,12 @@
   },
 };
 
-checkPackages(".", ["packages/runtime", "packages/gateway", "platform"]);
+checkPackages(PACKAGES, PROGRAM_WORKSPACES);
+const { build } = createRequire(join(PACKAGES, "package.json"))("esbuild-wasm");
 
-const { outputFiles } = await build({
+const { metafile, outputFiles } = await build({
   write: false,
+  metafile: true,
   entryPoints: ["platform/src/main.ts"],
   outdir: "target",
   outExtension: { ".js": ".mjs" },
@@ -40,7 +48,7 @@
   format: "esm",
   minify: true,
   keepNames: false,
-  plugins: [constantAssertions],
+  plugins: [constantAssertions, packagesOf(PACKAGES)],
   alias: Object.fromEntries(
     ["runtime", "gateway"].map((name) => [
       `@sassafrascleat/${name}`,
@@ -54,4 +62,5 @@
   },
 });
 
+requirePackagesOf(PACKAGES, metafile);
 writeOutputs(outputFiles);
--- a/scripts/check_packages.mjs
+++ b/scripts/check_packages.mjs
@@ -9,8 +9,11 @@
 /** Throws an error that names the first package of another version. */
 export function checkPackages(root, workspaces) {
   for (const workspace of workspaces) {
-    const { dependencies } = readPackage(join(root, workspace));
-    for (const [name, wanted] of Object.entries(dependencies)) {
+    const { dependencies, devDependencies } = readPackage(
+      join(root, workspace),
+    );
+    const needed = { ...dependencies, ...devDependencies };
+    for (const [name, wanted] of Object.entries(needed)) {
       const folders = [join(root, workspace), root];
       const found = folders
         .map((folder) => join(folder, "node_modules", name))
