--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,13 +1,19 @@
 /**
  * Bundles the router's program under target/: a short file that registers the
- * signals, and one with all the rest, whose name has the hash of its content.
+ * signals, and one with all the rest, whose name has the hash of its content. The
+ * argument is the folder of the installed packages, in the layout of the
+ * repository, whose root is the default.
  */
-import { build } from "esbuild";
-import { mkdirSync, renameSync, writeFileSync } from "node:fs";
-import { basename, dirname } from "node:path";
+import { realpathSync } from "node:fs";
+import { createRequire } from "node:module";
+import { basename, join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { writeOutputs } from "./build/outputs.mjs";
+import { packagesOf, requirePackagesOf } from "./build/resolve.mjs";
+import { PROGRAM_WORKSPACES } from "./build/workspaces.mjs";
 import { checkPackages } from "./check_packages.mjs";
 
+const PACKAGES = realpathSync(process.argv[2] ?? ".");
 const ASSERT = fileURLToPath(new URL("assert.cjs", import.meta.url));
 
 /** Has every package use the assertions of assert.cjs. */
@@ -24,7 +30,8 @@
   },
 };
 
-checkPackages(".", ["packages/runtime", "packages/gateway", "platform"]);
+checkPackages(PACKAGES, PROGRAM_WORKSPACES);
+const { build } = createRequire(join(PACKAGES, "package.json"))("esbuild-wasm");
 
 /** Has the entry point load `file` as its program. */
 function programIn(file) {
@@ -41,8 +48,9 @@
 
 /** Bundles one module as CommonJS, which Node.js starts and loads faster. */
 async function bundle(entryPoint, entryNames, plugins) {
-  const { outputFiles: [file] } = await build({
+  const { metafile, outputFiles: [file] } = await build({
     write: false,
+    metafile: true,
     entryPoints: [entryPoint],
     outdir: "target",
     outExtension: { ".js": ".cjs" },
@@ -55,7 +63,7 @@
     supported: { "dynamic-import": false },
     minify: true,
     keepNames: false,
-    plugins,
+    plugins: [...plugins, packagesOf(PACKAGES)],
     alias: Object.fromEntries(
       ["runtime", "gateway"].map((name) => [
         `@sassafrascleat/${name}`,
@@ -63,6 +71,7 @@
       ]),
     ),
   });
+  requirePackagesOf(PACKAGES, metafile);
   return file;
 }
 
@@ -78,10 +87,4 @@
   [programIn(basename(program.path))],
 );
 
-// A process that starts meanwhile finds whole files.
-for (const { path, contents } of [program, entry]) {
-  const unfinished = `${path}.${process.pid}`;
-  mkdirSync(dirname(path), { recursive: true });
-  writeFileSync(unfinished, contents);
-  renameSync(unfinished, path);
-}
+writeOutputs([program, entry]);
