--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -5,7 +5,7 @@
  */
 import { spawnSync } from "node:child_process";
 import { fileURLToPath } from "node:url";
-import { childEnvironment } from "./build/environment.mjs";
+import { bundlerOptions, childEnvironment } from "./build/environment.mjs";
 import { isComplete, preparePackages } from "./build/packages.mjs";
 
 const ROOT = fileURLToPath(new URL("..", import.meta.url));
@@ -14,7 +14,7 @@
   const { status } = spawnSync(
     process.execPath,
     ["scripts/bundle.mjs", packages],
-    { cwd: ROOT, env: childEnvironment(), stdio: "inherit" },
+    { cwd: ROOT, env: childEnvironment(bundlerOptions()), stdio: "inherit" },
   );
   return status === 0;
 }
