--- a/playground/src/fuzz/deployment.ts
+++ b/playground/src/fuzz/deployment.ts
@@ -120,7 +120,12 @@
       () => running().every((it) => it.replica.sequence >= this.#sequence),
       READY_TIMEOUT_MS,
     );
-    invariant(ready, "an entry did not receive the deployment's configuration");
+    const sequences = running().map((it) => it.replica.sequence);
+    invariant(
+      ready,
+      "an entry did not receive the deployment's configuration: " +
+        `sequences ${sequences} of ${this.#sequence}`,
+    );
   }
 
   /** Clears all faults and starts every process that is down. */
--- a/playground/src/fuzz/lane.ts
+++ b/playground/src/fuzz/lane.ts
@@ -4,6 +4,7 @@
  */
 import { VError } from "@sassafrascleat/runtime";
 import fc from "fast-check";
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import { type FuzzDeployment, startFuzzDeployment } from "./deployment.ts";
 import { ActiveMutation, type Mutation } from "./mutations.ts";
 import { checkRun } from "./oracle.ts";
@@ -16,6 +17,8 @@
 /** Time limit for shrinking a failure, in milliseconds. */
 const SHRINK_TIMEOUT_MS = 60_000;
 
+const NS_PER_MS = 1_000_000;
+
 /** Options of a lane. */
 export interface LaneOptions {
   seed: number;
@@ -98,6 +101,8 @@
   readonly #signal: AbortSignal;
   readonly #onRun: (effects: number) => void;
   readonly #start: typeof startFuzzDeployment;
+  /** How late this process's event loop was in the run in progress. */
+  readonly #lateness = monitorEventLoopDelay();
   #shrinkDeadlineMs = Infinity;
   #error: string | undefined;
 
@@ -115,6 +120,7 @@
 
   async run(): Promise<LaneReport> {
     const { seed, lane, path, runs, mutation } = this.#options;
+    this.#lateness.enable();
     const arbitrary = fc.commands(
       COMMAND_ARBITRARIES.map((it) =>
         it.map((steps) => new StepsCommand(steps))
@@ -160,11 +166,14 @@
   async #problemsOf(commands: Commands): Promise<string[]> {
     const { mutation } = this.#options;
     const active = mutation && new ActiveMutation(mutation);
+    this.#lateness.reset();
     try {
       return await runCommands(await this.#start(active), commands);
     } catch (err) {
       // Not thrown on: fast-check would report it as a counterexample.
-      this.#error = VError.fullStack(err as Error);
+      const lateMs = Math.round(this.#lateness.max / NS_PER_MS);
+      this.#error = `${VError.fullStack(err as Error)}\n` +
+        `The event loop was late by up to ${lateMs} ms.`;
       return [];
     } finally {
       this.#onRun(active?.effects ?? 0);
