--- a/scripts/build/environment.mjs
+++ b/scripts/build/environment.mjs
@@ -2,6 +2,7 @@
  * The environment of the programs that a build starts: the user's, but for
  * variables that change how Node.js runs or where it looks for packages.
  */
+
 /** Options of Node.js that concern the network, such as its certificates. */
 const NETWORK_OPTION = /^--(use|tls|openssl|dns|network|no-network)-/;
 
