--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,7 +9,6 @@
 import { preparePackages } from "./build/packages.mjs";
 
 const ROOT = fileURLToPath(new URL("..", import.meta.url));
-
 /** The bundler may crash, or packages be damaged meanwhile. */
 const BUNDLE_ATTEMPTS = 3;
 
--- a/scripts/build/outputs.mjs
+++ b/scripts/build/outputs.mjs
@@ -4,15 +4,9 @@
  * their names hold a hash and older ones stay for a while.
  */
 import { randomBytes } from "node:crypto";
-import {
-  mkdirSync,
-  readdirSync,
-  renameSync,
-  rmSync,
-  statSync,
-  writeFileSync,
-} from "node:fs";
+import { mkdirSync, readdirSync, renameSync, writeFileSync } from "node:fs";
 import { basename, dirname, join } from "node:path";
+import { removeIfOlder } from "./unused.mjs";
 
 const CHUNK = /-[A-Z0-9]{8}\.[cm]?js$/;
 /** What a build leaves that was killed while it wrote. */
@@ -44,15 +38,5 @@
     .filter((name) => CHUNK.test(name) || UNFINISHED.test(name))
     .filter((name) => !names.includes(name))
     .map((name) => join(folder, name));
-  for (const path of old) removeIfOld(path);
-}
-
-function removeIfOld(path) {
-  try {
-    if (Date.now() - statSync(path).mtimeMs > KEPT_MS) rmSync(path);
-  } catch (err) {
-    // Another build may have removed it, too.
-    if (err.code === "ENOENT") return;
-    console.error(`build: ${path} can't be removed: ${err.message}`);
-  }
+  for (const path of old) removeIfOlder(path, KEPT_MS);
 }
--- a/scripts/build/packages.mjs
+++ b/scripts/build/packages.mjs
@@ -38,7 +38,7 @@
 }
 
 /** Whether everything is there as it was installed. */
-export function isComplete(folder) {
+function isComplete(folder) {
   const path = join(folder, DIGEST);
   if (!existsSync(path)) return false;
   return readFileSync(path, "utf8") === digestFolder(folder, DIGEST);
--- a/scripts/build/unused.mjs
+++ b/scripts/build/unused.mjs
@@ -17,17 +17,18 @@
   for (const name of readdirSync(base)) {
     const path = join(base, name);
     if (path === needed) continue;
-    try {
-      if (isUnused(path, name)) rmSync(path, { recursive: true, force: true });
-    } catch (err) {
-      // Another build may be removing it, too.
-      if (err.code === "ENOENT") continue;
-      console.error(`build: ${path} can't be removed: ${err.message}`);
-    }
+    removeIfOlder(path, name.startsWith(UNFINISHED) ? BUILD_MS : KEPT_MS);
   }
 }
 
-function isUnused(path, name) {
-  const ageMs = Date.now() - statSync(path).mtimeMs;
-  return ageMs > (name.startsWith(UNFINISHED) ? BUILD_MS : KEPT_MS);
+/** Removes a file or folder that was written longer ago than `keptMs`. */
+export function removeIfOlder(path, keptMs) {
+  try {
+    const ageMs = Date.now() - statSync(path).mtimeMs;
+    if (ageMs > keptMs) rmSync(path, { recursive: true, force: true });
+  } catch (err) {
+    // Another build may be removing it, too.
+    if (err.code === "ENOENT") return;
+    console.error(`build: ${path} can't be removed: ${err.message}`);
+  }
 }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,8 +1,8 @@
 /**
  * Bundles the router's program under target/: a short file that registers the
- * signals, and one with all the rest, whose name has the hash of its content. The
- * argument is the folder of the installed packages, in the layout of the
- * repository, whose root is the default.
+ * signals, and one with all the rest, whose name has a hash that differs between
+ * programs. The argument is the folder of the installed packages, in the layout of
+ * the repository, whose root is the default.
  */
 import { realpathSync } from "node:fs";
 import { createRequire } from "node:module";
