feat(gateway): log streams that end with their connection

Hypotheses on streams that a move ends can't be told apart by the log: it doesn't say whether a stream ended with its connection, nor how far the run had come at its engine. `stream_closed` tells the first, `engine_events` and `last_id` of `run_moved` the second. What the router decides is unchanged.

--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -182,6 +182,8 @@
   end: CopyEnd;
   /** Where the memory can be fetched from if the run has stopped. */
   source?: KvSource;
+  /** Events that the run had generated. */
+  engineEvents?: number;
   message?: string;
 }
 
@@ -203,6 +205,8 @@
   end: MoveEnd;
   /** Where the memory of the stopped run can be fetched from. */
   source?: KvSource;
+  /** Events that the run had generated. */
+  engineEvents?: number;
   message?: string;
 }
 
--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -309,7 +309,8 @@
     return ended;
   }
 
-  #log(target: Backend, { end, message }: CopyResult | MoveResult): void {
+  #log(target: Backend, result: CopyResult | MoveResult): void {
+    const { end, message, engineEvents } = result;
     this.#ctx.log("run_moved", {
       req: this.#req.metadata.requestId,
       from: this.#engine.id,
@@ -318,6 +319,8 @@
       message,
       elapsed_ms: Math.round(this.#ctx.clock.now() - this.#startMs),
       events: this.#generation.progress.events,
+      last_id: this.#generation.progress.lastEventId,
+      engine_events: engineEvents,
     });
   }
 }
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -12,6 +12,7 @@
 import { MAX_ERROR_BYTES, MAX_EVENT_BYTES } from "../http/response_limits.ts";
 import {
   CallFailure,
+  declaresLength,
   type ResponseFlowControl,
 } from "../http/upstream_call.ts";
 import type { Directives, RawHeaders } from "../http/wire_codec.ts";
@@ -46,6 +47,8 @@
   headers: RawHeaders;
   body: Buffer;
   message: string;
+  /** The response had no length, so that it ended with its connection. */
+  endedByClose: boolean;
 }
 
 /** Options of one stream. */
@@ -321,6 +324,8 @@
       headers: this.#headers,
       body: isError ? this.#errorBody.toBuffer() : EMPTY,
       message,
+      endedByClose: end === StreamEnd.Complete &&
+        !declaresLength(this.#headers),
     };
   }
 }
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -266,6 +266,7 @@
     if (prefill && result.events > 0) this.#placer.recordPrefillUsed(prefill);
     const move = this.#pendingMove;
     this.#pendingMove = undefined;
+    if (result.endedByClose) this.#logClose(reservation, move !== undefined);
     if (result.end !== StreamEnd.Cut) move?.cancel();
     if (result.end === StreamEnd.Complete) {
       this.#recordHealth(result, reservation);
@@ -325,6 +326,16 @@
       this.#finisher.attempts < this.#req.route.maxAttempts;
   }
 
+  #logClose({ engine }: Reservation, moving: boolean): void {
+    this.#ctx.log("stream_closed", {
+      req: this.#req.metadata.requestId,
+      backend: engine.id,
+      moving,
+      last_id: this.#generation.progress.lastEventId,
+      remaining_ms: Math.round(remainingMs(this.#ctx, this.#req)),
+    });
+  }
+
   #logEnd(result: StreamResult, reservation: Reservation): void {
     this.#ctx.log("decode_ended", {
       req: this.#req.metadata.requestId,
