fix(gateway): a stream that is closed for its move is not complete

The end of the connection now waits for the move. The run continues where its memory is; it is complete only if the engine denies the run to the first call that would stop it, or goes on with it. A copy proves nothing by itself, since engines may stop a run for that too: the events that the engine counts in its response tell whether more have come after it. What stays unknown is cut off rather than complete.

--- a/packages/gateway/src/runs/run_move.ts
+++ b/packages/gateway/src/runs/run_move.ts
@@ -15,7 +15,7 @@
 import type { KvSource } from "../http/wire_codec.ts";
 import { ofVersion } from "../versions/same_version.ts";
 import type { Generation } from "./generation.ts";
-import type { MovedRun, MoveSignals } from "./pending_move.ts";
+import type { MovedRun, MoveOutcome, MoveSignals } from "./pending_move.ts";
 import {
   type CallerRequest,
   CopyEnd,
@@ -65,17 +65,14 @@
   };
 }
 
-/**
- * Moves a run that would not end in time at a draining engine. Returns undefined
- * if the run has ended there or its state is unknown.
- */
+/** Moves a run that would not end in time at a draining engine. */
 export function moveFromDrainingEngine(
   ctx: RunContext,
   req: CallerRequest,
   generation: Generation,
   engine: Backend,
   signals: MoveSignals,
-): Promise<MovedRun | undefined> {
+): Promise<MoveOutcome> {
   return new RunMove(ctx, req, generation, engine, signals).run();
 }
 
@@ -88,8 +85,9 @@
   readonly #signals: MoveSignals;
   readonly #startMs: number;
   #hasRetry = false;
-  /** Where an engine that found no room for a copy has kept the memory. */
-  #kept: KvSource | undefined;
+  #mayHaveStopped = false;
+  /** What an engine that found no room for a copy has kept. */
+  #kept: CopyResult | undefined;
 
   constructor(
     ctx: RunContext,
@@ -107,12 +105,12 @@
   }
 
   /** Moves the run, or returns the retry that it would have taken. */
-  async run(): Promise<MovedRun | undefined> {
+  async run(): Promise<MoveOutcome> {
     const moved = await this.#search();
     if (!moved && this.#hasRetry) {
       this.#ctx.retryBudgetOf(this.#req.service.name).refund();
     }
-    return moved;
+    return { moved, mayHaveStopped: this.#mayHaveStopped };
   }
 
   /** Searches for room until the run has moved or has ended. */
@@ -139,7 +137,7 @@
         return await this.#stopAt(target, copy, release);
       }
       release();
-      this.#kept = copy.source ?? this.#kept;
+      if (copy.source) this.#kept = copy;
       if (copy.end === CopyEnd.Failed || cut.aborted) return undefined;
     }
     return undefined;
@@ -218,7 +216,7 @@
       case MoveEnd.Ended:
         // Its stream tells whether the caller has all of it.
         await this.#pause(Infinity);
-        if (!this.#signals.cancelled.aborted) {
+        if (!this.#signals.cancelled.aborted && !this.#hasEnded(copy)) {
           return this.#continueAt(target, copy.source, release);
         }
         break;
@@ -232,7 +230,6 @@
   /** Asks again once a response is lost: the run may have stopped. */
   async #stop(target: Backend): Promise<MoveResult> {
     const { cancelled } = this.#signals;
-    let mayHaveStopped = false;
     for (let calls = 1;; calls += 1) {
       const result = await this.#ctx.engines.moveRun(
         this.#engine,
@@ -241,10 +238,11 @@
         cancelled,
       );
       this.#log(target, result);
-      mayHaveStopped ||= result.end === MoveEnd.Unknown;
+      this.#mayHaveStopped ||= result.end !== MoveEnd.Ended &&
+        result.end !== MoveEnd.NotMoved;
       const isCertain = result.end !== MoveEnd.Unknown &&
         result.end !== MoveEnd.NotMoved;
-      if (isCertain || !mayHaveStopped) return result;
+      if (isCertain || !this.#mayHaveStopped) return result;
       if (calls === MAX_STOP_CALLS || cancelled.aborted) return result;
       await sleep(STOP_INTERVAL_MS, cancelled);
     }
@@ -252,8 +250,20 @@
 
   /** Continues a run at its engine that was stopped there without a move. */
   #goBack(): MovedRun | undefined {
-    if (!this.#kept || !this.#mayReturn()) return undefined;
-    return this.#continueAt(this.#engine, this.#kept);
+    if (!this.#kept || this.#hasEnded(this.#kept)) return undefined;
+    this.#mayHaveStopped = true;
+    if (!this.#mayReturn()) return undefined;
+    return this.#continueAt(this.#engine, this.#kept.source);
+  }
+
+  /**
+   * Whether the run has come to its own end. Engines may stop a run to copy its
+   * memory, but one that has sent events since then went on.
+   */
+  #hasEnded({ engineEvents = Infinity }: CopyResult): boolean {
+    if (!this.#signals.closed.aborted || this.#mayHaveStopped) return false;
+    const { lastEventId } = this.#generation.progress;
+    return Number(lastEventId) > engineEvents;
   }
 
   /** Whether the draining engine may still be sent a request. */
--- a/packages/gateway/src/runs/stream_run.ts
+++ b/packages/gateway/src/runs/stream_run.ts
@@ -19,7 +19,13 @@
 import { recordStream } from "./crash_detection.ts";
 import { Generation } from "./generation.ts";
 import { MAX_STANDSTILL_MS } from "./liveness.ts";
-import { type MoveSignals, PendingMove } from "./pending_move.ts";
+import {
+  MovedStreamEnd,
+  type MoveOutcome,
+  type MoveSignals,
+  NOT_MOVED,
+  PendingMove,
+} from "./pending_move.ts";
 import { moveFromDrainingEngine, watchEngine } from "./run_move.ts";
 import { runPlainStream } from "./plain_stream.ts";
 import { reject } from "./reject.ts";
@@ -257,17 +263,18 @@
 
   /** Handles the end of one stream; undefined if another engine should be tried. */
   async #handleEnd(
-    result: StreamResult,
+    ended: StreamResult,
     placement: Placement,
     signal: AbortSignal,
   ): Promise<RunOutcome | undefined> {
     const { ctx, req } = { ctx: this.#ctx, req: this.#req };
     const { reservation, prefill } = placement;
-    if (prefill && result.events > 0) this.#placer.recordPrefillUsed(prefill);
-    const move = this.#pendingMove;
-    this.#pendingMove = undefined;
-    if (result.endedByClose) this.#logClose(reservation, move !== undefined);
-    if (result.end !== StreamEnd.Cut) move?.cancel();
+    if (prefill && ended.events > 0) this.#placer.recordPrefillUsed(prefill);
+    const move = await this.#endMove(ended, reservation);
+    // The stream of a stopped run is closed, as a complete one may be.
+    const wasStopped = move.moved !== undefined || move.mayHaveStopped;
+    const result = wasStopped ? { ...ended, end: StreamEnd.Cut } : ended;
+    if (result.end === StreamEnd.Cut) this.#continuation = move.moved;
     if (result.end === StreamEnd.Complete) {
       this.#recordHealth(result, reservation);
       this.#recordCompletion(reservation);
@@ -279,15 +286,11 @@
       if (result.status === 0) prefill?.discard();
       return this.#finisher.aborted();
     }
-    if (result.end === StreamEnd.Cut) {
-      this.#continuation = await move?.wait(this.#maxMoveWaitMs());
-      if (this.#continuation) {
-        this.#finisher.attempts -= 1;
-        this.#finisher.moved = true;
-        return undefined;
-      }
+    if (move.moved) {
+      this.#finisher.attempts -= 1;
+      this.#finisher.moved = true;
+      return undefined;
     }
-    if (signal.aborted) return this.#finisher.aborted();
     this.#recordHealth(result, reservation);
     this.#logEnd(result, reservation);
     await recordStream(ctx, req, reservation.engine, result, signal);
@@ -302,6 +305,24 @@
     return undefined;
   }
 
+  /** Ends the move of a run whose stream has ended, and tells its outcome. */
+  async #endMove(
+    { end, endedByClose }: StreamResult,
+    reservation: Reservation,
+  ): Promise<MoveOutcome> {
+    const move = this.#pendingMove;
+    this.#pendingMove = undefined;
+    if (endedByClose) this.#logClose(reservation, move !== undefined);
+    if (!move) return NOT_MOVED;
+    const maxWaitMs = this.#maxMoveWaitMs();
+    if (endedByClose) return await move.wait(MovedStreamEnd.Closed, maxWaitMs);
+    if (end === StreamEnd.Cut) {
+      return await move.wait(MovedStreamEnd.Cut, maxWaitMs);
+    }
+    move.cancel();
+    return NOT_MOVED;
+  }
+
   /** Only a stream that may begin anew can do without the result of a move. */
   #maxMoveWaitMs(): number {
     return this.#mayResume() ? MAX_STANDSTILL_MS : Infinity;
