fix(gateway): a response that its deadline ends is not complete

A server stops at the deadline that it was sent, in whole milliseconds and by its own timers; where that comes before the router's, callers got a part as a complete response (ORDER, MIXED).

Within 10 ms of its deadline the end of such a response proves nothing.

--- a/packages/gateway/src/runs/plain_call.ts
+++ b/packages/gateway/src/runs/plain_call.ts
@@ -13,7 +13,7 @@
 import type { RawHeaders } from "../http/wire_codec.ts";
 import { recordCall } from "./crash_detection.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
-import { endedByCrash } from "./response_end.ts";
+import { mayBeCutOff } from "./response_end.ts";
 import {
   type CallerRequest,
   recordCallResult,
@@ -78,7 +78,7 @@
   );
 }
 
-/** Half of a body that a crash has cut off is no response. */
+/** A part of a body is no response. */
 async function withoutHalfBody(
   ctx: RunContext,
   req: CallerRequest,
@@ -87,13 +87,13 @@
 ): Promise<ExchangeResult> {
   if (result.end === ExchangeOutcome.Failed) return result;
   const { elapsedMs } = result;
-  if (!await endedByCrash(ctx, req, backend, result)) return result;
+  if (!await mayBeCutOff(ctx, req, backend, result)) return result;
   return {
     end: ExchangeOutcome.Failed,
     failure: CallFailure.Broken,
     sent: true,
     timedOut: false,
-    message: "the server is gone",
+    message: "the response may be cut off",
     elapsedMs,
   };
 }
--- a/packages/gateway/src/runs/response_end.ts
+++ b/packages/gateway/src/runs/response_end.ts
@@ -1,6 +1,7 @@
 /**
- * Tells whole responses from those that a crash has cut off. A response without
- * a length ends with its connection, and a crash ends that as well.
+ * Tells whole responses from those that were cut off. A response without a length
+ * ends with its connection, which a crash ends as well, and so does a server that
+ * stops at the deadline of the request.
  */
 import type { Backend } from "../backends/backend.ts";
 import { declaresLength } from "../http/upstream_call.ts";
@@ -19,13 +20,18 @@
 }
 
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
+/**
+ * How much sooner than here a deadline may pass at a server, which gets it in
+ * whole milliseconds and has timers of its own, in milliseconds.
+ */
+const DEADLINE_TOLERANCE_MS = 10;
 
 /**
- * Whether a response without a length ended because its server crashed: it ends
- * with its connection in either case. Has to be called when it has ended. A
- * server that only stands still has ended it itself.
+ * Whether a response without a length may have ended before it was complete. Has
+ * to be called when it has ended. A server that only stands still has ended it
+ * itself.
  */
-export async function endedByCrash(
+export async function mayBeCutOff(
   ctx: RunContext,
   req: CallerRequest,
   backend: Backend,
@@ -34,6 +40,7 @@
   const isDelimited = declaresLength(headers) || req.method === "HEAD" ||
     STATUSES_WITHOUT_BODY.has(status);
   if (isDelimited) return false;
+  if (remainingMs(ctx, req) < DEADLINE_TOLERANCE_MS) return true;
   const sinceMs = ctx.clock.now();
   const waitMs = Math.min(MAX_STANDSTILL_MS, remainingMs(ctx, req));
   const liveness = await ctx.liveness.check(backend, { waitMs, sinceMs });
--- a/packages/gateway/src/runs/stream_call.ts
+++ b/packages/gateway/src/runs/stream_call.ts
@@ -19,7 +19,7 @@
 import type { StreamProgress } from "./generation.ts";
 import { ReaderWatch } from "./reader_watch.ts";
 import { classifyReply, ReplyVerdict } from "./reply_verdict.ts";
-import { endedByCrash } from "./response_end.ts";
+import { mayBeCutOff } from "./response_end.ts";
 import type { CallerRequest, RunContext } from "./run_context.ts";
 
 /** How a stream from one backend server ended. */
@@ -295,16 +295,16 @@
     }
     if (!this.#hasEvents) return StreamEnd.BackendError;
     if (this.#splitter.pendingBytes > 0) return StreamEnd.Cut;
-    if (await this.#endedByCrash()) return StreamEnd.Cut;
+    if (await this.#mayBeCutOff()) return StreamEnd.Cut;
     // A response without events keeps its headers and its comments.
     if (!this.#req.responder.started) this.#write(EMPTY);
     return StreamEnd.Complete;
   }
 
-  #endedByCrash(): Promise<boolean> {
+  #mayBeCutOff(): Promise<boolean> {
     const { backend } = this.#options;
     const start = { status: this.#status, headers: this.#headers };
-    return endedByCrash(this.#ctx, this.#req, backend, start);
+    return mayBeCutOff(this.#ctx, this.#req, backend, start);
   }
 
   #endOfFailure(failure: CallFailure, sent: boolean): StreamEnd {
