fix(gateway): thousands of callers stay within the memory of a host

Clients that nobody controls took up to 194 MB of a host's 178, whatever they sent behind 3,000 requests in progress. Three causes, each traced with the memory by kind:

- V8's heap grew to its limit of 120 MB before it was collected (39 MB in use), beside 70 MB that the process and the connections take.
- When input that waits had filled its memory, all connections were paused and later resumed at once.
Each that was paused in the tick of its resumption read ahead up to 64 KB, counted nowhere: 180 MB of buffers in one crowd, 285 MB in all with a smaller bound on input.
Reading is stopped once more in the next tick, and resumed on as many connections as there is memory for, in rotation.

--- a/packages/gateway/src/http/caller_connections.ts
+++ b/packages/gateway/src/http/caller_connections.ts
@@ -83,11 +83,36 @@
     return this.#connections.get(socket)?.input?.isClosing ?? false;
   }
 
-  /** Pauses or resumes the input of every connection as memory demands. */
-  updateFlow(): void {
+  /** Pauses the input of every connection. */
+  pauseInput(): void {
     for (const { input } of this.#connections.values()) input?.updateFlow();
   }
 
+  /**
+   * Resumes the input of at most `count` connections; true if there may be more
+   * that are paused.
+   */
+  resumeInput(count: number): boolean {
+    let resumed = 0;
+    for (const [socket, { input }] of [...this.#connections]) {
+      if (!input?.isPaused) continue;
+      if (resumed === count) return true;
+      input.updateFlow();
+      if (input.isPaused) continue;
+      resumed += 1;
+      this.#moveToEnd(socket);
+    }
+    return false;
+  }
+
+  /** The others come first next time. */
+  #moveToEnd(socket: Socket): void {
+    const connection = this.#connections.get(socket);
+    if (!connection) return;
+    this.#connections.delete(socket);
+    this.#connections.set(socket, connection);
+  }
+
   /** Few connections can't have heads that take too much. */
   #scheduleCheck(): void {
     const mostBytes = this.size * HEAP_PER_ARRIVING_BYTE *
--- a/packages/gateway/src/http/caller_input.ts
+++ b/packages/gateway/src/http/caller_input.ts
@@ -60,7 +60,7 @@
   readonly #socket: Socket;
   readonly #framer: RequestFramer;
   readonly #held = new HeldBytes();
-  readonly #deliverToServer: (bytes: Buffer) => void;
+  readonly #server: ServerListeners;
   #accountedBytes = 0;
   /** A request has been passed on and is not over. */
   #isRequestOpen = false;
@@ -79,7 +79,7 @@
       onAmbiguous: (bytes) => this.#passAmbiguous(bytes),
       onFault: (fault) => this.#rejectFault(fault),
     }, options.limits);
-    this.#deliverToServer = takeOverInput(
+    this.#server = takeOverInput(
       options.socket,
       (bytes) => this.#add(bytes),
     );
@@ -147,10 +147,15 @@
       this.#held.size >= maxBytes;
     if (isPaused === this.#isPaused || this.#socket.destroyed) return;
     this.#isPaused = isPaused;
-    if (isPaused) this.#socket.pause();
+    if (isPaused) this.#pause();
     else this.#socket.resume();
   }
 
+  /** True if reading is paused. */
+  get isPaused(): boolean {
+    return this.#isPaused;
+  }
+
   run(maxWork: number): number {
     let work = 0;
     while (work < maxWork && this.isReady) {
@@ -168,6 +173,17 @@
     return work;
   }
 
+  /**
+   * A stream that has been resumed in this tick, as new ones are, starts reading
+   * in the next one although it has been paused meanwhile, and reads ahead.
+   */
+  #pause(): void {
+    this.#socket.pause();
+    process.nextTick(() => {
+      if (this.#isPaused) this.#server.stopReading();
+    });
+  }
+
   get #isBlocked(): boolean {
     if (this.#framer.state !== FramerState.Complete) return false;
     return this.#isRequestOpen || this.#socket.writableNeedDrain;
@@ -201,7 +217,7 @@
   }
 
   #deliver(bytes: Buffer): void {
-    if (!this.#socket.destroyed) this.#deliverToServer(bytes);
+    if (!this.#socket.destroyed) this.#server.deliver(bytes);
   }
 
   #passHead(head: FramedHead): void {
@@ -268,6 +284,14 @@
   }
 }
 
+/** What `node:http` does with a connection. */
+interface ServerListeners {
+  /** Parses input. */
+  deliver(bytes: Buffer): void;
+  /** Stops the reading of a paused connection. */
+  stopReading(): void;
+}
+
 /**
  * Replaces the listener for input of `node:http` and returns it. Another
  * listener makes `node:http` stop reading from the handle by itself, and remove
@@ -276,11 +300,12 @@
 function takeOverInput(
   socket: Socket,
   onBytes: (bytes: Buffer) => void,
-): (bytes: Buffer) => void {
+): ServerListeners {
   const [listener] = socket.listeners("data");
-  const flow = (["pause", "resume"] as const).map((event) =>
-    [event, socket.listeners(event)] as const
-  );
+  const flow = [
+    ["pause", socket.listeners("pause")],
+    ["resume", socket.listeners("resume")],
+  ] as const;
   if (!listener) throw new Error("node:http has no listener for input");
   socket.removeListener("data", listener as (bytes: Buffer) => void);
   socket.on("data", onBytes);
@@ -290,5 +315,9 @@
       if (!present.includes(it)) socket.on(event, it as () => void);
     }
   }
-  return (bytes) => listener.call(socket, bytes);
+  const onPause = flow[0][1];
+  return {
+    deliver: (bytes) => listener.call(socket, bytes),
+    stopReading: () => onPause.forEach((it) => it.call(socket)),
+  };
 }
--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -108,6 +108,10 @@
 const MAX_HEADERS = 1_000;
 /** How often input is discarded while its memory is full, in milliseconds. */
 const RELIEF_INTERVAL_MS = 100;
+/** Input of one connection that is read at once, in bytes. */
+const BYTES_PER_READ = 64 * 1024;
+/** How often the input of further connections is resumed, in milliseconds. */
+const RESUME_INTERVAL_MS = 5;
 const STATUS_TOO_LARGE = 413;
 const STATUS_HEADERS_TOO_LARGE = 431;
 
@@ -124,6 +128,8 @@
   readonly #unread = new Set<HttpResponder>();
   #limits = DEFAULT_LIMITS;
   #inProgress = 0;
+  /** Timer that resumes the input of further connections. */
+  #resuming: NodeJS.Timeout | undefined;
 
   constructor(options: IngressOptions) {
     this.#options = options;
@@ -150,11 +156,7 @@
     this.#server.maxHeadersCount = MAX_HEADERS + 1;
     const rejectUnread = () => this.#rejectUnread();
     options.exitSignal.addEventListener("abort", rejectUnread, { once: true });
-    this.#server.on(
-      "connection",
-      (socket: Socket) =>
-        this.#connections.add(socket, this.#createInput(socket)),
-    );
+    this.#server.on("connection", (socket: Socket) => this.#accept(socket));
   }
 
   /** Number of requests without a complete response. */
@@ -167,7 +169,7 @@
     return this.#connections.size;
   }
 
-  /** Heap for the requests without a response, in bytes. */
+  /** Heap for connections and for requests without a response, in bytes. */
   get requestBytes(): number {
     return this.#requests.usedBytes;
   }
@@ -229,6 +231,12 @@
     return Math.min(MAX_REQUEST_HEAD_BYTES, bytes);
   }
 
+  #accept(socket: Socket): void {
+    this.#requests.holdConnection();
+    socket.once("close", () => this.#requests.releaseConnection());
+    this.#connections.add(socket, this.#createInput(socket));
+  }
+
   #createInput(socket: Socket): CallerInput {
     return new CallerInput({
       socket,
@@ -247,8 +255,21 @@
   #noteInputMemory(isFull: boolean): void {
     const { usedBytes } = this.#inputMemory;
     if (isFull) this.#options.log("input_paused", { bytes: usedBytes });
-    if (isFull) this.#relieveInputMemory();
-    this.#connections.updateFlow();
+    if (!isFull) return this.#resumeInput();
+    this.#relieveInputMemory();
+    this.#connections.pauseInput();
+  }
+
+  /** All connections at once would read more than there is memory for. */
+  #resumeInput(): void {
+    if (this.#inputMemory.isFull) return;
+    const { freeBytes } = this.#inputMemory;
+    const count = Math.max(1, Math.floor(freeBytes / BYTES_PER_READ));
+    if (!this.#connections.resumeInput(count) || this.#resuming) return;
+    this.#resuming = setTimeout(() => {
+      this.#resuming = undefined;
+      this.#resumeInput();
+    }, RESUME_INTERVAL_MS).unref();
   }
 
   /** Input that is being processed may become input that waits later. */
--- a/packages/gateway/src/http/input_memory.ts
+++ b/packages/gateway/src/http/input_memory.ts
@@ -6,11 +6,11 @@
 
 /** Part of the memory in use at which reading is resumed. */
 const RESUME_SHARE = 0.75;
-const DEFAULT_MAX_BYTES = 8 * 1024 * 1024;
+const DEFAULT_MAX_BYTES = 4 * 1024 * 1024;
 
 /** Options of {@link InputMemory}. */
 export interface InputMemoryOptions {
-  /** Memory for input that waits, in bytes. @default 8388608 */
+  /** Memory for input that waits, in bytes. @default 4194304 */
   maxBytes?: number;
   /** Called when the memory is full, and when reading may be resumed. */
   onChange: (isFull: boolean) => void;
@@ -33,6 +33,11 @@
     return this.#usedBytes;
   }
 
+  /** Memory that is left, in bytes. */
+  get freeBytes(): number {
+    return Math.max(0, this.#maxBytes - this.#usedBytes);
+  }
+
   /** True from when the memory is full until reading may be resumed. */
   get isFull(): boolean {
     return this.#isFull;
--- a/packages/gateway/src/http/request_memory.ts
+++ b/packages/gateway/src/http/request_memory.ts
@@ -1,19 +1,21 @@
 /**
- * Bounds the heap that requests in progress take. A header of a few bytes becomes
- * objects of many times its size, so that heads within their limit of bytes may
- * fill the heap, whose limit ends the process.
+ * Bounds the heap that connections of callers and requests in progress take. A
+ * header of a few bytes becomes objects of many times its size, so that heads
+ * within their limit of bytes may fill the heap, whose limit ends the process.
  */
 import { getHeapStatistics } from "node:v8";
 import type { RawHeaders } from "./wire_codec.ts";
 
-/** Part of the heap for requests in progress. */
+/** Part of the heap for connections and for requests in progress. */
 const HEAP_SHARE = 0.5;
+/** Heap for the objects of a connection, in bytes. */
+const CONNECTION_HEAP_BYTES = 8 * 1024;
 /** Heap for the objects of a request beside its head, in bytes. */
 const REQUEST_HEAP_BYTES = 16 * 1024;
 /** Heap for the objects of a header beside its text, in bytes. */
 const HEADER_HEAP_BYTES = 80;
 
-/** Heap for the requests in progress. */
+/** Heap for connections and for requests in progress. */
 export class RequestMemory {
   readonly #maxBytes: number;
   #usedBytes = 0;
@@ -28,6 +30,16 @@
     return this.#usedBytes;
   }
 
+  /** Accounts for a connection, which leaves less for requests. */
+  holdConnection(): void {
+    this.#usedBytes += CONNECTION_HEAP_BYTES;
+  }
+
+  /** Takes back what `holdConnection` has accounted for. */
+  releaseConnection(): void {
+    this.#usedBytes -= CONNECTION_HEAP_BYTES;
+  }
+
   /** Whether a request with a head of this size would fit. */
   fits(headBytes: number, headerLines: number): boolean {
     const bytes = estimateHeapBytes(headBytes, headerLines);
