fix(gateway): callers leave descriptors for servers and the store

Ordinary requests got 503 while other callers had taken all descriptors: the router could open no connection to a server or the store, and not read its settings. Beyond that the connection is closed that was inactive for longest and has no request in progress that has been read; only if the hundred oldest all have one, the new connection.

A test of pipelined requests leaves out the new field of what it compares.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -87,8 +87,10 @@
   noticeMs?: number;
   /** The whole deployment starts for the first time. @default false */
   firstStart?: boolean;
-  /** Memory for what peers send, in bytes. @default 41943040 */
+  /** Memory for what peers send, in bytes. @default 29360128 */
   memoryBytes?: number;
+  /** Connections of callers at once. @default 2600 */
+  maxCallerConnections?: number | undefined;
   /** Aborts when the gateway stops. */
   signal?: AbortSignal;
 }
@@ -252,6 +254,9 @@
       closing: () => this.#drain.started,
       exitSignal: this.#drain.exitSignal,
       memory,
+      maxConnections: options.maxCallerConnections,
+      onConnectionLimit: (closed) =>
+        this.metrics.connectionsClosed.inc({ closed }),
       buildNoMemoryHeaders: (headers) => rejectUnread(this.#ctx, headers),
       onInputRejected: (reason) => this.metrics.inputRejections.inc({ reason }),
     });
--- a/packages/gateway/src/http/__tests__/caller_connections_test.ts
+++ b/packages/gateway/src/http/__tests__/caller_connections_test.ts
@@ -4,6 +4,7 @@
 import type { Socket } from "node:net";
 import {
   CallerConnections,
+  ClosedForLimit,
   MAX_REQUEST_HEAD_BYTES,
 } from "../caller_connections.ts";
 
@@ -45,6 +46,68 @@
   return socket as unknown as Socket;
 }
 
+/** Starts a request on a connection and returns what tracks it. */
+function startRequest(socket: FakeSocket) {
+  const req = Object.assign(new EventEmitter(), { socket });
+  const res = new EventEmitter();
+  const tracked = connections.track(
+    req as unknown as IncomingMessage,
+    res as unknown as ServerResponse,
+  );
+  return { req, res, tracked };
+}
+
+// Callers that took all descriptors kept the router from its servers.
+test("beyond the limit the longest inactive connection is closed", () => {
+  const limits: ClosedForLimit[] = [];
+  const heapBytes = HEAP_BYTES;
+  const onLimit = (closed: ClosedForLimit) => limits.push(closed);
+  connections = new CallerConnections({
+    heapBytes,
+    maxConnections: 3,
+    onHeadsClosed: () => {},
+    onLimit,
+  });
+  const [read, unread, idle, next, last] = sockets as [
+    FakeSocket,
+    FakeSocket,
+    FakeSocket,
+    FakeSocket,
+    FakeSocket,
+  ];
+  for (const socket of [read, unread, idle]) connections.add(asSocket(socket));
+  startRequest(unread);
+  startRequest(read).tracked.noteRead();
+  connections.add(asSocket(next));
+  expect([read, unread, idle].map((it) => it.destroyed))
+    .toEqual([false, false, true]);
+  connections.add(asSocket(last));
+  expect([read, unread].map((it) => it.destroyed)).toEqual([false, true]);
+  expect(limits).toEqual([ClosedForLimit.Inactive, ClosedForLimit.Inactive]);
+  expect(connections.size).toBe(3);
+});
+
+test("a new connection is closed if all others have requests", () => {
+  connections = new CallerConnections({
+    heapBytes: HEAP_BYTES,
+    maxConnections: 1,
+    onHeadsClosed: () => {},
+  });
+  const [first, second, third] = sockets as [
+    FakeSocket,
+    FakeSocket,
+    FakeSocket,
+  ];
+  connections.add(asSocket(first));
+  const { res, tracked } = startRequest(first);
+  tracked.noteRead();
+  connections.add(asSocket(second));
+  expect([first.destroyed, second.destroyed]).toEqual([false, true]);
+  res.emit("close");
+  connections.add(asSocket(third));
+  expect([first.destroyed, third.destroyed]).toEqual([true, false]);
+});
+
 test("the longest of the heads that arrive are closed until the others fit", () => {
   sockets.forEach((socket, i) => socket.bytesRead = 1_000 * i);
   jest.advanceTimersByTime(200);
@@ -86,7 +149,7 @@
   const [socket] = sockets;
   const tracked = [1, 2].map((pipelined) => {
     const req = Object.assign(new EventEmitter(), { socket });
-    const { signal, ...rest } = connections.track(
+    const { signal, noteRead: _, ...rest } = connections.track(
       req as unknown as IncomingMessage,
       new EventEmitter() as unknown as ServerResponse,
     );
--- a/packages/gateway/src/http/caller_connections.ts
+++ b/packages/gateway/src/http/caller_connections.ts
@@ -17,6 +17,10 @@
 const ARRIVING_HEAP_SHARE = 0.2;
 /** Heap for each byte of a head that is still arriving. */
 const HEAP_PER_ARRIVING_BYTE = 6;
+/** Connections of callers at once, where descriptors aren't known. */
+const DEFAULT_MAX_CONNECTIONS = 2_600;
+/** Connections looked at to find one that can be closed for a new one. */
+const MAX_EXAMINED = 100;
 /** How often heads that are still arriving are measured, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
 
@@ -24,14 +28,28 @@
 export interface CallerConnectionsOptions {
   /** Heap of the process, in bytes. @default the limit of its heap */
   heapBytes?: number;
+  /** Connections at once. @default 2600 */
+  maxConnections?: number | undefined;
   /** Called with the number of connections closed for their long heads. */
   onHeadsClosed: (connections: number) => void;
+  /** Called when a connection is closed because there are too many. */
+  onLimit?: (closed: ClosedForLimit) => void;
+}
+
+/** Which connection is closed when there are too many. */
+export enum ClosedForLimit {
+  /** One without a request that has been read, inactive for longest. */
+  Inactive = "inactive",
+  /** The new one. */
+  New = "new",
 }
 
 /** A request in progress. */
 export interface TrackedRequest {
   /** Aborts when the response is complete or the connection has closed. */
   signal: AbortSignal;
+  /** Notes that the request has been read completely. */
+  noteRead: () => void;
   /** Requests in progress on the connection, this one included. */
   pipelined: number;
 }
@@ -54,8 +72,14 @@
     return this.#connections.size;
   }
 
-  /** Adds a new connection, and its input if that is framed before `node:http`. */
+  /**
+   * Adds a new connection, and its input if that is framed before `node:http`.
+   * Closes another one, or the new one, if there are too many.
+   */
   add(socket: Socket, input?: CallerInput): void {
+    const { maxConnections = DEFAULT_MAX_CONNECTIONS } = this.#options;
+    if (this.size >= maxConnections) this.#makeRoomFor(socket);
+    if (socket.destroyed) return;
     const connection = new CallerConnection(socket, input);
     this.#connections.set(socket, connection);
     socket.once("close", () => {
@@ -69,8 +93,12 @@
   track(req: IncomingMessage, res: ServerResponse): TrackedRequest {
     const connection = this.#connections.get(req.socket);
     const isAccepted = connection?.input?.acceptRequest() ?? true;
-    if (connection && isAccepted) return connection.track(req, res);
-    return { signal: AbortSignal.abort(), pipelined: 1 };
+    if (connection && isAccepted) {
+      this.#moveToEnd(req.socket);
+      return connection.track(req, res);
+    }
+    const signal = AbortSignal.abort();
+    return { signal, noteRead: () => {}, pipelined: 1 };
   }
 
   /** Closes every connection immediately. */
@@ -105,7 +133,7 @@
     return false;
   }
 
-  /** The others come first next time. */
+  /** Makes others the ones that were inactive for longest. */
   #moveToEnd(socket: Socket): void {
     const connection = this.#connections.get(socket);
     if (!connection) return;
@@ -113,6 +141,20 @@
     this.#connections.set(socket, connection);
   }
 
+  /** Closes the connection that was inactive for longest, or the new one. */
+  #makeRoomFor(newSocket: Socket): void {
+    const oldest = [...firstOf(this.#connections.values(), MAX_EXAMINED)];
+    const inactive = oldest.find((it) => !it.hasReadRequest);
+    if (!inactive) { for (const { socket } of oldest) this.#moveToEnd(socket); }
+    this.#options.onLimit?.(
+      inactive ? ClosedForLimit.Inactive : ClosedForLimit.New,
+    );
+    const closed = inactive?.socket ?? newSocket;
+    // It is told that it has closed only later.
+    this.#connections.delete(closed);
+    closed.destroy();
+  }
+
   /** Few connections can't have heads that take too much. */
   #scheduleCheck(): void {
     const mostBytes = this.size * HEAP_PER_ARRIVING_BYTE *
@@ -152,6 +194,8 @@
   readonly input: CallerInput | undefined;
   /** Aborted when their requests are over. */
   readonly #requests = new Set<AbortController>();
+  /** Those of them that have been read completely. */
+  readonly #read = new Set<AbortController>();
   /** Requests and responses that aren't complete. */
   #incomplete = 0;
   /** Bytes that had been received before the head that arrives. */
@@ -171,6 +215,11 @@
     return this.#incomplete > 0 ? 0 : this.socket.bytesRead - this.#bytesBefore;
   }
 
+  /** Whether a request is in progress that has been read completely. */
+  get hasReadRequest(): boolean {
+    return this.#read.size > 0;
+  }
+
   track(req: IncomingMessage, res: ServerResponse): TrackedRequest {
     const controller = new AbortController();
     this.#requests.add(controller);
@@ -184,7 +233,9 @@
         if (this.#incomplete === 0) this.input?.endRequest();
       });
     }
-    return { signal: controller.signal, pipelined: this.#requests.size };
+    const { signal } = controller;
+    const noteRead = () => void (signal.aborted || this.#read.add(controller));
+    return { signal, noteRead, pipelined: this.#requests.size };
   }
 
   /** Ends all requests in progress. */
@@ -193,6 +244,17 @@
   }
 
   #end(controller: AbortController): void {
+    this.#read.delete(controller);
     if (this.#requests.delete(controller)) controller.abort();
   }
 }
+
+/** The first `count` items. */
+function* firstOf<T>(items: Iterable<T>, count: number): Generator<T> {
+  let left = count;
+  for (const item of items) {
+    if (left === 0) return;
+    left -= 1;
+    yield item;
+  }
+}
--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -22,7 +22,9 @@
 import { BodyFailure, discardBody, readBody } from "./body_reader.ts";
 import {
   CallerConnections,
+  type ClosedForLimit,
   MAX_REQUEST_HEAD_BYTES,
+  type TrackedRequest,
 } from "./caller_connections.ts";
 import { CallerInput, type InputRejection } from "./caller_input.ts";
 import { InputMemory } from "./input_memory.ts";
@@ -58,7 +60,9 @@
   responder: HttpResponder;
 }
 
-type UnreadRequest = Omit<IngressRequest, "body">;
+type UnreadRequest = Omit<IngressRequest, "body"> & {
+  noteRead: () => void;
+};
 
 /** Handles one request; the promise settles after the response. */
 export type IngressHandler = (req: IngressRequest) => Promise<void>;
@@ -77,6 +81,10 @@
   closing: () => boolean;
   /** Aborts when requests must end because the process is about to exit. */
   exitSignal: AbortSignal;
+  /** Connections of callers at once. @default 2600 */
+  maxConnections?: number | undefined;
+  /** Called for each connection that is closed because there are too many. */
+  onConnectionLimit?: (closed: ClosedForLimit) => void;
   /** Memory for the bodies of requests and for output that isn't read. */
   memory: MemoryBudget;
   /** Builds the headers that refuse a request for lack of memory. */
@@ -134,8 +142,10 @@
   constructor(options: IngressOptions) {
     this.#options = options;
     this.#connections = new CallerConnections({
+      maxConnections: options.maxConnections,
       onHeadsClosed: (connections) =>
         options.log("heads_closed", { connections }),
+      onLimit: (closed) => this.#noteConnectionLimit(closed),
     });
     this.#inputMemory = new InputMemory({
       onChange: (isFull) => this.#noteInputMemory(isFull),
@@ -252,6 +262,12 @@
     });
   }
 
+  #noteConnectionLimit(closed: ClosedForLimit): void {
+    const { log, onConnectionLimit } = this.#options;
+    log("connection_limit", { closed, connections: this.connections });
+    onConnectionLimit?.(closed);
+  }
+
   #noteInputMemory(isFull: boolean): void {
     const { usedBytes } = this.#inputMemory;
     if (isFull) this.#options.log("input_paused", { bytes: usedBytes });
@@ -285,7 +301,7 @@
     const { socket } = req;
     const isClosing = () => closing() || this.#connections.isClosing(socket);
     const responder = new HttpResponder(res, isClosing, memory);
-    const signal = this.#track(req, res);
+    const { signal, noteRead } = this.#track(req, res);
     if (signal.aborted || socket.destroyed) return;
     const headers = req.rawHeaders;
     if (!isHeadAllowed(headers, this.#limits)) {
@@ -303,6 +319,7 @@
       headers,
       arrivedMs,
       signal,
+      noteRead,
       responder,
     };
     await this.#handle(req, request).catch((err) =>
@@ -311,7 +328,8 @@
   }
 
   async #handle(req: IncomingMessage, head: UnreadRequest): Promise<void> {
-    const { headers, responder, signal } = head;
+    const { noteRead, ...request } = head;
+    const { headers, responder, signal } = request;
     const rejection = this.#options.rejectHead?.(head);
     if (rejection) return this.#rejectHead(req, responder, rejection);
     const body = await this.#read(req, responder, signal);
@@ -319,20 +337,22 @@
     if (typeof body === "string") {
       return this.#rejectBody(body, headers, responder);
     }
-    await this.#options.handler({ ...head, body });
+    noteRead();
+    await this.#options.handler({ ...request, body });
   }
 
-  /** Counts a request until it is over, which the returned signal tells. */
-  #track(req: IncomingMessage, res: ServerResponse): AbortSignal {
-    const { signal, pipelined } = this.#connections.track(req, res);
-    if (signal.aborted) return signal;
+  /** Counts a request until it is over. */
+  #track(req: IncomingMessage, res: ServerResponse): TrackedRequest {
+    const tracked = this.#connections.track(req, res);
+    const { signal, pipelined } = tracked;
+    if (signal.aborted) return tracked;
     this.#inProgress += 1;
     signal.addEventListener("abort", () => this.#inProgress -= 1);
     if (pipelined > MAX_PIPELINED_REQUESTS) {
       this.#options.log("pipeline_closed", { requests: pipelined });
       req.socket.destroy();
     }
-    return signal;
+    return tracked;
   }
 
   /** Accounts for a head until its request is over; false if it doesn't fit. */
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -134,6 +134,12 @@
       labelNames: ["reason"],
       registers,
     }),
+    connectionsClosed: new Counter({
+      name: "sassafrascleat_gateway_connections_closed_total",
+      help: "Connections of callers closed because there were too many.",
+      labelNames: ["closed"],
+      registers,
+    }),
     unexpectedErrors: new Counter({
       name: "sassafrascleat_gateway_unexpected_errors_total",
       help: "Exceptions that nothing handled.",
