fix(gateway): full input memory is relieved by half

Callers beside 3,000 open long heads had no answer for 4.7 s: since the memory for input is 4 MB, discarding down to what the heap allows left it about as full as where reading resumes, so that all connections stayed paused. Input is now discarded until half of the memory is free, the longest first.

--- a/packages/gateway/src/http/caller_connections.ts
+++ b/packages/gateway/src/http/caller_connections.ts
@@ -168,19 +168,22 @@
     this.#timer.unref();
   }
 
-  /** Closes the connections with the longest heads until the others fit. */
-  closeLongestHeads(): void {
+  /**
+   * Closes the connections with the longest heads, or with the most input behind
+   * a request, until the others have `maxBytes`. @default what fits in the heap
+   */
+  closeLongestHeads(
+    maxBytes = this.#maxArrivingBytes / HEAP_PER_ARRIVING_BYTE,
+  ): void {
     const connections = [...this.#connections.values()];
-    let excessBytes = -this.#maxArrivingBytes;
-    for (const { arrivingBytes } of connections) {
-      excessBytes += HEAP_PER_ARRIVING_BYTE * arrivingBytes;
-    }
+    let excessBytes = -maxBytes;
+    for (const { arrivingBytes } of connections) excessBytes += arrivingBytes;
     if (excessBytes <= 0) return;
     connections.sort((a, b) => b.arrivingBytes - a.arrivingBytes);
     let closed = 0;
     for (const { socket, input, arrivingBytes } of connections) {
       if (excessBytes <= 0) break;
-      excessBytes -= HEAP_PER_ARRIVING_BYTE * arrivingBytes;
+      excessBytes -= arrivingBytes;
       closed += 1;
       if (!input?.discardBlocked()) socket.destroy();
     }
--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -290,7 +290,7 @@
 
   /** Input that is being processed may become input that waits later. */
   #relieveInputMemory(): void {
-    this.#connections.closeLongestHeads();
+    this.#connections.closeLongestHeads(this.#inputMemory.relievedBytes);
     if (!this.#inputMemory.isFull) return;
     setTimeout(() => this.#relieveInputMemory(), RELIEF_INTERVAL_MS).unref();
   }
--- a/packages/gateway/src/http/input_memory.ts
+++ b/packages/gateway/src/http/input_memory.ts
@@ -6,6 +6,8 @@
 
 /** Part of the memory in use at which reading is resumed. */
 const RESUME_SHARE = 0.75;
+/** Part of the memory that is left in use when input is discarded. */
+const RELIEVED_SHARE = 0.5;
 const DEFAULT_MAX_BYTES = 4 * 1024 * 1024;
 
 /** Options of {@link InputMemory}. */
@@ -33,6 +35,11 @@
     return this.#usedBytes;
   }
 
+  /** Memory that may stay in use when it was full, in bytes. */
+  get relievedBytes(): number {
+    return RELIEVED_SHARE * this.#maxBytes;
+  }
+
   /** Memory that is left, in bytes. */
   get freeBytes(): number {
     return Math.max(0, this.#maxBytes - this.#usedBytes);
