--- a/packages/gateway/src/runs/pending_move.ts
+++ b/packages/gateway/src/runs/pending_move.ts
@@ -40,9 +40,9 @@
   cancelled: AbortSignal;
   /** Aborts when the engine has sent the first event of the run. */
   begun: AbortSignal;
-  /** Aborts when the stream of the run has ended, unless it is complete. */
+  /** Aborts when the stream has ended and the run may not have. */
   cut: AbortSignal;
-  /** Aborts before `cut` if the stream may be complete. */
+  /** Aborts before `cut` if the stream has ended as a complete one does. */
   closed: AbortSignal;
 }
 
