fix(gateway): long chunked uploads fit again beside bounded crowds

So that crowds stay within the host all the same, half of the heap of callers' connections and requests counts in it: in calm that is next to nothing, beside thousands of requests it leaves less for their bodies. Without it 2,600 callers with one chunk of 64 KB each took 165.6 and 166.5 MB (bound 165).

46 of 46 tests of early_responses pass, and 17 of 17 of untrusted_clients, alone.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -87,7 +87,7 @@
   noticeMs?: number;
   /** The whole deployment starts for the first time. @default false */
   firstStart?: boolean;
-  /** Memory for what peers send, in bytes. @default 29360128 */
+  /** Memory for what peers send, in bytes. @default 41943040 */
   memoryBytes?: number;
   /** Connections of callers at once. @default 2600 */
   maxCallerConnections?: number | undefined;
--- a/packages/gateway/src/http/ingress.ts
+++ b/packages/gateway/src/http/ingress.ts
@@ -112,6 +112,12 @@
  * that a caller pipelines, however many responses are due.
  */
 const MAX_PIPELINED_REQUESTS = 100;
+/**
+ * What a byte of heap for callers takes of the memory for peers, so that many
+ * requests leave less for bodies. Half, as bytes held take twice as much resident
+ * memory until they are collected.
+ */
+const BUDGET_PER_HEAP_BYTE = 0.5;
 /** Number of headers that a request may have. */
 const MAX_HEADERS = 1_000;
 /** How often input is discarded while its memory is full, in milliseconds. */
@@ -128,7 +134,7 @@
   readonly #options: IngressOptions;
   readonly #server: Server;
   readonly #connections: CallerConnections;
-  readonly #requests = new RequestMemory();
+  readonly #requests: RequestMemory;
   readonly #turns = new TurnBudget();
   readonly #inputMemory: InputMemory;
   readonly #rejections: InputRejections;
@@ -141,6 +147,11 @@
 
   constructor(options: IngressOptions) {
     this.#options = options;
+    const heap = options.memory.open();
+    this.#requests = new RequestMemory(
+      undefined,
+      (bytes) => heap.holdOutput(BUDGET_PER_HEAP_BYTE * bytes),
+    );
     this.#connections = new CallerConnections({
       maxConnections: options.maxConnections,
       onHeadsClosed: (connections) =>
--- a/packages/gateway/src/http/memory_budget.ts
+++ b/packages/gateway/src/http/memory_budget.ts
@@ -30,14 +30,14 @@
   [MemoryUse.SmallResponse]: 1,
   [MemoryUse.Output]: Infinity,
 };
-const DEFAULT_MAX_BYTES = 28 * 1024 * 1024;
+const DEFAULT_MAX_BYTES = 40 * 1024 * 1024;
 
 /** Memory for what peers send, shared by everything in the process. */
 export class MemoryBudget {
   readonly #maxBytes: number;
   #usedBytes = 0;
 
-  /** `maxBytes` is the whole budget. @default 29360128 */
+  /** `maxBytes` is the whole budget. @default 41943040 */
   constructor(maxBytes = DEFAULT_MAX_BYTES) {
     this.#maxBytes = maxBytes;
   }
--- a/packages/gateway/src/http/request_memory.ts
+++ b/packages/gateway/src/http/request_memory.ts
@@ -18,11 +18,19 @@
 /** Heap for connections and for requests in progress. */
 export class RequestMemory {
   readonly #maxBytes: number;
+  readonly #onChange: (usedBytes: number) => void;
   #usedBytes = 0;
 
-  /** `heapBytes` is the heap of the process. @default the limit of its heap */
-  constructor(heapBytes = getHeapStatistics().heap_size_limit) {
+  /**
+   * `heapBytes` is the heap of the process, by default the limit of its heap;
+   * `onChange` gets the estimated heap in use after each change.
+   */
+  constructor(
+    heapBytes = getHeapStatistics().heap_size_limit,
+    onChange: (usedBytes: number) => void = () => {},
+  ) {
     this.#maxBytes = HEAP_SHARE * heapBytes;
+    this.#onChange = onChange;
   }
 
   /** Estimated heap in use, in bytes. */
@@ -32,12 +40,12 @@
 
   /** Accounts for a connection, which leaves less for requests. */
   holdConnection(): void {
-    this.#usedBytes += CONNECTION_HEAP_BYTES;
+    this.#use(CONNECTION_HEAP_BYTES);
   }
 
   /** Takes back what `holdConnection` has accounted for. */
   releaseConnection(): void {
-    this.#usedBytes -= CONNECTION_HEAP_BYTES;
+    this.#use(-CONNECTION_HEAP_BYTES);
   }
 
   /** Whether a request with a head of this size would fit. */
@@ -48,15 +56,20 @@
 
   /** Accounts for a request with this head; false if it doesn't fit. */
   hold(headers: RawHeaders): boolean {
-    const usedBytes = this.#usedBytes + heapBytesOf(headers);
-    if (usedBytes > this.#maxBytes) return false;
-    this.#usedBytes = usedBytes;
+    const bytes = heapBytesOf(headers);
+    if (this.#usedBytes + bytes > this.#maxBytes) return false;
+    this.#use(bytes);
     return true;
   }
 
   /** Takes back what `hold` has accounted for. */
   release(headers: RawHeaders): void {
-    this.#usedBytes -= heapBytesOf(headers);
+    this.#use(-heapBytesOf(headers));
+  }
+
+  #use(bytes: number): void {
+    this.#usedBytes += bytes;
+    this.#onChange(this.#usedBytes);
   }
 }
 
