--- a/packages/gateway/src/http/wire_codec.ts
+++ b/packages/gateway/src/http/wire_codec.ts
@@ -65,6 +65,14 @@
   lastEventId?: string;
 }
 
+/** What a control call of the router itself names. */
+export interface ControlDirectives {
+  /** Id of this call, which its response names. */
+  callId: string;
+  /** Id of the intended backend server; any other must reject the call. */
+  backendId: string;
+}
+
 /** Reference to a prefill result on the engine that computed it. */
 export interface KvSource {
   /** `ip:port` of the engine. */
@@ -102,6 +110,8 @@
   parseRequest(headers: RawHeaders): RequestMetadata;
   /** Builds the headers that the backend server receives. */
   buildBackendHeaders(headers: RawHeaders, directives: Directives): string[];
+  /** Builds the headers of a control call, whose body is JSON. */
+  buildControlHeaders(directives: ControlDirectives): string[];
   parseResponse(status: number, headers: RawHeaders): ResponseMetadata;
   /** Parses what a backend server says of itself in each of its responses. */
   parseServerState(status: number, headers: RawHeaders): ServerState;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -26,7 +26,14 @@
   type GatewayPolicyOptions,
   resolveGatewayPolicy,
 } from "./policy.ts";
+export {
+  type ControlCall,
+  ControlClient,
+  type ControlClientOptions,
+  type ControlReply,
+} from "./runs/control_client.ts";
 export { Liveness, livenessOf } from "./runs/liveness.ts";
+export { ControlVerdict } from "./runs/reply_verdict.ts";
 export {
   CopyEnd,
   type CopyResult,
--- a/packages/gateway/src/runs/reply_verdict.ts
+++ b/packages/gateway/src/runs/reply_verdict.ts
@@ -1,6 +1,7 @@
 /**
- * Classifies a response of a backend server: success, an error while running
- * the request, or proof that the request did not run.
+ * Judges what a response of a backend server proves: that it belongs to the
+ * request, and whether that ran. Servers in trouble send responses late, twice,
+ * cut off or with any status; what a response doesn't prove is unknown.
  */
 import type { ResponseMetadata } from "../http/wire_codec.ts";
 
@@ -38,3 +39,39 @@
   if (impliesNotExecuted(status)) return ReplyVerdict.Unproved;
   return status >= 500 ? ReplyVerdict.Error : ReplyVerdict.Good;
 }
+
+/** What a response proves about a control call. */
+export enum ControlVerdict {
+  /** It is the response to this call, which its status and body describe. */
+  Own = "own",
+  /**
+   * It may be the late response to an earlier call on the same connection. Good
+   * enough where nothing is lost by an error.
+   */
+  Unproved = "unproved",
+  /** The call had no effect. */
+  NotExecuted = "not_executed",
+  /** There is no response to this call, which may have been carried out. */
+  Unknown = "unknown",
+}
+
+/** A control call, as far as its responses are told from others by it. */
+export interface ControlCallIdentity {
+  callId: string;
+  /** It is the first call on its connection, so that none before it is late. */
+  isFirst: boolean;
+}
+
+/**
+ * Classifies a response to a control call. Not all servers name the id of a
+ * control call, so a response without one is proved only by its connection.
+ */
+export function classifyControlReply(
+  { requestId, hasContentCoding, notExecuted }: ResponseMetadata,
+  { callId, isFirst }: ControlCallIdentity,
+): ControlVerdict {
+  const isForeign = requestId !== undefined && requestId !== callId;
+  if (isForeign || hasContentCoding) return ControlVerdict.Unknown;
+  if (requestId === undefined && !isFirst) return ControlVerdict.Unproved;
+  return notExecuted ? ControlVerdict.NotExecuted : ControlVerdict.Own;
+}
