--- a/packages/gateway/src/runs/run_context.ts
+++ b/packages/gateway/src/runs/run_context.ts
@@ -195,9 +195,9 @@
   Stayed = "stayed",
   /** The source engine has no such run any more. */
   Ended = "ended",
-  /** The run continues at the source engine. */
+  /** The call has not stopped the run. */
   NotMoved = "not_moved",
-  /** No response was received; the run may have stopped. */
+  /** No response proves what became of the run, which may have stopped. */
   Unknown = "unknown",
 }
 
