--- a/packages/gateway/src/runs/prefiller.ts
+++ b/packages/gateway/src/runs/prefiller.ts
@@ -16,7 +16,8 @@
   ExchangeOutcome,
   type ExchangeResult,
 } from "../http/exchange.ts";
-import type { KvSource, PromptInfo } from "../http/wire_codec.ts";
+import { CallFailure } from "../http/upstream_call.ts";
+import type { KvSource, PromptInfo, RawHeaders } from "../http/wire_codec.ts";
 import { recordPrefill } from "./crash_detection.ts";
 import type { Reservation } from "./decode_reservations.ts";
 import {
@@ -218,6 +219,8 @@
       },
       timeoutMs,
       signal,
+      (status, headers) =>
+        this.#classify(status, headers) !== ReplyVerdict.InvalidResponse,
     );
     finish();
     return result;
@@ -225,18 +228,20 @@
 
   /** Returns the engine's reply if the prefill succeeded. */
   #parse(engine: Backend, result: ExchangeResult): PrefillReply | undefined {
-    const { codec, engines } = this.#ctx;
     if (result.end !== ExchangeOutcome.Answered || result.status !== 200) {
       return undefined;
     }
-    const metadata = codec.parseResponse(result.status, result.headers);
-    const { requestId } = this.#req.metadata;
-    const verdict = classifyReply(result.status, metadata, requestId);
+    const verdict = this.#classify(result.status, result.headers);
     return verdict === ReplyVerdict.Good
-      ? engines.parsePrefill(engine, result.body)
+      ? this.#ctx.engines.parsePrefill(engine, result.body)
       : undefined;
   }
 
+  #classify(status: number, headers: RawHeaders): ReplyVerdict {
+    const metadata = this.#ctx.codec.parseResponse(status, headers);
+    return classifyReply(status, metadata, this.#req.metadata.requestId);
+  }
+
   /**
    * True once the call is overdue and its engine silent, which may stand still.
    * A call to an engine that is gone is aborted.
@@ -284,6 +289,11 @@
       return;
     }
     if (result.timedOut) return recordSilent(ctx, engine);
+    if (result.failure === CallFailure.InvalidResponse) {
+      // Its connection is closed already; others of the engine may be sound.
+      recordOutcome(ctx, engine, CallOutcome.NoResponse, 0);
+      return;
+    }
     ejectBackend(ctx, engine);
     ctx.upstream.retire(engine);
   }
