--- a/packages/gateway/src/http/wire_codec.ts
+++ b/packages/gateway/src/http/wire_codec.ts
@@ -67,8 +67,8 @@
 
 /** What a control call of the router itself names. */
 export interface ControlDirectives {
-  /** Id of this call, which its response names. */
-  callId: string;
+  /** Id of this call, which its response names; absent if it has none. */
+  callId?: string;
   /** Id of the intended backend server; any other must reject the call. */
   backendId: string;
 }
--- a/packages/gateway/src/runs/control_client.ts
+++ b/packages/gateway/src/runs/control_client.ts
@@ -1,8 +1,8 @@
 /**
  * Control calls to backend servers: those that a router makes for itself rather
- * than for a caller. Each has an id of its own, and its result says what the
- * response proves about the call. A connection whose response belongs to
- * something else is closed: all later responses on it may be late as well.
+ * than for a caller. The result of each says what its response proves about the
+ * call. A connection whose response belongs to something else is closed: all
+ * later responses on it may be late as well.
  */
 import { randomUUID } from "node:crypto";
 import type { Backend } from "../backends/backend.ts";
@@ -66,7 +66,7 @@
   /** Makes one call; it is given up when `signal` aborts. */
   async call(call: ControlCall, signal: AbortSignal): Promise<ControlReply> {
     const { backend, method, path, body, newConnection = false } = call;
-    const callId = randomUUID();
+    const callId = needsId(call) ? randomUUID() : undefined;
     const identity = { callId, isFirst: newConnection };
     const result = await exchange(
       this.#upstream,
@@ -110,3 +110,11 @@
     return classifyControlReply(metadata, identity);
   }
 }
+
+/**
+ * Whether the response is told from late ones by an id. Plain servers have no
+ * control interface: they would run a call with an id like a caller's request.
+ */
+function needsId({ backend, newConnection }: ControlCall): boolean {
+  return backend.stage !== undefined && !newConnection;
+}
--- a/packages/gateway/src/runs/reply_verdict.ts
+++ b/packages/gateway/src/runs/reply_verdict.ts
@@ -55,9 +55,10 @@
   Unknown = "unknown",
 }
 
-/** A control call, as far as its responses are told from others by it. */
+/** A control call, as far as its response is told from others by it. */
 export interface ControlCallIdentity {
-  callId: string;
+  /** Id that the call carries, if it does. */
+  callId?: string;
   /** It is the first call on its connection, so that none before it is late. */
   isFirst: boolean;
 }
