--- a/packages/gateway/src/backends/backend.ts
+++ b/packages/gateway/src/backends/backend.ts
@@ -37,3 +37,12 @@
 export function incarnationOf(backend: Backend): string {
   return `${backend.id}@${backend.startedAtMs ?? 0}@${backend.address}`;
 }
+
+/** Whether a server with the same id that started at this time is another one. */
+export function isOtherIncarnation(
+  { startedAtMs }: Backend,
+  otherStartedAtMs: number | undefined,
+): boolean {
+  return startedAtMs !== undefined && otherStartedAtMs !== undefined &&
+    startedAtMs !== otherStartedAtMs;
+}
--- a/packages/gateway/src/backends/index.ts
+++ b/packages/gateway/src/backends/index.ts
@@ -4,6 +4,7 @@
   BackendState,
   EngineStage,
   incarnationOf,
+  isOtherIncarnation,
 } from "./backend.ts";
 export {
   BackendDirectory,
--- a/packages/gateway/src/runs/__tests__/liveness_test.ts
+++ b/packages/gateway/src/runs/__tests__/liveness_test.ts
@@ -64,6 +64,13 @@
   },
 );
 
+test("a response of a later incarnation shows that the server is gone", () => {
+  const end = ExchangeOutcome.Answered;
+  const body = Buffer.alloc(0);
+  const result = { end, status: 200, headers: [], body, elapsedMs: 1 } as const;
+  expect(livenessOf(result, true)).toBe(Liveness.Gone);
+});
+
 describe("a check", () => {
   test("reports a silent server without waiting for its answer", async () => {
     const { checks } = checksWith([[Liveness.Alive, 300]]);
--- a/packages/gateway/src/runs/liveness.ts
+++ b/packages/gateway/src/runs/liveness.ts
@@ -31,12 +31,18 @@
 /** Error codes of connections that were reset. */
 const RESET_CODES = new Set(["ECONNRESET", "EPIPE", "UND_ERR_SOCKET"]);
 
-/** Evaluates a call on a new connection that named the expected server. */
-export function livenessOf(result: ExchangeResult): Liveness {
+/**
+ * Evaluates a call on a new connection that named the expected server.
+ * `isOtherIncarnation` tells that the server has said that it has started anew
+ * under the id that the call named. @default false
+ */
+export function livenessOf(
+  result: ExchangeResult,
+  isOtherIncarnation = false,
+): Liveness {
   if (result.end === ExchangeOutcome.Answered) {
-    return result.status === STATUS_MISDIRECTED
-      ? Liveness.Gone
-      : Liveness.Alive;
+    const isOther = isOtherIncarnation || result.status === STATUS_MISDIRECTED;
+    return isOther ? Liveness.Gone : Liveness.Alive;
   }
   const { code = "" } = result;
   if (code === REFUSED_CODE) return Liveness.Gone;
